--- /dev/null
+++ b/src/backend/http_channel.cpp
@@ -0,0 +1,231 @@
+#include "backend/backend.h"
+#include "wire/wire.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdlib>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr int StatusOk = 200;
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusUnavailable = 503;
+
+std::string headerOf(const HttpReply &reply, const std::string &name)
+{
+    const auto found = reply.headers.find(name);
+    return found == reply.headers.end() ? std::string() : found->second;
+}
+
+std::optional<double> numberOf(const std::string &text)
+{
+    char *end = nullptr;
+    const double value = std::strtod(text.c_str(), &end);
+    const bool valid = end != text.c_str() && value >= 0 && value < 1e12;
+    return valid ? std::optional<double>(value) : std::nullopt;
+}
+
+std::optional<Duration> serviceTimeOf(const HttpReply &reply)
+{
+    const auto microseconds = numberOf(headerOf(reply, "x-service-time-us"));
+    if (!microseconds) {
+        return std::nullopt;
+    }
+    return std::chrono::microseconds(static_cast<std::int64_t>(*microseconds));
+}
+
+// Passes tokens on as the engine sends them, and checks that they belong to this attempt.
+class TokenReader final : public HttpWaiter
+{
+public:
+    TokenReader(const StageCall &call, StageListener &listener)
+        : m_call(call)
+        , m_listener(listener)
+    {
+    }
+    int callerSocket() const override
+    {
+        return m_listener.callerSocket();
+    }
+    bool cancelled() override
+    {
+        return m_listener.cancelled();
+    }
+    void pause() override
+    {
+        m_listener.flush();
+    }
+    bool begin(const HttpReply &head) override
+    {
+        const bool own = headerOf(head, "x-request-id") == m_call.attempt;
+        if (!own) {
+            m_problem = ErrorCode::AttemptMismatch;
+        }
+        return own;
+    }
+    bool line(std::string_view text) override
+    {
+        auto event = decodeTokenLine(text);
+        if (!event) {
+            m_problem = event.error().code;
+            return false;
+        }
+        if (!event->has_value()) {
+            return true;
+        }
+        const TokenEvent &token = **event;
+        if (token.done) {
+            m_done = true;
+            return true;
+        }
+        if (m_done || (!token.id.empty() && token.id != m_call.attempt)) {
+            m_problem = ErrorCode::AttemptMismatch;
+            return false;
+        }
+        m_callerGone = !m_listener.token(token.text);
+        return !m_callerGone;
+    }
+    std::optional<ErrorCode> problem() const
+    {
+        return m_problem;
+    }
+    bool done() const
+    {
+        return m_done;
+    }
+
+private:
+    const StageCall &m_call;
+    StageListener &m_listener;
+    bool m_done = false;
+    bool m_callerGone = false;
+    std::optional<ErrorCode> m_problem;
+};
+
+class HttpBackendChannel final : public BackendChannel
+{
+public:
+    HttpBackendChannel(HttpClientSettings settings, MetricsRegistry &metrics)
+        : m_connectTimeout(settings.connectTimeout)
+        , m_client(settings)
+        , m_mismatches(metrics.counter("vanillanotch_replies_dropped_total"))
+    {
+    }
+
+    tl::expected<StageReply, CallFailure> call(const StageCall &call, StageListener &listener) override
+    {
+        TokenReader reader(call, listener);
+        const auto reply = m_client.call(call.address, requestFor(call), call.deadline, call.gap, &reader);
+        if (!reply) {
+            return tl::unexpected(failureOf(reply.error(), reader));
+        }
+        if (reply->status != StatusOk) {
+            return tl::unexpected(rejection(*reply));
+        }
+        StageReply result;
+        result.load = numberOf(headerOf(*reply, "x-load"));
+        result.leaving = headerOf(*reply, "x-server-state") == "leaving";
+        result.serviceTime = serviceTimeOf(*reply);
+        if (call.stage->kind == StageKind::Generation) {
+            if (!reader.done()) {
+                return tl::unexpected(failure(ErrorCode::ConnectionLost, true, "the stream ended before the text did", *reply));
+            }
+            result.data = *call.data;
+            return result;
+        }
+        auto data = decodeStageReply(call, reply->body);
+        if (!data) {
+            return tl::unexpected(failure(data.error().code, true, data.error().detail, *reply));
+        }
+        result.data = std::move(*data);
+        return result;
+    }
+
+    bool accepts(const std::string &address) override
+    {
+        assertNoLockHeld("a connection is opened");
+        try {
+            Poco::Net::StreamSocket socket;
+            socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(m_connectTimeout.count() * 1000));
+            return true;
+        } catch (const Poco::Net::ConnectionRefusedException &) {
+            return false;
+        } catch (const Poco::Exception &) {
+            return true; // no answer isn't proof that nobody listens
+        }
+    }
+
+    void distrust(const std::string &address) override
+    {
+        m_client.dropIdle(address);
+    }
+
+private:
+    static HttpRequestOut requestFor(const StageCall &call)
+    {
+        const Duration left = call.deadline - std::chrono::steady_clock::now();
+        HttpRequestOut request;
+        request.path = stagePath(*call.stage);
+        request.body = encodeStageBody(call);
+        request.headers["X-Request-Id"] = call.attempt;
+        request.headers["X-Pipeline-Request"] = call.request;
+        request.headers["X-Deadline-Ms"] = std::to_string(toMilliseconds(left).count());
+        if (!call.idempotencyKey.empty()) {
+            request.headers["Idempotency-Key"] = call.idempotencyKey;
+        }
+        request.receiveTimeout = call.firstByte;
+        request.freshConnection = call.freshConnection;
+        return request;
+    }
+
+    static CallFailure failure(ErrorCode code, bool sent, std::string detail, const HttpReply &reply)
+    {
+        CallFailure failure;
+        failure.code = code;
+        failure.sent = sent;
+        failure.detail = std::move(detail);
+        failure.load = numberOf(headerOf(reply, "x-load"));
+        failure.leaving = headerOf(reply, "x-server-state") == "leaving";
+        return failure;
+    }
+
+    CallFailure failureOf(const HttpFailure &transport, const TokenReader &reader)
+    {
+        CallFailure failure;
+        failure.code = reader.problem().value_or(transport.code);
+        failure.sent = transport.sent;
+        failure.pooled = transport.pooled;
+        failure.detail = transport.detail;
+        if (failure.code == ErrorCode::AttemptMismatch) {
+            m_mismatches.add();
+            failure.detail = "the reply names another attempt";
+        }
+        return failure;
+    }
+
+    static CallFailure rejection(const HttpReply &reply)
+    {
+        // 429 and 503 from the server itself say that it took no work; the echoed attempt shows that it is the server.
+        const bool busy = reply.status == StatusTooManyRequests || reply.status == StatusUnavailable;
+        const ErrorCode code = busy ? ErrorCode::ServerBusy : ErrorCode::ServerRejected;
+        CallFailure result = failure(code, !busy, "status " + std::to_string(reply.status), reply);
+        result.requestFault = !busy && reply.status < 500;
+        return result;
+    }
+
+    std::chrono::milliseconds m_connectTimeout;
+    HttpClient m_client;
+    Counter &m_mismatches;
+};
+} // namespace
+
+std::unique_ptr<BackendChannel> makeHttpBackendChannel(HttpClientSettings settings, MetricsRegistry &metrics)
+{
+    return std::make_unique<HttpBackendChannel>(settings, metrics);
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/backend/sample_channel.cpp
@@ -0,0 +1,110 @@
+#include "backend/backend.h"
+
+#include <algorithm>
+#include <condition_variable>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr Duration SampleTime = std::chrono::milliseconds(6); // of a stage that doesn't generate
+constexpr Duration SampleTokenTime = std::chrono::milliseconds(2); // between two tokens
+
+const std::vector<std::string> &sampleDocuments()
+{
+    static const std::vector<std::string> documents{
+        "A circle pays one pot each month, by rota.",
+        "A member who missed a share pays it with the next one.",
+        "A grease-load report names the duct, the load and the crew.",
+    };
+    return documents;
+}
+
+class SampleBackendChannel final : public BackendChannel
+{
+public:
+    tl::expected<StageReply, CallFailure> call(const StageCall &call, StageListener &listener) override
+    {
+        StageReply reply;
+        reply.data = *call.data;
+        reply.load = 0.1;
+        const TimePoint began = std::chrono::steady_clock::now();
+        switch (call.stage->kind) {
+        case StageKind::Encoding:
+            pause(SampleTime);
+            reply.data.embedding = {0.25F, 0.5F, 0.75F};
+            break;
+        case StageKind::Retrieval:
+            pause(SampleTime);
+            reply.data.documents = sampleDocuments();
+            break;
+        case StageKind::Reranking:
+            pause(SampleTime);
+            std::reverse(reply.data.documents.begin(), reply.data.documents.end());
+            break;
+        case StageKind::Generation:
+            if (!generate(call, listener)) {
+                CallFailure gone;
+                gone.code = ErrorCode::CallerGone;
+                gone.sent = true;
+                return tl::unexpected(gone);
+            }
+            break;
+        case StageKind::Service:
+            pause(SampleTime);
+            reply.data.serviceResults[call.stage->name] = R"({"accepted":true})";
+            break;
+        }
+        reply.serviceTime = std::chrono::steady_clock::now() - began;
+        return reply;
+    }
+
+    bool accepts(const std::string & /*address*/) override
+    {
+        return true;
+    }
+
+    void distrust(const std::string & /*address*/) override
+    {
+    }
+
+private:
+    static void pause(Duration duration)
+    {
+        RankedMutex mutex(LockRank::Leaf);
+        std::condition_variable_any never;
+        Lock lock(mutex);
+        never.wait_for(lock, duration, [] {
+            return false;
+        });
+    }
+
+    static bool generate(const StageCall &call, StageListener &listener)
+    {
+        constexpr std::string_view Words = "This is a sample answer, generated token by token by a server inside the process.";
+        std::size_t begin = 0;
+        unsigned index = 0;
+        while (begin < Words.size()) {
+            const std::size_t space = Words.find(' ', begin);
+            const std::size_t end = space == std::string_view::npos ? Words.size() : space + 1;
+            if (index++ >= call.resumeTokens) {
+                pause(SampleTokenTime);
+                if (!listener.token(Words.substr(begin, end - begin)) || listener.cancelled()) {
+                    return false;
+                }
+                listener.flush();
+            }
+            begin = end;
+        }
+        return true;
+    }
+};
+} // namespace
+
+std::unique_ptr<BackendChannel> makeSampleBackendChannel()
+{
+    return std::make_unique<SampleBackendChannel>();
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/configuration/configuration.cpp
@@ -0,0 +1,561 @@
+// Index of sections: [MAPS] [VALIDATION] [BUILD] [READ] [DIFFERENCE] [TABLE]
+#include "configuration/configuration.h"
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// [MAPS] copy on write, one map for each kind
+//-----------------------------------------------------------------------------
+
+namespace
+{
+template<typename T>
+Ref<EntryMap<T>> cloned(const Ref<EntryMap<T>> &map)
+{
+    Ref<EntryMap<T>> copy = makeRef<EntryMap<T>>();
+    copy->items = map->items;
+    return copy;
+}
+
+template<typename T>
+void upsert(Ref<EntryMap<T>> &map, const T &spec)
+{
+    map->items[spec.name] = spec;
+}
+
+struct TouchedKinds {
+    std::array<bool, 6> kinds{};
+
+    bool has(EntryKind kind) const
+    {
+        return kinds.at(static_cast<std::size_t>(kind));
+    }
+    void add(EntryKind kind)
+    {
+        kinds.at(static_cast<std::size_t>(kind)) = true;
+    }
+};
+
+TouchedKinds touchedBy(const Change &change)
+{
+    TouchedKinds touched;
+    for (const Entry &entry : change.upserts) {
+        touched.add(entry.key().kind);
+    }
+    for (const EntryKey &key : change.deletes) {
+        touched.add(key.kind);
+    }
+    return touched;
+}
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [VALIDATION] collects every violation
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr std::size_t NameLimit = 64; // characters
+constexpr std::chrono::milliseconds DeadlineCeiling = std::chrono::minutes(10);
+constexpr std::size_t DigestLength = 64; // hexadecimal digits
+
+bool isName(const std::string &name)
+{
+    if (name.empty() || name.size() > NameLimit) {
+        return false;
+    }
+    for (const char c : name) {
+        const bool allowed = (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == ':';
+        if (!allowed) {
+            return false;
+        }
+    }
+    return true;
+}
+
+class Violations
+{
+public:
+    void check(bool holds, const std::string &entry, const std::string &member, const std::string &problem)
+    {
+        if (!holds) {
+            m_list.push_back(Violation{entry, member, problem});
+        }
+    }
+    void checkName(const std::string &entry, const std::string &name)
+    {
+        check(isName(name), entry, "name", "allowed are 1 to 64 characters of a-z, 0-9, '-', '_', '.' and ':'");
+    }
+    std::vector<Violation> take()
+    {
+        return std::move(m_list);
+    }
+
+private:
+    std::vector<Violation> m_list;
+};
+
+void validateServer(const BackendServerSpec &server, const Configuration &configuration, Violations &violations)
+{
+    const std::string entry = "backend_server/" + server.name;
+    violations.checkName(entry, server.name);
+    violations.check(configuration.dataCentres().count(server.dataCentre) == 1, entry, "data_centre",
+                     "no data centre has the name '" + server.dataCentre + "'");
+    violations.check(server.address.find(':') != std::string::npos, entry, "address", "IP:port is needed");
+    violations.check(server.concurrency >= 1 && server.concurrency <= 100000, entry, "concurrency", "allowed are 1 to 100000");
+    violations.check(server.pricePerSecond >= 0, entry, "price_per_second", "0 or more is needed");
+    violations.check(!server.capabilities.empty(), entry, "capabilities", "at least one is needed");
+}
+
+void validateStage(const StageSpec &stage, const std::string &entry, std::size_t index, const Configuration &configuration, Violations &violations)
+{
+    const std::string member = "stages[" + std::to_string(index) + "]";
+    violations.check(isName(stage.name), entry, member + ".name", "allowed are 1 to 64 characters of a-z, 0-9, '-', '_', '.' and ':'");
+    violations.check(!configuration.serversWith(stage.capability).empty(), entry, member + ".capability",
+                     "no backend server has the capability '" + stage.capability + "'");
+    violations.check(stage.typicalTime > std::chrono::milliseconds(0), entry, member + ".typical_ms", "1 or more is needed");
+    violations.check(stage.path.empty() || stage.path.front() == '/', entry, member + ".path", "must start with '/'");
+    violations.check(stage.idempotent || stage.kind == StageKind::Service, entry, member + ".idempotent", "false is allowed for stages of kind service only");
+    violations.check(stage.maxTokens >= 1 && stage.maxTokens <= 1000000, entry, member + ".max_tokens", "allowed are 1 to 1000000");
+}
+
+void validatePipeline(const PipelineSpec &pipeline, const Configuration &configuration, Violations &violations)
+{
+    const std::string entry = "pipeline/" + pipeline.name;
+    violations.checkName(entry, pipeline.name);
+    violations.check(!pipeline.stages.empty() && pipeline.stages.size() <= 16, entry, "stages", "1 to 16 are needed");
+    violations.check(pipeline.deadlineLimit > std::chrono::milliseconds(0) && pipeline.deadlineLimit <= DeadlineCeiling, entry, "deadline_limit_ms",
+                     "allowed are 1 to 600000");
+    std::set<std::string> names;
+    unsigned nonIdempotent = 0;
+    for (std::size_t i = 0; i < pipeline.stages.size(); ++i) {
+        const StageSpec &stage = pipeline.stages[i];
+        validateStage(stage, entry, i, configuration, violations);
+        violations.check(names.insert(stage.name).second, entry, "stages[" + std::to_string(i) + "].name", "stands twice in the pipeline");
+        nonIdempotent += stage.idempotent ? 0 : 1;
+    }
+    violations.check(nonIdempotent <= 1, entry, "stages", "at most one stage may be non-idempotent");
+}
+
+void validateAccount(const ClientAccountSpec &account, const Configuration &configuration, Violations &violations)
+{
+    const std::string entry = "client_account/" + account.name;
+    violations.checkName(entry, account.name);
+    violations.check(account.keyDigest.size() == DigestLength, entry, "key_sha256", "64 hexadecimal digits are needed");
+    violations.check(account.requestsPerSecond > 0, entry, "requests_per_second", "more than 0 is needed");
+    violations.check(account.burst >= 1, entry, "burst", "1 or more is needed");
+    violations.check(account.concurrency >= 1, entry, "concurrency", "1 or more is needed");
+    for (const std::string &pipeline : account.pipelines) {
+        violations.check(configuration.findPipeline(pipeline) != nullptr, entry, "pipelines", "no pipeline has the name '" + pipeline + "'");
+    }
+}
+
+void validatePreset(const PresetSpec &preset, Violations &violations)
+{
+    const std::string entry = "preset/" + preset.name;
+    violations.checkName(entry, preset.name);
+    violations.check(preset.costWeight >= 0 && preset.costWeight <= 1, entry, "cost_weight", "allowed is 0 to 1");
+    violations.check(preset.retryShare >= 0 && preset.retryShare <= 1, entry, "retry_share", "allowed is 0 to 1");
+    violations.check(preset.admissionMargin > 0 && preset.admissionMargin <= 10, entry, "admission_margin", "more than 0, at most 10");
+    violations.check(preset.accountShare > 0 && preset.accountShare <= 10, entry, "account_share", "more than 0, at most 10");
+}
+} // namespace
+
+std::vector<Violation> Configuration::validate() const
+{
+    Violations violations;
+    for (const auto &[name, dataCentre] : dataCentres()) {
+        violations.checkName("data_centre/" + name, dataCentre.name);
+    }
+    for (const auto &[name, server] : backendServers()) {
+        validateServer(server, *this, violations);
+    }
+    for (const auto &[name, pipeline] : pipelines()) {
+        validatePipeline(pipeline, *this, violations);
+    }
+    for (const auto &[name, account] : accounts()) {
+        validateAccount(account, *this, violations);
+    }
+    violations.check(m_accountByDigest->items.size() == accounts().size(), "client_account", "key_sha256", "two client accounts have the same key");
+    for (const auto &[name, preset] : presets()) {
+        validatePreset(preset, violations);
+    }
+    violations.check(presets().count(m_presetInForce) == 1, "preset_in_force", "preset", "no preset has the name '" + m_presetInForce + "'");
+    return violations.take();
+}
+
+//-----------------------------------------------------------------------------
+// [BUILD]
+//-----------------------------------------------------------------------------
+
+ConfigurationRef Configuration::empty()
+{
+    return blank(0);
+}
+
+Ref<Configuration> Configuration::blank(Revision revision)
+{
+    Ref<Configuration> configuration(new Configuration());
+    configuration->m_revision = revision;
+    configuration->m_dataCentres = makeRef<EntryMap<DataCentreSpec>>();
+    configuration->m_backendServers = makeRef<EntryMap<BackendServerSpec>>();
+    configuration->m_pipelines = makeRef<EntryMap<PipelineSpec>>();
+    configuration->m_accounts = makeRef<EntryMap<ClientAccountSpec>>();
+    configuration->m_presets = makeRef<EntryMap<PresetSpec>>();
+    configuration->index(true, true);
+    return configuration;
+}
+
+tl::expected<ConfigurationRef, std::vector<Violation>> Configuration::build(Revision revision, const std::vector<Entry> &entries)
+{
+    Change change;
+    change.revision = revision;
+    change.upserts = entries;
+    return blank(revision - 1)->apply(change);
+}
+
+tl::expected<ConfigurationRef, std::vector<Violation>> Configuration::apply(const Change &change) const
+{
+    if (change.revision != m_revision + 1) {
+        return tl::unexpected(
+            std::vector<Violation>{{"revision", "", "revision " + std::to_string(change.revision) + " doesn't follow revision " + std::to_string(m_revision)}});
+    }
+    const TouchedKinds touched = touchedBy(change);
+    Ref<Configuration> next(new Configuration());
+    next->m_revision = change.revision;
+    next->m_dataCentres = touched.has(EntryKind::DataCentre) ? cloned(m_dataCentres) : m_dataCentres;
+    next->m_backendServers = touched.has(EntryKind::BackendServer) ? cloned(m_backendServers) : m_backendServers;
+    next->m_pipelines = touched.has(EntryKind::Pipeline) ? cloned(m_pipelines) : m_pipelines;
+    next->m_accounts = touched.has(EntryKind::ClientAccount) ? cloned(m_accounts) : m_accounts;
+    next->m_presets = touched.has(EntryKind::Preset) ? cloned(m_presets) : m_presets;
+    next->m_presetInForce = m_presetInForce;
+    next->m_byCapability = m_byCapability;
+    next->m_accountByDigest = m_accountByDigest;
+    for (const EntryKey &key : change.deletes) {
+        switch (key.kind) {
+        case EntryKind::DataCentre:
+            next->m_dataCentres->items.erase(key.name);
+            break;
+        case EntryKind::BackendServer:
+            next->m_backendServers->items.erase(key.name);
+            break;
+        case EntryKind::Pipeline:
+            next->m_pipelines->items.erase(key.name);
+            break;
+        case EntryKind::ClientAccount:
+            next->m_accounts->items.erase(key.name);
+            break;
+        case EntryKind::Preset:
+            next->m_presets->items.erase(key.name);
+            break;
+        case EntryKind::PresetInForce:
+            next->m_presetInForce.clear();
+            break;
+        }
+    }
+    for (const Entry &entry : change.upserts) {
+        if (const auto *dataCentre = std::get_if<DataCentreSpec>(&entry.body)) {
+            upsert(next->m_dataCentres, *dataCentre);
+        } else if (const auto *server = std::get_if<BackendServerSpec>(&entry.body)) {
+            upsert(next->m_backendServers, *server);
+        } else if (const auto *pipeline = std::get_if<PipelineSpec>(&entry.body)) {
+            upsert(next->m_pipelines, *pipeline);
+        } else if (const auto *account = std::get_if<ClientAccountSpec>(&entry.body)) {
+            upsert(next->m_accounts, *account);
+        } else if (const auto *preset = std::get_if<PresetSpec>(&entry.body)) {
+            upsert(next->m_presets, *preset);
+        } else if (const auto *inForce = std::get_if<PresetInForce>(&entry.body)) {
+            next->m_presetInForce = inForce->preset;
+        }
+    }
+    next->index(touched.has(EntryKind::BackendServer), touched.has(EntryKind::ClientAccount));
+    if (auto violations = next->validate(); !violations.empty()) {
+        return tl::unexpected(std::move(violations));
+    }
+    return ConfigurationRef(next);
+}
+
+void Configuration::index(bool serversChanged, bool accountsChanged)
+{
+    if (serversChanged) {
+        m_byCapability = makeRef<EntryMap<std::vector<std::string>>>();
+        for (const auto &[name, server] : m_backendServers->items) {
+            for (const std::string &capability : server.capabilities) {
+                m_byCapability->items[capability].push_back(name);
+            }
+        }
+    }
+    if (accountsChanged) {
+        m_accountByDigest = makeRef<EntryMap<std::string>>();
+        for (const auto &[name, account] : m_accounts->items) {
+            m_accountByDigest->items[account.keyDigest] = name;
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [READ]
+//-----------------------------------------------------------------------------
+
+const std::map<std::string, DataCentreSpec> &Configuration::dataCentres() const
+{
+    return m_dataCentres->items;
+}
+
+const std::map<std::string, BackendServerSpec> &Configuration::backendServers() const
+{
+    return m_backendServers->items;
+}
+
+const std::map<std::string, PipelineSpec> &Configuration::pipelines() const
+{
+    return m_pipelines->items;
+}
+
+const std::map<std::string, ClientAccountSpec> &Configuration::accounts() const
+{
+    return m_accounts->items;
+}
+
+const std::map<std::string, PresetSpec> &Configuration::presets() const
+{
+    return m_presets->items;
+}
+
+const PresetSpec &Configuration::preset() const
+{
+    static const PresetSpec none;
+    const auto found = m_presets->items.find(m_presetInForce);
+    return found == m_presets->items.end() ? none : found->second;
+}
+
+const PipelineSpec *Configuration::findPipeline(const std::string &name) const
+{
+    const auto found = m_pipelines->items.find(name);
+    return found == m_pipelines->items.end() ? nullptr : &found->second;
+}
+
+const ClientAccountSpec *Configuration::findAccountByKeyDigest(const std::string &digest) const
+{
+    // The look-up is by digest: its timing tells nothing about a key. The last check is constant in time.
+    const auto found = m_accountByDigest->items.find(digest);
+    if (found == m_accountByDigest->items.end()) {
+        return nullptr;
+    }
+    const ClientAccountSpec &account = m_accounts->items.at(found->second);
+    return equalConstantTime(account.keyDigest, digest) ? &account : nullptr;
+}
+
+const std::vector<std::string> &Configuration::serversWith(const std::string &capability) const
+{
+    static const std::vector<std::string> none;
+    const auto found = m_byCapability->items.find(capability);
+    return found == m_byCapability->items.end() ? none : found->second;
+}
+
+std::vector<Entry> Configuration::entries() const
+{
+    std::vector<Entry> all;
+    const auto append = [&all](const auto &map) {
+        for (const auto &[name, spec] : map) {
+            all.push_back(Entry{spec});
+        }
+    };
+    append(dataCentres());
+    append(backendServers());
+    append(pipelines());
+    append(accounts());
+    append(presets());
+    if (!m_presetInForce.empty()) {
+        all.push_back(Entry{PresetInForce{m_presetInForce}});
+    }
+    return all;
+}
+
+//-----------------------------------------------------------------------------
+// [DIFFERENCE]
+//-----------------------------------------------------------------------------
+
+namespace
+{
+bool same(const DataCentreSpec &a, const DataCentreSpec &b)
+{
+    return std::tie(a.name, a.region, a.oneWayDelay) == std::tie(b.name, b.region, b.oneWayDelay);
+}
+
+bool same(const BackendServerSpec &a, const BackendServerSpec &b)
+{
+    return std::tie(a.name, a.dataCentre, a.address, a.capabilities, a.concurrency, a.pricePerSecond, a.checksFencing, a.draining)
+        == std::tie(b.name, b.dataCentre, b.address, b.capabilities, b.concurrency, b.pricePerSecond, b.checksFencing, b.draining);
+}
+
+bool same(const StageSpec &a, const StageSpec &b)
+{
+    return std::tie(a.name, a.kind, a.capability, a.path, a.model, a.typicalTime, a.idempotent, a.keepResult, a.maxTokens)
+        == std::tie(b.name, b.kind, b.capability, b.path, b.model, b.typicalTime, b.idempotent, b.keepResult, b.maxTokens);
+}
+
+bool same(const PipelineSpec &a, const PipelineSpec &b)
+{
+    if (a.stages.size() != b.stages.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < a.stages.size(); ++i) {
+        if (!same(a.stages[i], b.stages[i])) {
+            return false;
+        }
+    }
+    return std::tie(a.name, a.deadlineLimit, a.recordAnswer) == std::tie(b.name, b.deadlineLimit, b.recordAnswer);
+}
+
+bool same(const ClientAccountSpec &a, const ClientAccountSpec &b)
+{
+    return std::tie(a.name, a.keyDigest, a.requestsPerSecond, a.burst, a.concurrency, a.pipelines)
+        == std::tie(b.name, b.keyDigest, b.requestsPerSecond, b.burst, b.concurrency, b.pipelines);
+}
+
+bool same(const PresetSpec &a, const PresetSpec &b)
+{
+    return std::tie(a.name, a.costWeight, a.retryShare, a.admissionMargin, a.accountShare)
+        == std::tie(b.name, b.costWeight, b.retryShare, b.admissionMargin, b.accountShare);
+}
+
+bool same(const PresetInForce &a, const PresetInForce &b)
+{
+    return a.preset == b.preset;
+}
+
+bool sameBody(const EntryBody &a, const EntryBody &b)
+{
+    if (a.index() != b.index()) {
+        return false;
+    }
+    return std::visit(
+        [&b](const auto &left) {
+            return same(left, std::get<std::decay_t<decltype(left)>>(b));
+        },
+        a);
+}
+} // namespace
+
+Change difference(const Configuration &from, const std::vector<Entry> &wanted)
+{
+    std::map<EntryKey, EntryBody> before;
+    for (Entry &entry : from.entries()) {
+        before[entry.key()] = std::move(entry.body);
+    }
+    Change change;
+    change.revision = from.revision() + 1;
+    for (const Entry &entry : wanted) {
+        const auto found = before.find(entry.key());
+        const bool unchanged = found != before.end() && sameBody(found->second, entry.body);
+        if (found != before.end()) {
+            before.erase(found);
+        }
+        if (!unchanged) {
+            change.upserts.push_back(entry);
+        }
+    }
+    for (const auto &[key, body] : before) {
+        change.deletes.push_back(key);
+    }
+    return change;
+}
+
+//-----------------------------------------------------------------------------
+// [TABLE]
+//-----------------------------------------------------------------------------
+
+ConfigurationTable::ConfigurationTable()
+    : m_current(Configuration::empty())
+{
+}
+
+ConfigurationRef ConfigurationTable::current() const
+{
+    const Lock lock(m_mutex);
+    return m_current;
+}
+
+bool ConfigurationTable::ready() const
+{
+    return current()->revision() > 0;
+}
+
+bool ConfigurationTable::install(const ConfigurationRef &configuration)
+{
+    {
+        const Lock lock(m_mutex);
+        if (configuration->revision() <= m_current->revision()) {
+            return false;
+        }
+        m_current = configuration;
+        m_recent.clear();
+    }
+    notify(configuration);
+    return true;
+}
+
+Result<Revision> ConfigurationTable::install(const Change &change)
+{
+    const ConfigurationRef base = current();
+    if (change.revision <= base->revision()) {
+        return base->revision();
+    }
+    auto next = base->apply(change); // outside the lock: it copies a map
+    if (!next) {
+        return fail(ErrorCode::InvalidConfiguration, describe(next.error()));
+    }
+    {
+        const Lock lock(m_mutex);
+        if (m_current->revision() != base->revision()) {
+            return m_current->revision(); // another thread was faster; the caller compares
+        }
+        m_current = *next;
+        m_recent.push_back(change);
+        if (m_recent.size() > RecentChanges) {
+            m_recent.pop_front();
+        }
+    }
+    notify(*next);
+    return change.revision;
+}
+
+std::optional<std::vector<Change>> ConfigurationTable::changesSince(Revision revision) const
+{
+    const Lock lock(m_mutex);
+    if (revision == m_current->revision()) {
+        return std::vector<Change>{};
+    }
+    if (revision > m_current->revision() || m_recent.empty() || m_recent.front().revision > revision + 1) {
+        return std::nullopt;
+    }
+    std::vector<Change> changes;
+    for (const Change &change : m_recent) {
+        if (change.revision > revision) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+void ConfigurationTable::onInstalled(std::function<void(const ConfigurationRef &)> listener)
+{
+    const Lock lock(m_mutex);
+    m_listeners.push_back(std::move(listener));
+}
+
+void ConfigurationTable::notify(const ConfigurationRef &configuration)
+{
+    std::vector<std::function<void(const ConfigurationRef &)>> listeners;
+    {
+        const Lock lock(m_mutex);
+        listeners = m_listeners;
+    }
+    for (const auto &listener : listeners) {
+        listener(configuration);
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/fleet/routing.cpp
@@ -0,0 +1,139 @@
+#include "fleet/fleet.h"
+
+#include <algorithm>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr double RemotePenalty = 1.25; // another data centre's server must be this much better
+constexpr double SlackShare = 0.7; // a predicted time within this share of the slack is safe
+
+double occupancy(const ServerView &server)
+{
+    const double own = static_cast<double>(server.inFlight) / std::max(1U, server.concurrency);
+    return std::max(own, server.reportedLoad);
+}
+
+// Weighs predicted time against cost; slower than the slack allows is never outweighed by a low price.
+class DeadlineCostRouting final : public RoutingPolicy
+{
+public:
+    std::string_view name() const override
+    {
+        return "deadline_cost";
+    }
+
+    std::size_t choose(const RoutingInput &input, const std::vector<ServerView> &servers) override
+    {
+        const double safeTime = SlackShare * static_cast<double>(std::max(input.slack, Duration(1)).count());
+        double dearest = 0;
+        for (const ServerView &server : servers) {
+            dearest = std::max(dearest, callCost(server));
+        }
+        std::size_t best = 0;
+        double bestScore = 0;
+        // A different start each time, so that equals share the work.
+        const std::size_t start = m_next++ % servers.size();
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            const std::size_t index = (start + i) % servers.size();
+            const double score = scoreOf(servers[index], input, safeTime, dearest);
+            if (i == 0 || score < bestScore) {
+                best = index;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+private:
+    static double callCost(const ServerView &server)
+    {
+        return server.pricePerSecond * static_cast<double>(server.expectedTime.count());
+    }
+
+    static double scoreOf(const ServerView &server, const RoutingInput &input, double safeTime, double dearest)
+    {
+        const double time = static_cast<double>(predictedTime(server).count()) * (server.local ? 1.0 : RemotePenalty);
+        const double relativeTime = time / safeTime;
+        const double relativeCost = dearest > 0 ? callCost(server) / dearest : 0;
+        const double overrun = std::max(0.0, relativeTime - 1.0);
+        return (1 - input.costWeight) * relativeTime + input.costWeight * relativeCost + 10 * overrun;
+    }
+
+    std::size_t m_next = 0; // guarded by the table's lock
+};
+
+class RoundRobinRouting final : public RoutingPolicy
+{
+public:
+    std::string_view name() const override
+    {
+        return "round_robin";
+    }
+
+    std::size_t choose(const RoutingInput & /*input*/, const std::vector<ServerView> &servers) override
+    {
+        return m_next++ % servers.size();
+    }
+
+private:
+    std::size_t m_next = 0; // guarded by the table's lock
+};
+
+class LeastOutstandingRouting final : public RoutingPolicy
+{
+public:
+    std::string_view name() const override
+    {
+        return "least_outstanding";
+    }
+
+    std::size_t choose(const RoutingInput & /*input*/, const std::vector<ServerView> &servers) override
+    {
+        const auto least = std::min_element(servers.begin(), servers.end(), [](const ServerView &a, const ServerView &b) {
+            return a.inFlight < b.inFlight;
+        });
+        return static_cast<std::size_t>(least - servers.begin());
+    }
+};
+} // namespace
+
+Duration predictedTime(const ServerView &server)
+{
+    // Batching servers slow down as they fill: up to twice the time at full occupancy, and queueing beyond it.
+    const double factor = 1.0 + std::max(0.0, occupancy(server));
+    return Duration(static_cast<Duration::rep>(static_cast<double>(server.expectedTime.count()) * factor)) + server.networkDelay;
+}
+
+std::unique_ptr<RoutingPolicy> makeDeadlineCostRouting()
+{
+    return std::make_unique<DeadlineCostRouting>();
+}
+
+std::unique_ptr<RoutingPolicy> makeRoundRobinRouting()
+{
+    return std::make_unique<RoundRobinRouting>();
+}
+
+std::unique_ptr<RoutingPolicy> makeLeastOutstandingRouting()
+{
+    return std::make_unique<LeastOutstandingRouting>();
+}
+
+std::unique_ptr<RoutingPolicy> makeRouting(std::string_view name)
+{
+    if (name == "deadline_cost") {
+        return makeDeadlineCostRouting();
+    }
+    if (name == "round_robin") {
+        return makeRoundRobinRouting();
+    }
+    if (name == "least_outstanding") {
+        return makeLeastOutstandingRouting();
+    }
+    return nullptr;
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/frontend/operators.cpp
@@ -0,0 +1,184 @@
+#include "frontend/frontend.h"
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr const char *JsonType = "application/json";
+constexpr const char *TextType = "text/plain; charset=utf-8";
+constexpr std::size_t RequestsShown = 200;
+constexpr std::size_t AuditPage = 100;
+constexpr std::size_t AuthorLimit = 64; // characters
+
+void replyError(HttpExchange &exchange, const Error &error)
+{
+    exchange.reply(httpStatusOf(error.code), JsonType, encodeErrorDocument(error.code, error.detail));
+}
+
+std::uint64_t numberOr(const std::string &text, std::uint64_t fallback)
+{
+    const bool digits = !text.empty() && text.size() < 20 && text.find_first_not_of("0123456789") == std::string::npos;
+    return digits ? std::stoull(text) : fallback;
+}
+} // namespace
+
+OperatorHandler::OperatorHandler(OperatorParts parts, std::string keyDigest)
+    : m_parts(parts)
+    , m_keyDigest(std::move(keyDigest))
+{
+}
+
+std::string OperatorHandler::describeError(ErrorCode code)
+{
+    return encodeErrorDocument(code, "the request could not be read");
+}
+
+void OperatorHandler::handle(HttpExchange &exchange)
+{
+    if (handleOpen(exchange)) {
+        return;
+    }
+    const std::string key = exchange.bearerToken();
+    if (key.empty() || !equalConstantTime(sha256Hex(key), m_keyDigest)) {
+        exchange.closeAfterReply(); // a body may follow that nobody reads
+        const ErrorCode code = key.empty() ? ErrorCode::MissingCredentials : ErrorCode::UnknownCredentials;
+        return replyError(exchange, Error{code, "the operators' key is needed as a bearer token"});
+    }
+    if (exchange.method() == "GET") {
+        return handleRead(exchange);
+    }
+    handleChange(exchange);
+}
+
+bool OperatorHandler::handleOpen(HttpExchange &exchange)
+{
+    if (exchange.method() != "GET") {
+        return false;
+    }
+    if (exchange.path() == "/livez") {
+        exchange.reply(200, TextType, "alive\n");
+        return true;
+    }
+    if (exchange.path() == "/readyz") {
+        const bool ready = m_parts.configurations.ready() && !m_parts.service.leaving();
+        exchange.reply(ready ? 200 : 503, TextType, ready ? "ready\n" : "not ready\n");
+        return true;
+    }
+    if (exchange.path() == "/metrics") {
+        exchange.reply(200, "text/plain; version=0.0.4", m_parts.metrics.renderText());
+        return true;
+    }
+    return false;
+}
+
+void OperatorHandler::handleTable(HttpExchange &exchange, const std::string &table)
+{
+    if (table == "servers") {
+        return exchange.reply(200, JsonType, encodeServers(m_parts.servers.states()));
+    }
+    if (table == "members") {
+        return exchange.reply(200, JsonType, encodeMembers(m_parts.members.all()));
+    }
+    if (table == "accounts") {
+        return exchange.reply(200, JsonType, encodeAccounts(m_parts.accounts.states()));
+    }
+    if (table == "requests") {
+        return exchange.reply(200, JsonType, encodeRequests(m_parts.requests.views(m_parts.clock.now(), RequestsShown)));
+    }
+    if (table == "suspects") {
+        return exchange.reply(200, JsonType, encodeSuspects(m_parts.suspects.marks()));
+    }
+    replyError(exchange, Error{ErrorCode::UnknownPath, "tables are servers, members, accounts, requests and suspects"});
+}
+
+void OperatorHandler::handleRead(HttpExchange &exchange)
+{
+    const std::string &path = exchange.path();
+    constexpr std::string_view Tables = "/v1/tables/";
+    constexpr std::string_view Requests = "/v1/requests/";
+    if (path == "/v1/status") {
+        NodeStatus status;
+        status.self = m_parts.members.self();
+        status.preset = m_parts.configurations.current()->preset().name;
+        status.ready = m_parts.configurations.ready();
+        status.leaving = m_parts.service.leaving();
+        status.running = m_parts.requests.running();
+        return exchange.reply(200, JsonType, encodeStatus(status, m_parts.members.all()));
+    }
+    if (path == "/v1/configuration") {
+        const ConfigurationRef current = m_parts.configurations.current();
+        exchange.setHeader("X-Revision", std::to_string(current->revision()));
+        return exchange.reply(200, "application/yaml", writeConfigurationYaml(current->entries()));
+    }
+    if (path == "/v1/report") {
+        return exchange.reply(200, JsonType, encodeReport(m_parts.costs.costs(), m_parts.costs.attainment()));
+    }
+    if (path == "/v1/audit") {
+        const Revision after = numberOr(exchange.query("after"), 0);
+        const auto changes = m_parts.configuration.audit(after, AuditPage);
+        return changes ? exchange.reply(200, JsonType, encodeAudit(*changes)) : replyError(exchange, changes.error());
+    }
+    if (path.rfind(Tables, 0) == 0) {
+        return handleTable(exchange, path.substr(Tables.size()));
+    }
+    if (path.rfind(Requests, 0) == 0) {
+        const auto request = m_parts.requests.find(path.substr(Requests.size()), m_parts.clock.now());
+        return request ? exchange.reply(200, JsonType, encodeRequest(*request))
+                       : replyError(exchange, Error{ErrorCode::UnknownEntry, "this node doesn't hold the request"});
+    }
+    replyError(exchange, Error{ErrorCode::UnknownPath, "no such resource"});
+}
+
+Result<Acceptance> OperatorHandler::applyDocument(HttpExchange &exchange, const std::string &author)
+{
+    const auto text = exchange.readBody();
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    const auto entries = parseConfigurationYaml(*text, "configuration");
+    if (!entries) {
+        return fail(ErrorCode::InvalidConfiguration, describe(entries.error()));
+    }
+    const Revision base = numberOr(exchange.query("base"), 0);
+    const std::string summary = exchange.query("summary");
+    return m_parts.configuration.replaceAll(*entries, base, author, summary.empty() ? "apply" : summary);
+}
+
+Result<Acceptance> OperatorHandler::change(HttpExchange &exchange)
+{
+    const std::string author = exchange.header("X-Operator");
+    if (author.empty() || author.size() > AuthorLimit) {
+        return fail(ErrorCode::InvalidArgument, "the header X-Operator must name the operator, 1 to 64 characters");
+    }
+    const std::string &path = exchange.path();
+    if (path == "/v1/apply") {
+        return applyDocument(exchange, author);
+    }
+    if (path == "/v1/preset") {
+        return m_parts.configuration.usePreset(exchange.query("name"), author);
+    }
+    if (path == "/v1/drain" || path == "/v1/undrain") {
+        return m_parts.configuration.setDraining(exchange.query("server"), path == "/v1/drain", author);
+    }
+    return fail(ErrorCode::UnknownPath, "no such resource");
+}
+
+void OperatorHandler::handleChange(HttpExchange &exchange)
+{
+    const auto accepted = change(exchange);
+    if (!accepted) {
+        exchange.closeAfterReply();
+        return replyError(exchange, accepted.error());
+    }
+    if (accepted->changed) { // at once down the tree, not only at the roots' next look
+        if (const auto changes = m_parts.configurations.changesSince(accepted->revision - 1); changes && !changes->empty()) {
+            News news;
+            news.changes = *changes;
+            m_parts.duties.spread(news);
+        }
+    }
+    exchange.reply(200, JsonType, encodeAcceptance(*accepted));
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/peer/messages.cpp
@@ -0,0 +1,208 @@
+#include "peer/messages.h"
+
+#include "wire/wire.h"
+
+namespace vanillanotch
+{
+
+namespace
+{
+void encodeMember(const MemberRecord &record, proto::Member &out)
+{
+    out.set_name(record.name);
+    out.set_data_centre(record.dataCentre);
+    out.set_peer_address(record.peerAddress);
+    out.set_operator_address(record.operatorAddress);
+    out.set_incarnation(record.incarnation);
+    out.set_version(record.version);
+    out.set_state(static_cast<std::uint32_t>(record.state));
+    out.set_revision(record.revision);
+}
+
+MemberRecord decodeMember(const proto::Member &in)
+{
+    MemberRecord record;
+    record.name = in.name();
+    record.dataCentre = in.data_centre();
+    record.peerAddress = in.peer_address();
+    record.operatorAddress = in.operator_address();
+    record.incarnation = in.incarnation();
+    record.version = in.version();
+    record.state = in.state() <= static_cast<std::uint32_t>(MemberState::Gone) ? static_cast<MemberState>(in.state()) : MemberState::Gone;
+    record.revision = in.revision();
+    return record;
+}
+
+template<typename Messages>
+void encodeMembers(const std::vector<MemberRecord> &records, Messages &out)
+{
+    for (const MemberRecord &record : records) {
+        encodeMember(record, *out.Add());
+    }
+}
+
+template<typename Messages>
+std::vector<MemberRecord> decodeMembers(const Messages &in)
+{
+    std::vector<MemberRecord> records;
+    for (const proto::Member &member : in) {
+        if (!member.name().empty()) {
+            records.push_back(decodeMember(member));
+        }
+    }
+    return records;
+}
+
+template<typename Messages>
+void encodeSuspects(const std::vector<SuspectMark> &marks, Messages &out)
+{
+    for (const SuspectMark &mark : marks) {
+        proto::Suspect &suspect = *out.Add();
+        suspect.set_fingerprint(mark.fingerprint);
+        suspect.set_held_for_ms(static_cast<std::uint64_t>(mark.heldFor.count()));
+        for (const std::string &server : mark.servers) {
+            suspect.add_servers(server);
+        }
+    }
+}
+
+template<typename Messages>
+std::vector<SuspectMark> decodeSuspects(const Messages &in)
+{
+    constexpr std::uint64_t LongestHold = 3600000; // milliseconds
+    std::vector<SuspectMark> marks;
+    for (const proto::Suspect &suspect : in) {
+        SuspectMark mark;
+        mark.fingerprint = suspect.fingerprint();
+        mark.servers.insert(suspect.servers().begin(), suspect.servers().end());
+        mark.heldFor = std::chrono::milliseconds(std::min<std::uint64_t>(suspect.held_for_ms(), LongestHold));
+        marks.push_back(std::move(mark));
+    }
+    return marks;
+}
+
+template<typename Messages>
+Result<std::vector<Change>> decodeChanges(const Messages &in)
+{
+    std::vector<Change> changes;
+    for (const std::string &text : in) {
+        auto change = decodeChange(text);
+        if (!change) {
+            return tl::unexpected(change.error());
+        }
+        changes.push_back(std::move(*change));
+    }
+    return changes;
+}
+} // namespace
+
+void encode(const ExchangeMessage &message, proto::ExchangeRequest &out)
+{
+    encodeMember(message.sender, *out.mutable_sender());
+    out.set_member_digest(message.memberDigest);
+    encodeMembers(message.members, *out.mutable_members());
+    encodeSuspects(message.suspects, *out.mutable_suspects());
+}
+
+Result<ExchangeMessage> decode(const proto::ExchangeRequest &in)
+{
+    if (in.sender().name().empty()) {
+        return fail(ErrorCode::InvalidArgument, "the sender is missing");
+    }
+    ExchangeMessage message;
+    message.sender = decodeMember(in.sender());
+    message.memberDigest = in.member_digest();
+    message.members = decodeMembers(in.members());
+    message.suspects = decodeSuspects(in.suspects());
+    return message;
+}
+
+void encode(const ExchangeAnswer &answer, proto::ExchangeReply &out)
+{
+    encodeMember(answer.sender, *out.mutable_sender());
+    encodeMembers(answer.members, *out.mutable_members());
+    encodeSuspects(answer.suspects, *out.mutable_suspects());
+    for (const Change &change : answer.changes) {
+        out.add_changes(encodeChange(change));
+    }
+    out.set_snapshot_needed(answer.snapshotNeeded);
+    for (const std::string &server : answer.leavingServers) {
+        out.mutable_leaving()->add_servers(server);
+    }
+}
+
+Result<ExchangeAnswer> decode(const proto::ExchangeReply &in)
+{
+    auto changes = decodeChanges(in.changes());
+    if (!changes) {
+        return tl::unexpected(changes.error());
+    }
+    ExchangeAnswer answer;
+    answer.sender = decodeMember(in.sender());
+    answer.members = decodeMembers(in.members());
+    answer.suspects = decodeSuspects(in.suspects());
+    answer.changes = std::move(*changes);
+    answer.snapshotNeeded = in.snapshot_needed();
+    answer.leavingServers.insert(in.leaving().servers().begin(), in.leaving().servers().end());
+    return answer;
+}
+
+void encode(const News &news, proto::PushRequest &out)
+{
+    for (const Change &change : news.changes) {
+        out.add_changes(encodeChange(change));
+    }
+    encodeSuspects(news.suspects, *out.mutable_suspects());
+    if (news.leavingServers) {
+        out.mutable_leaving();
+        for (const std::string &server : *news.leavingServers) {
+            out.mutable_leaving()->add_servers(server);
+        }
+    }
+    encodeMembers(news.members, *out.mutable_members());
+    out.set_range_end(news.rangeEnd);
+}
+
+Result<News> decode(const proto::PushRequest &in)
+{
+    auto changes = decodeChanges(in.changes());
+    if (!changes) {
+        return tl::unexpected(changes.error());
+    }
+    if (in.range_end().empty()) { // would make the receiver a root of its own
+        return fail(ErrorCode::InvalidArgument, "range_end is missing");
+    }
+    News news;
+    news.changes = std::move(*changes);
+    news.suspects = decodeSuspects(in.suspects());
+    if (in.has_leaving()) {
+        news.leavingServers.emplace(in.leaving().servers().begin(), in.leaving().servers().end());
+    }
+    news.members = decodeMembers(in.members());
+    news.rangeEnd = in.range_end();
+    return news;
+}
+
+void encode(const SnapshotMessage &snapshot, proto::SnapshotReply &out)
+{
+    out.set_revision(snapshot.revision);
+    for (const Entry &entry : snapshot.entries) {
+        out.add_entries(encodeEntry(entry));
+    }
+}
+
+Result<SnapshotMessage> decode(const proto::SnapshotReply &in)
+{
+    SnapshotMessage snapshot;
+    snapshot.revision = in.revision();
+    for (const std::string &text : in.entries()) {
+        auto entry = decodeEntry(text);
+        if (!entry) {
+            return tl::unexpected(entry.error());
+        }
+        snapshot.entries.push_back(std::move(*entry));
+    }
+    return snapshot;
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/peer/messages.h
@@ -0,0 +1,21 @@
+// Between the steward's structs and the generated messages; private to the peer library.
+#pragma once
+
+#include "peer/generated/peer.pb.h"
+#include "steward/steward.h"
+
+namespace vanillanotch
+{
+
+namespace proto = ::vanillanotch::peer;
+
+void encode(const ExchangeMessage &message, proto::ExchangeRequest &out);
+Result<ExchangeMessage> decode(const proto::ExchangeRequest &in);
+void encode(const ExchangeAnswer &answer, proto::ExchangeReply &out);
+Result<ExchangeAnswer> decode(const proto::ExchangeReply &in);
+void encode(const News &news, proto::PushRequest &out);
+Result<News> decode(const proto::PushRequest &in);
+void encode(const SnapshotMessage &snapshot, proto::SnapshotReply &out);
+Result<SnapshotMessage> decode(const proto::SnapshotReply &in);
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/platform/http_platform.cpp
@@ -0,0 +1,278 @@
+// The platform's service over HTTP with JSON bodies; docs/PLATFORM.md gives the protocol.
+#include "http/http.h"
+#include "platform/platform.h"
+
+#include <Poco/URI.h>
+
+#include <nlohmann/json.hpp>
+
+namespace vanillanotch
+{
+
+namespace
+{
+using Json = nlohmann::json;
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int StatusPreconditionFailed = 412;
+
+std::string encoded(const std::string &text)
+{
+    std::string out;
+    Poco::URI::encode(text, "/?#&=+%", out);
+    return out;
+}
+
+// Sends one call and turns failures of the transport into errors of the platform.
+class PlatformLink : public RefCounted<PlatformLink>
+{
+public:
+    explicit PlatformLink(PlatformSettings settings)
+        : m_settings(std::move(settings))
+    {
+    }
+
+    Result<HttpReply> read(const std::string &path)
+    {
+        HttpRequestOut request = prepared("GET", path, {});
+        for (int attempt = 0;; ++attempt) {
+            auto reply = m_client.call(m_settings.address, request, deadline(), m_settings.timeout);
+            if (reply) {
+                return accepted(*reply);
+            }
+            m_client.dropIdle(m_settings.address);
+            const bool again = attempt == 0 && reply.error().pooled; // a read may be repeated on a fresh connection
+            if (!again) {
+                return fail(ErrorCode::PlatformUnavailable, reply.error().detail);
+            }
+            request.freshConnection = true;
+        }
+    }
+
+    Result<HttpReply> write(const std::string &method, const std::string &path, std::string body, const std::map<std::string, std::string> &headers = {})
+    {
+        HttpRequestOut request = prepared(method, path, std::move(body));
+        request.headers.insert(headers.begin(), headers.end());
+        auto reply = m_client.call(m_settings.address, request, deadline(), m_settings.timeout);
+        if (reply) {
+            return accepted(*reply);
+        }
+        m_client.dropIdle(m_settings.address);
+        const ErrorCode code = reply.error().sent ? ErrorCode::PlatformAnswerLost : ErrorCode::PlatformUnavailable;
+        return fail(code, reply.error().detail);
+    }
+
+private:
+    TimePoint deadline() const
+    {
+        return std::chrono::steady_clock::now() + m_settings.timeout;
+    }
+
+    HttpRequestOut prepared(const std::string &method, const std::string &path, std::string body) const
+    {
+        HttpRequestOut request;
+        request.method = method;
+        request.path = path;
+        request.body = std::move(body);
+        request.receiveTimeout = m_settings.timeout;
+        if (!m_settings.token.empty()) {
+            request.headers["Authorization"] = "Bearer " + m_settings.token;
+        }
+        return request;
+    }
+
+    static Result<HttpReply> accepted(const HttpReply &reply)
+    {
+        const bool known =
+            reply.status == StatusOk || reply.status == StatusNotFound || reply.status == StatusConflict || reply.status == StatusPreconditionFailed;
+        if (!known) {
+            // A 5xx doesn't tell whether a write took effect.
+            return fail(ErrorCode::PlatformAnswerLost, "status " + std::to_string(reply.status));
+        }
+        return reply;
+    }
+
+    PlatformSettings m_settings;
+    HttpClient m_client;
+};
+
+Row decodeRow(const Json &json)
+{
+    return Row{json.at("key").get<std::string>(), json.at("value").get<std::string>(), json.at("version").get<std::uint64_t>()};
+}
+
+class HttpTable final : public Table
+{
+public:
+    explicit HttpTable(Ref<PlatformLink> link)
+        : m_link(std::move(link))
+    {
+    }
+
+    Result<std::optional<Row>> read(const std::string &key) override
+    {
+        auto reply = m_link->read("/v1/rows?key=" + encoded(key));
+        if (!reply) {
+            return tl::unexpected(reply.error());
+        }
+        if (reply->status == StatusNotFound) {
+            return std::optional<Row>();
+        }
+        return decode<std::optional<Row>>(*reply, [](const Json &json) {
+            return std::optional<Row>(decodeRow(json));
+        });
+    }
+
+    Result<std::vector<Row>> scan(const std::string &prefix, const std::string &after, std::size_t limit) override
+    {
+        auto reply = m_link->read("/v1/scan?prefix=" + encoded(prefix) + "&after=" + encoded(after) + "&limit=" + std::to_string(limit));
+        if (!reply) {
+            return tl::unexpected(reply.error());
+        }
+        return decode<std::vector<Row>>(*reply, [](const Json &json) {
+            std::vector<Row> rows;
+            for (const Json &row : json.at("rows")) {
+                rows.push_back(decodeRow(row));
+            }
+            return rows;
+        });
+    }
+
+    Result<void> commit(const std::vector<Write> &writes) override
+    {
+        Json list = Json::array();
+        for (const Write &write : writes) {
+            Json item{{"key", write.key}, {"expected_version", write.expectedVersion}};
+            item["value"] = write.value ? Json(*write.value) : Json(nullptr);
+            list.push_back(std::move(item));
+        }
+        auto reply = m_link->write("POST", "/v1/commit", Json{{"writes", std::move(list)}}.dump());
+        if (!reply) {
+            return tl::unexpected(reply.error());
+        }
+        if (reply->status == StatusConflict) {
+            return fail(ErrorCode::ConditionFailed, writes.empty() ? std::string() : writes.front().key);
+        }
+        return {};
+    }
+
+private:
+    template<typename T, typename Decoder>
+    static Result<T> decode(const HttpReply &reply, const Decoder &decoder)
+    {
+        try {
+            return decoder(Json::parse(reply.body));
+        } catch (const Json::exception &exception) {
+            return fail(ErrorCode::PlatformReplyInvalid, exception.what());
+        }
+    }
+
+    Ref<PlatformLink> m_link;
+};
+
+class HttpObjects final : public ObjectStore
+{
+public:
+    explicit HttpObjects(Ref<PlatformLink> link)
+        : m_link(std::move(link))
+    {
+    }
+
+    Result<std::string> read(const std::string &name) override
+    {
+        auto reply = m_link->read(pathOf(name));
+        if (!reply) {
+            return tl::unexpected(reply.error());
+        }
+        if (reply->status == StatusNotFound) {
+            return fail(ErrorCode::ObjectNotFound, name);
+        }
+        return reply->body;
+    }
+
+    Result<void> write(const std::string &name, const std::string &bytes) override
+    {
+        return done(m_link->write("PUT", pathOf(name), bytes), name);
+    }
+
+    Result<void> insert(const std::string &name, const std::string &bytes) override
+    {
+        return done(m_link->write("PUT", pathOf(name), bytes, {{"If-None-Match", "*"}}), name);
+    }
+
+    Result<void> remove(const std::string &name) override
+    {
+        return done(m_link->write("DELETE", pathOf(name), {}), name);
+    }
+
+private:
+    static std::string pathOf(const std::string &name)
+    {
+        return "/v1/objects?name=" + encoded(name);
+    }
+
+    static Result<void> done(const Result<HttpReply> &reply, const std::string &name)
+    {
+        if (!reply) {
+            return tl::unexpected(reply.error());
+        }
+        if (reply->status == StatusPreconditionFailed) {
+            return fail(ErrorCode::ConditionFailed, name);
+        }
+        return {};
+    }
+
+    Ref<PlatformLink> m_link;
+};
+
+class HttpVmList final : public VmList
+{
+public:
+    explicit HttpVmList(Ref<PlatformLink> link)
+        : m_link(std::move(link))
+    {
+    }
+
+    Result<std::vector<VmRecord>> list() override
+    {
+        auto reply = m_link->read("/v1/vms");
+        if (!reply) {
+            return tl::unexpected(reply.error());
+        }
+        try {
+            std::vector<VmRecord> records;
+            const Json json = Json::parse(reply->body);
+            for (const Json &vm : json.at("vms")) {
+                VmRecord record;
+                record.name = vm.at("name").get<std::string>();
+                record.role = vm.at("role").get<std::string>() == "backend" ? VmRole::Backend : VmRole::Entry;
+                record.state = vm.at("state").get<std::string>() == "leaving" ? VmState::Leaving : VmState::Live;
+                record.dataCentre = vm.value("data_centre", "");
+                record.peerAddress = vm.value("peer_address", "");
+                record.operatorAddress = vm.value("operator_address", "");
+                records.push_back(std::move(record));
+            }
+            return records;
+        } catch (const Json::exception &exception) {
+            return fail(ErrorCode::PlatformReplyInvalid, exception.what());
+        }
+    }
+
+private:
+    Ref<PlatformLink> m_link;
+};
+} // namespace
+
+Platform makeHttpPlatform(const PlatformSettings &settings)
+{
+    Ref<PlatformLink> link = makeRef<PlatformLink>(settings);
+    Platform platform;
+    platform.table = std::make_unique<HttpTable>(link);
+    platform.objects = std::make_unique<HttpObjects>(link);
+    platform.vms = std::make_unique<HttpVmList>(link);
+    return platform;
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/steward/control.cpp
@@ -0,0 +1,289 @@
+// Index of sections: [PLATFORM] [EXCHANGE] [NEWS]
+#include "steward/steward.h"
+
+#include <algorithm>
+#include <random>
+
+namespace vanillanotch
+{
+
+ControlDuties::ControlDuties(ControlParts parts, ControlSettings settings)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_self(parts.members.self().name)
+    , m_dataCentre(parts.members.self().dataCentre)
+{
+    m_parts.configurations.onInstalled([this](const ConfigurationRef &configuration) {
+        configurationInstalled(configuration);
+    });
+    m_parts.suspects.onMarked([this](const SuspectMark &mark) {
+        News news;
+        news.suspects.push_back(mark);
+        spread(news);
+    });
+    if (m_parts.configurations.ready()) { // in force before this listener was there
+        configurationInstalled(m_parts.configurations.current());
+    }
+}
+
+void ControlDuties::configurationInstalled(const ConfigurationRef &configuration)
+{
+    m_parts.servers.reconcile(*configuration);
+    m_parts.members.updateSelf(m_parts.members.self().state, m_parts.configurations.current()->revision());
+    logEvent(LogLevel::Info, "configuration.in_force", {{"revision", configuration->revision()}, {"preset", configuration->preset().name}});
+}
+
+bool ControlDuties::isRoot() const
+{
+    return holdsDuty(m_parts.members.usable(m_dataCentre), m_self, "root", m_settings.roots);
+}
+
+//-----------------------------------------------------------------------------
+// [PLATFORM]
+//-----------------------------------------------------------------------------
+
+void ControlDuties::start(const std::set<std::string> &seeds)
+{
+    readVmList();
+    if (m_parts.configuration.catchUp()) {
+        return;
+    }
+    for (const std::string &seed : seeds) {
+        const auto answer = m_parts.peers.exchange(seed, ExchangeMessage{m_parts.members.self(), 0, {}, {}});
+        if (answer) {
+            applyAnswer(seed, *answer);
+        }
+    }
+}
+
+void ControlDuties::readHead()
+{
+    if (!isRoot() && m_parts.configurations.ready()) {
+        return;
+    }
+    const Revision before = m_parts.configurations.current()->revision();
+    const auto revision = m_parts.configuration.catchUp();
+    if (!revision) {
+        m_parts.metrics.counter("vanillanotch_platform_failures_total", "call=\"head\"").add();
+        return;
+    }
+    if (*revision <= before) {
+        return;
+    }
+    if (const auto changes = m_parts.configurations.changesSince(before); changes && !changes->empty()) {
+        News news;
+        news.changes = *changes;
+        spread(news);
+    }
+}
+
+void ControlDuties::readVmList()
+{
+    const bool alone = m_parts.members.usable(m_dataCentre).size() < 2;
+    if (!alone && !isRoot()) {
+        return;
+    }
+    const auto list = m_parts.vms.list();
+    if (!list) {
+        m_parts.metrics.counter("vanillanotch_platform_failures_total", "call=\"vms\"").add();
+        return;
+    }
+    std::vector<MemberRecord> listed;
+    std::set<std::string> leaving;
+    for (const VmRecord &vm : *list) {
+        const bool live = vm.state == VmState::Live;
+        if (vm.role == VmRole::Backend && !live) {
+            leaving.insert(vm.name);
+        } else if (vm.role == VmRole::Entry && live) {
+            MemberRecord record;
+            record.name = vm.name;
+            record.dataCentre = vm.dataCentre;
+            record.peerAddress = vm.peerAddress;
+            record.operatorAddress = vm.operatorAddress;
+            listed.push_back(std::move(record));
+        }
+    }
+    m_parts.members.listed(listed);
+    if (m_parts.servers.replaceLeaving(leaving)) {
+        logEvent(LogLevel::Info, "servers.leaving", {{"count", static_cast<std::uint64_t>(leaving.size())}});
+        News news;
+        news.leavingServers = leaving;
+        spread(news);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [EXCHANGE]
+//-----------------------------------------------------------------------------
+
+std::optional<MemberRecord> ControlDuties::pickPeer()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    const unsigned turn = m_exchanges.fetch_add(1);
+    std::vector<MemberRecord> candidates;
+    if (turn % m_settings.remoteExchangeEvery == m_settings.remoteExchangeEvery - 1) {
+        for (MemberRecord &member : m_parts.members.all()) {
+            if (member.dataCentre != m_dataCentre && member.state == MemberState::Alive) {
+                candidates.push_back(std::move(member));
+            }
+        }
+    }
+    if (candidates.empty()) {
+        for (MemberRecord &member : m_parts.members.usable(m_dataCentre)) {
+            if (member.name != m_self) {
+                candidates.push_back(std::move(member));
+            }
+        }
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[random() % candidates.size()];
+}
+
+void ControlDuties::exchangeOnce()
+{
+    m_parts.members.forgetOld();
+    const auto peer = pickPeer();
+    if (!peer) {
+        return;
+    }
+    ExchangeMessage message;
+    message.sender = m_parts.members.self();
+    message.memberDigest = m_parts.members.digest();
+    message.suspects = m_parts.suspects.marks();
+    const auto answer = m_parts.peers.exchange(peer->peerAddress, message);
+    m_parts.members.contacted(peer->name, answer.has_value());
+    m_parts.metrics.counter("vanillanotch_exchanges_total", answer ? "result=\"ok\"" : "result=\"failed\"").add();
+    if (answer) {
+        applyAnswer(peer->peerAddress, *answer);
+    }
+}
+
+ExchangeAnswer ControlDuties::answer(const ExchangeMessage &message)
+{
+    m_parts.members.merge({message.sender});
+    m_parts.members.contacted(message.sender.name, true);
+    m_parts.members.merge(message.members);
+    m_parts.suspects.merge(message.suspects);
+    ExchangeAnswer answer;
+    answer.sender = m_parts.members.self();
+    answer.suspects = m_parts.suspects.marks();
+    answer.leavingServers = m_parts.servers.leavingByPlatform();
+    if (message.memberDigest != m_parts.members.digest()) {
+        answer.members = m_parts.members.sample(m_settings.membersPerExchange);
+    }
+    if (message.sender.revision < answer.sender.revision) {
+        auto changes = m_parts.configurations.changesSince(message.sender.revision);
+        answer.snapshotNeeded = !changes || changes->size() > m_settings.changesPerExchange;
+        if (!answer.snapshotNeeded) {
+            answer.changes = std::move(*changes);
+        }
+    }
+    return answer;
+}
+
+void ControlDuties::applyAnswer(const std::string &address, const ExchangeAnswer &answer)
+{
+    m_parts.members.merge({answer.sender});
+    m_parts.members.merge(answer.members);
+    m_parts.suspects.merge(answer.suspects);
+    if (!isRoot() && answer.sender.dataCentre == m_dataCentre) {
+        m_parts.servers.replaceLeaving(answer.leavingServers);
+    }
+    for (const Change &change : answer.changes) {
+        if (!m_parts.configurations.install(change)) {
+            break;
+        }
+    }
+    if (answer.snapshotNeeded) {
+        fetchSnapshot(address);
+    }
+}
+
+bool ControlDuties::fetchSnapshot(const std::string &address)
+{
+    const auto message = m_parts.peers.snapshot(address);
+    if (!message || message->revision <= m_parts.configurations.current()->revision()) {
+        return false;
+    }
+    const auto configuration = Configuration::build(message->revision, message->entries);
+    if (!configuration) {
+        logEvent(LogLevel::Error, "configuration.snapshot_invalid", {{"detail", describe(configuration.error())}});
+        return false;
+    }
+    return m_parts.configurations.install(*configuration);
+}
+
+SnapshotMessage ControlDuties::snapshot() const
+{
+    const ConfigurationRef current = m_parts.configurations.current();
+    return SnapshotMessage{current->revision(), current->entries()};
+}
+
+Revision ControlDuties::snapshotRevision() const
+{
+    return m_parts.configurations.current()->revision();
+}
+
+//-----------------------------------------------------------------------------
+// [NEWS]
+//-----------------------------------------------------------------------------
+
+void ControlDuties::spread(const News &news)
+{
+    passOn(news, m_self, std::string());
+}
+
+void ControlDuties::passOn(const News &news, const std::string &from, const std::string &rangeEnd)
+{
+    const std::vector<MemberRecord> members = m_parts.members.usable(m_dataCentre);
+    for (const RelayTarget &target : relayTargets(members, from, rangeEnd, m_settings.fanOut)) {
+        if (target.child.name == m_self) {
+            continue;
+        }
+        m_parts.workers.post([this, target, news] {
+            pushTo(target, news);
+        });
+    }
+}
+
+void ControlDuties::pushTo(const RelayTarget &target, News news)
+{
+    news.rangeEnd = target.rangeEnd;
+    const auto pushed = m_parts.peers.push(target.child.peerAddress, news);
+    m_parts.members.contacted(target.child.name, pushed.has_value());
+    if (!pushed) { // its range must not wait for the exchange
+        passOn(news, target.child.name, target.rangeEnd);
+    }
+}
+
+void ControlDuties::receive(const News &news)
+{
+    bool fresh = !news.suspects.empty() || !news.members.empty();
+    const Revision before = m_parts.configurations.current()->revision();
+    for (const Change &change : news.changes) {
+        if (!m_parts.configurations.install(change)) {
+            break; // a gap: the next exchange brings what is missing
+        }
+    }
+    fresh = fresh || m_parts.configurations.current()->revision() > before;
+    m_parts.suspects.merge(news.suspects);
+    m_parts.members.merge(news.members);
+    if (news.leavingServers) {
+        fresh = m_parts.servers.replaceLeaving(*news.leavingServers) || fresh;
+    }
+    if (fresh) { // otherwise another tree has brought it here and further
+        passOn(news, m_self, news.rangeEnd);
+    }
+}
+
+void ControlDuties::leave()
+{
+    m_parts.members.updateSelf(MemberState::Leaving, m_parts.configurations.current()->revision());
+    News news;
+    news.members.push_back(m_parts.members.self());
+    spread(news);
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/wire/yaml.cpp
@@ -0,0 +1,403 @@
+// Index of sections: [FILES] [CONFIGURATION] [WRITE] [SETTINGS]
+#include "wire/wire.h"
+#include "wire/yaml_reader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// [FILES]
+//-----------------------------------------------------------------------------
+
+std::string describe(const std::vector<FileProblem> &problems)
+{
+    std::string text;
+    for (const FileProblem &problem : problems) {
+        text += problem.file + ":" + std::to_string(problem.line) + ": ";
+        text += problem.entry.empty() ? "" : problem.entry + ": ";
+        text += problem.problem + "\n";
+    }
+    return text;
+}
+
+Result<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        return fail(ErrorCode::FileUnreadable, path);
+    }
+    return text.str();
+}
+
+namespace
+{
+std::optional<YAML::Node> parseYaml(const std::string &text, YamlProblems &problems)
+{
+    try {
+        return YAML::Load(text);
+    } catch (const YAML::Exception &exception) {
+        problems.add(exception.mark, "", exception.msg);
+        return std::nullopt;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [CONFIGURATION]
+//-----------------------------------------------------------------------------
+
+constexpr std::chrono::milliseconds LongestDeadline = std::chrono::minutes(10);
+
+// Where each entry stands, so that a violation found in the whole can name its line.
+struct Places {
+    std::map<std::string, YAML::Mark> byEntry;
+};
+
+std::string itemName(const std::string &list, std::size_t index)
+{
+    return list + "[" + std::to_string(index) + "]";
+}
+
+DataCentreSpec readDataCentre(YamlMapping &mapping)
+{
+    DataCentreSpec spec;
+    mapping.read("name", spec.name, true);
+    mapping.read("region", spec.region, true);
+    double delay = static_cast<double>(spec.oneWayDelay.count()) / 1000;
+    mapping.read("one_way_delay_ms", delay, 0, 1000);
+    spec.oneWayDelay = std::chrono::microseconds(static_cast<std::int64_t>(delay * 1000));
+    return spec;
+}
+
+BackendServerSpec readServer(YamlMapping &mapping)
+{
+    BackendServerSpec spec;
+    mapping.read("name", spec.name, true);
+    mapping.read("data_centre", spec.dataCentre, true);
+    mapping.read("address", spec.address, true);
+    mapping.read("capabilities", spec.capabilities);
+    mapping.read("concurrency", spec.concurrency, 1, 100000);
+    mapping.read("price_per_second", spec.pricePerSecond, 0, 1e9);
+    mapping.read("checks_fencing", spec.checksFencing);
+    mapping.read("draining", spec.draining);
+    return spec;
+}
+
+StageSpec readStage(const YAML::Node &node, const std::string &where, YamlProblems &problems)
+{
+    YamlMapping mapping(node, where, problems);
+    StageSpec spec;
+    std::string kind;
+    mapping.read("name", spec.name, true);
+    mapping.read("kind", kind, true);
+    if (const auto known = stageKindFromName(kind)) {
+        spec.kind = *known;
+    } else if (!kind.empty()) {
+        problems.add(mapping.markOf("kind"), mapping.where("kind"), "allowed are encoding, retrieval, reranking, generation and service");
+    }
+    mapping.read("capability", spec.capability, true);
+    mapping.read("path", spec.path);
+    mapping.read("model", spec.model);
+    mapping.read("typical_ms", spec.typicalTime, std::chrono::milliseconds(1), LongestDeadline);
+    mapping.read("idempotent", spec.idempotent);
+    mapping.read("keep_result", spec.keepResult);
+    mapping.read("max_tokens", spec.maxTokens, 1, 1000000);
+    mapping.finish();
+    return spec;
+}
+
+PipelineSpec readPipeline(YamlMapping &mapping)
+{
+    PipelineSpec spec;
+    mapping.read("name", spec.name, true);
+    mapping.read("deadline_limit_ms", spec.deadlineLimit, std::chrono::milliseconds(1), LongestDeadline);
+    mapping.read("record_answer", spec.recordAnswer);
+    const YAML::Node stages = mapping.sequence("stages", true);
+    if (stages.IsDefined()) {
+        for (std::size_t i = 0; i < stages.size(); ++i) {
+            spec.stages.push_back(readStage(stages[i], mapping.where(itemName("stages", i)), mapping.problems()));
+        }
+    }
+    return spec;
+}
+
+ClientAccountSpec readAccount(YamlMapping &mapping)
+{
+    ClientAccountSpec spec;
+    mapping.read("name", spec.name, true);
+    mapping.read("key_sha256", spec.keyDigest, true);
+    mapping.read("requests_per_second", spec.requestsPerSecond, 0.0001, 1e6);
+    mapping.read("burst", spec.burst, 1, 1000000);
+    mapping.read("concurrency", spec.concurrency, 1, 1000000);
+    mapping.read("pipelines", spec.pipelines);
+    return spec;
+}
+
+PresetSpec readPreset(YamlMapping &mapping)
+{
+    PresetSpec spec;
+    mapping.read("name", spec.name, true);
+    mapping.read("cost_weight", spec.costWeight, 0, 1);
+    mapping.read("retry_share", spec.retryShare, 0, 1);
+    mapping.read("admission_margin", spec.admissionMargin, 0.01, 10);
+    mapping.read("account_share", spec.accountShare, 0.01, 10);
+    return spec;
+}
+
+template<typename Reader>
+void readList(YamlMapping &document, const std::string &name, const Reader &reader, std::vector<Entry> &entries, Places &places)
+{
+    const YAML::Node list = document.sequence(name, true);
+    if (!list.IsDefined()) {
+        return;
+    }
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        YamlMapping mapping(list[i], itemName(name, i), document.problems());
+        Entry entry{reader(mapping)};
+        mapping.finish();
+        const EntryKey key = entry.key();
+        const std::string id = std::string(entryKindName(key.kind)) + "/" + key.name;
+        if (!places.byEntry.emplace(id, list[i].Mark()).second) {
+            document.problems().add(list[i].Mark(), itemName(name, i), "the name '" + key.name + "' stands twice");
+        }
+        entries.push_back(std::move(entry));
+    }
+}
+
+void checkWhole(const std::vector<Entry> &entries, const Places &places, YamlProblems &problems)
+{
+    const auto built = Configuration::build(1, entries);
+    if (built) {
+        return;
+    }
+    for (const Violation &violation : built.error()) {
+        const auto place = places.byEntry.find(violation.entry);
+        const YAML::Mark mark = place == places.byEntry.end() ? YAML::Mark() : place->second;
+        problems.add(mark, violation.entry + (violation.member.empty() ? "" : "." + violation.member), violation.problem);
+    }
+}
+} // namespace
+
+tl::expected<std::vector<Entry>, std::vector<FileProblem>> parseConfigurationYaml(const std::string &text, const std::string &file)
+{
+    YamlProblems problems(file);
+    const auto root = parseYaml(text, problems);
+    if (!root) {
+        return tl::unexpected(problems.take());
+    }
+    std::vector<Entry> entries;
+    Places places;
+    YamlMapping document(*root, "", problems);
+    readList(document, "data_centres", readDataCentre, entries, places);
+    readList(document, "backend_servers", readServer, entries, places);
+    readList(document, "pipelines", readPipeline, entries, places);
+    readList(document, "client_accounts", readAccount, entries, places);
+    readList(document, "presets", readPreset, entries, places);
+    PresetInForce inForce;
+    document.read("preset_in_force", inForce.preset, true);
+    places.byEntry["preset_in_force"] = document.markOf("preset_in_force");
+    entries.push_back(Entry{inForce});
+    document.finish();
+    if (problems.empty()) { // references make sense only between entries that could be read
+        checkWhole(entries, places, problems);
+    }
+    if (!problems.empty()) {
+        return tl::unexpected(problems.take());
+    }
+    return entries;
+}
+
+//-----------------------------------------------------------------------------
+// [WRITE]
+//-----------------------------------------------------------------------------
+
+namespace
+{
+void writeSet(YAML::Emitter &out, const char *name, const std::set<std::string> &values)
+{
+    out << YAML::Key << name << YAML::Value << YAML::Flow << YAML::BeginSeq;
+    for (const std::string &value : values) {
+        out << value;
+    }
+    out << YAML::EndSeq;
+}
+
+template<typename T>
+void writeMember(YAML::Emitter &out, const char *name, const T &value)
+{
+    out << YAML::Key << name << YAML::Value << value;
+}
+
+void writeSpec(YAML::Emitter &out, const DataCentreSpec &spec)
+{
+    writeMember(out, "name", spec.name);
+    writeMember(out, "region", spec.region);
+    writeMember(out, "one_way_delay_ms", static_cast<double>(spec.oneWayDelay.count()) / 1000);
+}
+
+void writeSpec(YAML::Emitter &out, const BackendServerSpec &spec)
+{
+    writeMember(out, "name", spec.name);
+    writeMember(out, "data_centre", spec.dataCentre);
+    writeMember(out, "address", spec.address);
+    writeSet(out, "capabilities", spec.capabilities);
+    writeMember(out, "concurrency", spec.concurrency);
+    writeMember(out, "price_per_second", spec.pricePerSecond);
+    writeMember(out, "checks_fencing", spec.checksFencing);
+    writeMember(out, "draining", spec.draining);
+}
+
+void writeSpec(YAML::Emitter &out, const PipelineSpec &spec)
+{
+    writeMember(out, "name", spec.name);
+    writeMember(out, "deadline_limit_ms", spec.deadlineLimit.count());
+    writeMember(out, "record_answer", spec.recordAnswer);
+    out << YAML::Key << "stages" << YAML::Value << YAML::BeginSeq;
+    for (const StageSpec &stage : spec.stages) {
+        out << YAML::BeginMap;
+        writeMember(out, "name", stage.name);
+        writeMember(out, "kind", std::string(stageKindName(stage.kind)));
+        writeMember(out, "capability", stage.capability);
+        writeMember(out, "path", stage.path);
+        writeMember(out, "model", stage.model);
+        writeMember(out, "typical_ms", stage.typicalTime.count());
+        writeMember(out, "idempotent", stage.idempotent);
+        writeMember(out, "keep_result", stage.keepResult);
+        writeMember(out, "max_tokens", stage.maxTokens);
+        out << YAML::EndMap;
+    }
+    out << YAML::EndSeq;
+}
+
+void writeSpec(YAML::Emitter &out, const ClientAccountSpec &spec)
+{
+    writeMember(out, "name", spec.name);
+    writeMember(out, "key_sha256", spec.keyDigest);
+    writeMember(out, "requests_per_second", spec.requestsPerSecond);
+    writeMember(out, "burst", spec.burst);
+    writeMember(out, "concurrency", spec.concurrency);
+    writeSet(out, "pipelines", spec.pipelines);
+}
+
+void writeSpec(YAML::Emitter &out, const PresetSpec &spec)
+{
+    writeMember(out, "name", spec.name);
+    writeMember(out, "cost_weight", spec.costWeight);
+    writeMember(out, "retry_share", spec.retryShare);
+    writeMember(out, "admission_margin", spec.admissionMargin);
+    writeMember(out, "account_share", spec.accountShare);
+}
+
+template<typename T>
+void writeList(YAML::Emitter &out, const char *name, const std::vector<Entry> &entries)
+{
+    out << YAML::Key << name << YAML::Value << YAML::BeginSeq;
+    for (const Entry &entry : entries) {
+        if (const T *spec = std::get_if<T>(&entry.body)) {
+            out << YAML::BeginMap;
+            writeSpec(out, *spec);
+            out << YAML::EndMap;
+        }
+    }
+    out << YAML::EndSeq;
+}
+} // namespace
+
+std::string writeConfigurationYaml(const std::vector<Entry> &entries)
+{
+    YAML::Emitter out;
+    out << YAML::BeginMap;
+    writeList<DataCentreSpec>(out, "data_centres", entries);
+    writeList<BackendServerSpec>(out, "backend_servers", entries);
+    writeList<PipelineSpec>(out, "pipelines", entries);
+    writeList<ClientAccountSpec>(out, "client_accounts", entries);
+    writeList<PresetSpec>(out, "presets", entries);
+    for (const Entry &entry : entries) {
+        if (const auto *inForce = std::get_if<PresetInForce>(&entry.body)) {
+            writeMember(out, "preset_in_force", inForce->preset);
+        }
+    }
+    out << YAML::EndMap;
+    return std::string(out.c_str()) + "\n";
+}
+
+//-----------------------------------------------------------------------------
+// [SETTINGS]
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr std::size_t LeastSecretLength = 16; // characters
+constexpr std::size_t DigestLength = 64; // hexadecimal digits
+
+void checkSettings(const NodeSettings &settings, YamlMapping &document)
+{
+    const auto check = [&document](bool holds, const std::string &name, const std::string &problem) {
+        if (!holds) {
+            document.problems().add(document.markOf(name), name, problem);
+        }
+    };
+    check(settings.peerSecret.size() >= LeastSecretLength, "peer_secret", "16 characters or more are needed");
+    check(settings.operatorKeyDigest.size() == DigestLength, "operator_key_sha256", "64 hexadecimal digits are needed");
+    check(makeRouting(settings.routing) != nullptr, "routing", "allowed are deadline_cost, round_robin and least_outstanding");
+}
+
+LogLevel readLogLevel(YamlMapping &document)
+{
+    std::string name = "info";
+    document.read("log_level", name);
+    const std::map<std::string, LogLevel> levels{
+        {"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}};
+    const auto found = levels.find(name);
+    if (found == levels.end()) {
+        document.problems().add(document.markOf("log_level"), "log_level", "allowed are debug, info, warning and error");
+        return LogLevel::Info;
+    }
+    return found->second;
+}
+} // namespace
+
+tl::expected<NodeSettings, std::vector<FileProblem>> parseNodeSettingsYaml(const std::string &text, const std::string &file)
+{
+    using std::chrono::milliseconds;
+    YamlProblems problems(file);
+    const auto root = parseYaml(text, problems);
+    if (!root) {
+        return tl::unexpected(problems.take());
+    }
+    NodeSettings settings;
+    YamlMapping document(*root, "", problems);
+    document.read("node", settings.node, true);
+    document.read("data_centre", settings.dataCentre, true);
+    document.read("caller_address", settings.callerAddress);
+    document.read("operator_address", settings.operatorAddress);
+    document.read("peer_address", settings.peerAddress);
+    document.read("advertise_address", settings.advertiseAddress);
+    document.read("platform_address", settings.platformAddress, true);
+    document.read("seeds", settings.seeds);
+    document.read("platform_token", settings.platformToken);
+    document.read("operator_key_sha256", settings.operatorKeyDigest, true);
+    document.read("peer_secret", settings.peerSecret, true);
+    document.read("routing", settings.routing);
+    document.read("workers", settings.workers, 2, 1024);
+    document.read("connections", settings.connections, 8, 16384);
+    document.read("read_limit_ms", settings.readLimit, milliseconds(100), milliseconds(600000));
+    document.read("head_interval_ms", settings.headInterval, milliseconds(50), milliseconds(60000));
+    document.read("exchange_interval_ms", settings.exchangeInterval, milliseconds(50), milliseconds(60000));
+    document.read("balancer_grace_ms", settings.balancerGrace, milliseconds(0), milliseconds(600000));
+    document.read("drain_limit_ms", settings.drainLimit, milliseconds(0), milliseconds(600000));
+    document.read("roots", settings.roots, 1, 64);
+    document.read("fan_out", settings.fanOut, 1, 64);
+    settings.logLevel = readLogLevel(document);
+    document.finish();
+    checkSettings(settings, document);
+    if (!problems.empty()) {
+        return tl::unexpected(problems.take());
+    }
+    return settings;
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/wire/yaml_reader.cpp
@@ -0,0 +1,144 @@
+#include "wire/yaml_reader.h"
+
+#include <sstream>
+
+namespace vanillanotch
+{
+
+YamlMapping::YamlMapping(const YAML::Node &node, std::string where, YamlProblems &problems)
+    : m_node(node)
+    , m_where(std::move(where))
+    , m_problems(problems)
+{
+    if (!node.IsMap()) {
+        m_problems.add(node.Mark(), m_where, "a mapping is needed");
+        m_node = YAML::Node(YAML::NodeType::Map);
+    }
+}
+
+std::string YamlMapping::where(const std::string &name) const
+{
+    return m_where.empty() ? name : m_where + "." + name;
+}
+
+YAML::Mark YamlMapping::markOf(const std::string &name) const
+{
+    const YAML::Node member = m_node[name];
+    return member.IsDefined() ? member.Mark() : m_node.Mark();
+}
+
+YAML::Node YamlMapping::take(const std::string &name, bool required)
+{
+    m_known.insert(name);
+    const YAML::Node member = m_node[name];
+    const bool absent = !member.IsDefined() || member.IsNull();
+    if (absent && required) {
+        m_problems.add(m_node.Mark(), where(name), "is missing");
+    }
+    return absent ? YAML::Node(YAML::NodeType::Undefined) : member;
+}
+
+void YamlMapping::read(const std::string &name, std::string &value, bool required)
+{
+    const YAML::Node member = take(name, required);
+    if (!member.IsDefined()) {
+        return;
+    }
+    if (!member.IsScalar()) {
+        m_problems.add(member.Mark(), where(name), "text is needed");
+        return;
+    }
+    value = member.Scalar();
+    if (required && value.empty()) {
+        m_problems.add(member.Mark(), where(name), "must not be empty");
+    }
+}
+
+void YamlMapping::read(const std::string &name, bool &value)
+{
+    const YAML::Node member = take(name, false);
+    if (member.IsDefined() && !YAML::convert<bool>::decode(member, value)) {
+        m_problems.add(member.Mark(), where(name), "true or false is needed");
+    }
+}
+
+template<typename T>
+void YamlMapping::readNumber(const std::string &name, T &value, T least, T most, const char *unit)
+{
+    const YAML::Node member = take(name, false);
+    if (!member.IsDefined()) {
+        return;
+    }
+    T read{};
+    const bool negative = member.IsScalar() && !member.Scalar().empty() && member.Scalar().front() == '-';
+    const bool valid = member.IsScalar() && !(negative && std::is_unsigned_v<T>)&&YAML::convert<T>::decode(member, read);
+    if (!valid || !(read >= least && read <= most)) {
+        std::ostringstream text;
+        text << "a number from " << least << " to " << most << unit << " is needed";
+        m_problems.add(member.Mark(), where(name), text.str());
+        return;
+    }
+    value = read;
+}
+
+void YamlMapping::read(const std::string &name, double &value, double least, double most)
+{
+    readNumber(name, value, least, most, "");
+}
+
+void YamlMapping::read(const std::string &name, unsigned &value, unsigned least, unsigned most)
+{
+    readNumber(name, value, least, most, "");
+}
+
+void YamlMapping::read(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds least, std::chrono::milliseconds most)
+{
+    std::int64_t count = value.count();
+    readNumber<std::int64_t>(name, count, least.count(), most.count(), " milliseconds");
+    value = std::chrono::milliseconds(count);
+}
+
+void YamlMapping::read(const std::string &name, std::set<std::string> &value)
+{
+    const YAML::Node member = sequence(name);
+    if (!member.IsDefined()) {
+        return;
+    }
+    for (const YAML::Node &item : member) {
+        if (item.IsScalar()) {
+            value.insert(item.Scalar());
+        } else {
+            m_problems.add(item.Mark(), where(name), "a list of texts is needed");
+        }
+    }
+}
+
+YAML::Node YamlMapping::sequence(const std::string &name, bool required)
+{
+    const YAML::Node member = take(name, required);
+    if (member.IsDefined() && !member.IsSequence()) {
+        m_problems.add(member.Mark(), where(name), "a list is needed");
+        return YAML::Node(YAML::NodeType::Undefined);
+    }
+    return member;
+}
+
+void YamlMapping::finish()
+{
+    std::set<std::string> seen;
+    for (const auto &member : m_node) {
+        const std::string name = member.first.IsScalar() ? member.first.Scalar() : std::string("?");
+        if (m_known.count(name) == 0) {
+            std::string allowed;
+            for (const std::string &known : m_known) {
+                allowed += (allowed.empty() ? "" : ", ") + known;
+            }
+            m_problems.add(member.first.Mark(), where(name), "is unknown; allowed are " + allowed);
+        }
+        if (!seen.insert(name).second) {
+            m_problems.add(member.first.Mark(), where(name), "stands twice");
+        }
+    }
+}
+
+} // namespace vanillanotch
