Add the command-line tool, stand-ins, harness and the first integration tests

Found by the tests, failing first: - HttpClient set a host on a connected POCO session, which POCO refuses; the Host header is now set per request, and the session has no host, so it can never reconnect by itself. - A refusal of an oversized body was lost: closing with unread bytes resets the connection. The server now shuts its side, reads the rest away for at most 2 s, and then closes. Before: no answer; after: 413 with code 1002.

--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,355 @@
+#include "cli/cli.h"
+
+#include "wire/wire.h"
+
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+constexpr const char *YamlType = "application/yaml";
+constexpr const char *JsonType = "application/json";
+constexpr std::size_t StatusWorkers = 16;
+constexpr Duration TopInterval = std::chrono::seconds(1);
+
+std::string encoded(const std::string &value)
+{
+    std::string out;
+    Poco::URI::encode(value, "/?#&=+%", out);
+    return out;
+}
+
+int failWith(const Error &error)
+{
+    std::cerr << "error " << static_cast<int>(error.code) << " " << errorName(error.code) << ": " << error.detail << '\n';
+    const bool unreachable = error.code == ErrorCode::ConnectFailed || error.code == ErrorCode::ConnectionLost || error.code == ErrorCode::ServerTimeout;
+    if (unreachable) {
+        return ExitUnreachable;
+    }
+    return error.code == ErrorCode::FileUnreadable ? ExitUsage : ExitRefused;
+}
+
+int failWith(const HttpReply &reply)
+{
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (json.is_object() && json.contains("error")) {
+        const Json &error = json.at("error");
+        std::cerr << "error " << error.value("code", 0) << " " << error.value("name", "") << ": " << error.value("message", "");
+        if (error.contains("outcome")) {
+            std::cerr << " (" << error.value("outcome", "") << ")";
+        }
+        std::cerr << '\n';
+    } else {
+        std::cerr << "error: status " << reply.status << '\n';
+    }
+    return reply.status == StatusConflict ? ExitConflict : ExitRefused;
+}
+
+// Gets a JSON document and prints it as it is or rendered.
+template<typename Renderer>
+int showJson(const CliOptions &options, const std::string &path, const Renderer &render)
+{
+    NodeClient client(options.node, options);
+    const auto reply = client.get(path);
+    if (!reply) {
+        return failWith(reply.error());
+    }
+    if (reply->status != StatusOk) {
+        return failWith(*reply);
+    }
+    const Json json = Json::parse(reply->body, nullptr, false);
+    if (options.json) {
+        std::cout << reply->body << '\n';
+    } else {
+        std::cout << render(json);
+    }
+    return ExitSuccess;
+}
+
+int postChange(const CliOptions &options, const std::string &path, const std::string &body)
+{
+    NodeClient client(options.node, options);
+    const auto reply = client.post(path, body, YamlType);
+    if (!reply) {
+        return failWith(reply.error());
+    }
+    if (reply->status != StatusOk) {
+        return failWith(*reply);
+    }
+    if (options.json) {
+        std::cout << reply->body << '\n';
+        return ExitSuccess;
+    }
+    const Json json = Json::parse(reply->body, nullptr, false);
+    const bool changed = json.value("changed", false);
+    std::cout << (changed ? "accepted as revision " : "nothing to change at revision ") << json.value("revision", std::uint64_t{0}) << '\n';
+    return ExitSuccess;
+}
+
+std::optional<std::string> readValid(const std::string &file)
+{
+    const auto text = readFile(file);
+    if (!text) {
+        failWith(text.error());
+        return std::nullopt;
+    }
+    const auto entries = parseConfigurationYaml(*text, file);
+    if (!entries) {
+        std::cerr << describe(entries.error());
+        return std::nullopt;
+    }
+    return *text;
+}
+
+int check(const CliOptions & /*options*/, const Arguments &arguments)
+{
+    if (!readValid(arguments[0])) {
+        return ExitUsage;
+    }
+    std::cout << arguments[0] << ": valid\n";
+    return ExitSuccess;
+}
+
+int diff(const CliOptions &options, const Arguments &arguments)
+{
+    const auto text = readValid(arguments[0]);
+    if (!text) {
+        return ExitUsage;
+    }
+    NodeClient client(options.node, options);
+    const auto reply = client.get("/v1/configuration");
+    if (!reply) {
+        return failWith(reply.error());
+    }
+    if (reply->status != StatusOk) {
+        return failWith(*reply);
+    }
+    const auto current = parseConfigurationYaml(reply->body, "in force");
+    const ConfigurationRef base = current ? Configuration::build(1, *current).value() : Configuration::empty();
+    const Change change = difference(*base, *parseConfigurationYaml(*text, arguments[0]));
+    for (const EntryKey &key : change.deletes) {
+        std::cout << "- " << entryKindName(key.kind) << "/" << key.name << '\n';
+    }
+    const std::vector<Entry> before = base->entries();
+    for (const Entry &entry : change.upserts) {
+        const bool known = std::any_of(before.begin(), before.end(), [&entry](const Entry &old) {
+            return old.key() == entry.key();
+        });
+        std::cout << (known ? "~ " : "+ ") << entryKindName(entry.key().kind) << "/" << entry.key().name << '\n';
+    }
+    const bool differs = !change.upserts.empty() || !change.deletes.empty();
+    return differs ? ExitDiffers : ExitSuccess;
+}
+
+int apply(const CliOptions &options, const Arguments &arguments)
+{
+    const auto text = readValid(arguments[0]);
+    if (!text) {
+        return ExitUsage;
+    }
+    const std::string summary = "apply " + arguments[0].substr(arguments[0].rfind('/') + 1);
+    return postChange(options, "/v1/apply?base=" + std::to_string(options.base) + "&summary=" + encoded(summary), *text);
+}
+
+int show(const CliOptions &options, const Arguments & /*arguments*/)
+{
+    NodeClient client(options.node, options);
+    const auto reply = client.get("/v1/configuration");
+    if (!reply) {
+        return failWith(reply.error());
+    }
+    if (reply->status != StatusOk) {
+        return failWith(*reply);
+    }
+    std::cout << reply->body;
+    return ExitSuccess;
+}
+
+int preset(const CliOptions &options, const Arguments &arguments)
+{
+    return postChange(options, "/v1/preset?name=" + encoded(arguments[0]), "");
+}
+
+int drain(const CliOptions &options, const Arguments &arguments)
+{
+    return postChange(options, "/v1/drain?server=" + encoded(arguments[0]), "");
+}
+
+int undrain(const CliOptions &options, const Arguments &arguments)
+{
+    return postChange(options, "/v1/undrain?server=" + encoded(arguments[0]), "");
+}
+
+Json statusOf(const CliOptions &options, const Json &member)
+{
+    Json unreachable{{"name", member.value("name", "")}, {"data_centre", member.value("data_centre", "")}, {"unreachable", true}};
+    const std::string address = member.value("operator_address", "");
+    if (address.empty()) {
+        return unreachable;
+    }
+    NodeClient client(address, options);
+    const auto reply = client.get("/v1/status");
+    if (!reply || reply->status != StatusOk) {
+        return unreachable;
+    }
+    return Json::parse(reply->body, nullptr, false);
+}
+
+int status(const CliOptions &options, const Arguments & /*arguments*/)
+{
+    NodeClient client(options.node, options);
+    const auto reply = client.get("/v1/status");
+    if (!reply) {
+        return failWith(reply.error());
+    }
+    if (reply->status != StatusOk) {
+        return failWith(*reply);
+    }
+    const Json first = Json::parse(reply->body, nullptr, false);
+    std::vector<Json> nodes(first.at("members").size());
+    {
+        WorkerPool pool(StatusWorkers); // its end waits for all answers
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            pool.post([&options, &nodes, &first, i] {
+                nodes[i] = statusOf(options, first.at("members")[i]);
+            });
+        }
+    }
+    std::sort(nodes.begin(), nodes.end(), [](const Json &a, const Json &b) {
+        return std::pair(a.value("data_centre", ""), a.value("name", "")) < std::pair(b.value("data_centre", ""), b.value("name", ""));
+    });
+    if (options.json) {
+        std::cout << Json(nodes).dump() << '\n';
+    } else {
+        std::cout << renderStatus(nodes);
+    }
+    const bool all = std::none_of(nodes.begin(), nodes.end(), [](const Json &node) {
+        return node.contains("unreachable");
+    });
+    return all ? ExitSuccess : ExitUnreachable;
+}
+
+int audit(const CliOptions &options, const Arguments &arguments)
+{
+    const std::string after = arguments.empty() ? "0" : arguments[0];
+    return showJson(options, "/v1/audit?after=" + encoded(after), renderAudit);
+}
+
+int report(const CliOptions &options, const Arguments & /*arguments*/)
+{
+    return showJson(options, "/v1/report", [&options](const Json &json) {
+        if (!options.html.empty()) {
+            std::ofstream(options.html) << renderReportHtml(json);
+        }
+        return renderReport(json);
+    });
+}
+
+int explain(const CliOptions &options, const Arguments &arguments)
+{
+    return showJson(options, "/v1/requests/" + encoded(arguments[0]), renderRequest);
+}
+
+int table(const CliOptions &options, const Arguments &arguments)
+{
+    return showJson(options, "/v1/tables/" + encoded(arguments[0]), [](const Json &json) {
+        return json.dump(2) + "\n";
+    });
+}
+
+int top(const CliOptions &options, const Arguments & /*arguments*/)
+{
+    RankedMutex mutex(LockRank::Leaf);
+    std::condition_variable_any never;
+    for (unsigned round = 1;; ++round) {
+        NodeClient client(options.node, options);
+        const auto servers = client.get("/v1/tables/servers");
+        const auto costs = client.get("/v1/report");
+        if (!servers || !costs) {
+            return failWith(servers ? costs.error() : servers.error());
+        }
+        if (servers->status != StatusOk) {
+            return failWith(*servers);
+        }
+        if (options.json) {
+            std::cout << servers->body << std::endl;
+        } else {
+            std::cout << "\033[H\033[2J" << renderTop(Json::parse(servers->body), Json::parse(costs->body)) << std::flush;
+        }
+        if (round == options.rounds) {
+            return ExitSuccess;
+        }
+        Lock lock(mutex);
+        never.wait_for(lock, TopInterval, [] {
+            return false;
+        });
+    }
+}
+
+int call(const CliOptions &options, const Arguments &arguments)
+{
+    NodeClient client(options.caller, options);
+    const Json body{{"input", arguments[1]}, {"deadline_ms", options.deadline.count()}};
+    const auto reply = client.post("/v1/pipelines/" + encoded(arguments[0]), body.dump(), JsonType);
+    if (!reply) {
+        return failWith(reply.error());
+    }
+    if (reply->status != StatusOk) {
+        return failWith(*reply);
+    }
+    std::cout << (options.json ? reply->body + "\n" : renderAnswer(Json::parse(reply->body)));
+    return ExitSuccess;
+}
+
+int completion(const CliOptions & /*options*/, const Arguments & /*arguments*/)
+{
+    std::string names;
+    for (const Command &command : commands()) {
+        names += std::string(names.empty() ? "" : " ") + command.name;
+    }
+    std::cout << "complete -W '" << names
+              << " --node --caller --key --operator_name --output --html --deadline_ms --idempotency_key --base --rounds' vanillanotch\n";
+    return ExitSuccess;
+}
+} // namespace
+
+const std::vector<Command> &commands()
+{
+    static const std::vector<Command> list{
+        {"check", "FILE", "check a configuration file; all problems at once", 1, check},
+        {"diff", "FILE", "what applying the file would change", 1, diff},
+        {"apply", "FILE", "make the file the configuration in force", 1, apply},
+        {"show", "", "print the configuration in force", 0, show},
+        {"preset", "NAME", "put a preset in force", 1, preset},
+        {"drain", "SERVER", "give a backend server no new work", 1, drain},
+        {"undrain", "SERVER", "give it work again", 1, undrain},
+        {"status", "", "revision, preset and state of every node", 0, status},
+        {"top", "", "live view of servers, attainment and cost", 0, top},
+        {"audit", "[AFTER-REVISION]", "who changed what, when", 0, audit},
+        {"report", "", "attainment and cost by stage; --html FILE for a page", 0, report},
+        {"explain", "REQUEST", "where a request went, and why it was refused", 1, explain},
+        {"table", "NAME", "a node's table: servers, members, accounts, requests, suspects", 1, table},
+        {"call", "PIPELINE INPUT", "send a request as a caller", 2, call},
+        {"completion", "", "shell completion for bash", 0, completion},
+    };
+    return list;
+}
+
+std::string usageText()
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const Command &command : commands()) {
+        rows.push_back({std::string("  ") + command.name, command.usage, command.help});
+    }
+    return "vanillanotch [flags] COMMAND [ARGUMENTS]\n" + renderTable(rows);
+}
+
+} // namespace vanillanotch
--- a/src/configuration/service.cpp
+++ b/src/configuration/service.cpp
@@ -35,7 +35,7 @@
 
 Result<Revision> ConfigurationService::catchUp()
 {
-    const auto head = m_store.readHead();
+    auto head = m_store.readHead();
     if (!head) {
         return head;
     }
@@ -52,7 +52,7 @@
             return tl::unexpected(changes.error());
         }
         for (const Change &change : *changes) {
-            if (const auto installed = m_table.install(change); !installed) {
+            if (auto installed = m_table.install(change); !installed) {
                 return installed;
             }
         }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,8 +53,10 @@
 class HttpCall
 {
 public:
-    HttpCall(HttpConnection &connection, const HttpRequestOut &request, TimePoint deadline, Duration gap, HttpWaiter *waiter, std::size_t replyLimit)
+    HttpCall(HttpConnection &connection, const std::string &address, const HttpRequestOut &request, TimePoint deadline, Duration gap, HttpWaiter *waiter,
+             std::size_t replyLimit)
         : m_connection(connection)
+        , m_address(address)
         , m_request(request)
         , m_deadline(deadline)
         , m_gap(gap)
@@ -80,7 +82,7 @@
 
     bool reusable() const
     {
-        return m_complete && m_connection.getKeepAlive();
+        return m_complete && m_keepAlive;
     }
 
 private:
@@ -93,6 +95,7 @@
     {
         Poco::Net::HTTPRequest out(m_request.method, m_request.path, Poco::Net::HTTPMessage::HTTP_1_1);
         out.setKeepAlive(true);
+        out.setHost(m_address); // the session has none: it must never reconnect by itself
         for (const auto &[name, value] : m_request.headers) {
             out.set(name, value);
         }
@@ -159,6 +162,7 @@
             return tl::unexpected(failure(read.error().code, read.error().detail));
         }
         m_complete = true;
+        m_keepAlive = in.getKeepAlive();
         return reply;
     }
 
@@ -218,6 +222,7 @@
     }
 
     HttpConnection &m_connection;
+    const std::string &m_address;
     const HttpRequestOut &m_request;
     TimePoint m_deadline;
     Duration m_gap;
@@ -225,6 +230,7 @@
     std::size_t m_replyLimit;
     bool m_sent = false;
     bool m_complete = false;
+    bool m_keepAlive = false;
     bool m_callerHasData = false;
 };
 
@@ -287,15 +293,13 @@
             socket.connect(target, timespan(std::min<Duration>(m_settings.connectTimeout, until(deadline))));
             socket.setNoDelay(true);
             connection = std::make_unique<HttpConnection>(socket);
-            connection->setHost(target.host().toString());
-            connection->setPort(target.port());
             connection->setKeepAlive(true);
         } catch (const Poco::Exception &exception) {
             return tl::unexpected(HttpFailure{ErrorCode::ConnectFailed, false, false, exception.displayText()});
         }
     }
     connection->setTimeout(timespan(m_settings.connectTimeout), timespan(m_settings.sendTimeout), timespan(request.receiveTimeout));
-    HttpCall call(*connection, request, deadline, gap, waiter, m_settings.replyLimit);
+    HttpCall call(*connection, address, request, deadline, gap, waiter, m_settings.replyLimit);
     auto result = call.run();
     if (!result) {
         result.error().pooled = pooled;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -188,6 +188,7 @@
             Poco::Net::HTTPServerSession session(socket(), m_params);
             while (session.hasMoreRequests()) {
                 if (!serveOne(session)) {
+                    lingerClose();
                     break;
                 }
             }
@@ -221,6 +222,23 @@
         return response.getKeepAlive() && !m_server.m_closing;
     }
 
+    // Closing with unread bytes would reset the connection, and the peer would lose the answer: read them away first.
+    void lingerClose()
+    {
+        constexpr Duration Limit = std::chrono::seconds(2);
+        socket().shutdownSend();
+        const TimePoint end = std::chrono::steady_clock::now() + Limit;
+        std::array<char, 16384> buffer{};
+        while (std::chrono::steady_clock::now() < end) {
+            if (!socket().poll(Poco::Timespan(0, 200000), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            if (socket().receiveBytes(buffer.data(), static_cast<int>(buffer.size())) <= 0) {
+                return;
+            }
+        }
+    }
+
     void serve(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response)
     {
         const auto onRead = [this] {
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -128,9 +128,11 @@
             m_pause.wait(pause);
             pause *= 2;
         }
-        if (const auto verdict = settle(reservation, next); !verdict) {
+        const auto verdict = settle(reservation, next);
+        if (!verdict) {
             return {}; // it had taken effect
-        } else if (verdict->code == ErrorCode::ReservationLost) {
+        }
+        if (verdict->code == ErrorCode::ReservationLost) {
             return tl::unexpected(*verdict);
         }
     }
--- a/src/peer/grpc_peer.cpp
+++ b/src/peer/grpc_peer.cpp
@@ -167,7 +167,7 @@
 
     grpc::Status Exchange(grpc::ServerContext *context, const proto::ExchangeRequest *request, proto::ExchangeReply *reply) override
     {
-        if (const grpc::Status status = check(*context); !status.ok()) {
+        if (grpc::Status status = check(*context); !status.ok()) {
             return status;
         }
         const auto message = decode(*request);
@@ -180,7 +180,7 @@
 
     grpc::Status Push(grpc::ServerContext *context, const proto::PushRequest *request, proto::PushReply *reply) override
     {
-        if (const grpc::Status status = check(*context); !status.ok()) {
+        if (grpc::Status status = check(*context); !status.ok()) {
             return status;
         }
         const auto news = decode(*request);
@@ -194,7 +194,7 @@
 
     grpc::Status Snapshot(grpc::ServerContext *context, const proto::SnapshotRequest * /*request*/, proto::SnapshotReply *reply) override
     {
-        if (const grpc::Status status = check(*context); !status.ok()) {
+        if (grpc::Status status = check(*context); !status.ok()) {
             return status;
         }
         encode(m_duties.load()->snapshot(), *reply);
--- /dev/null
+++ b/tests/integration/path_test.cpp
@@ -0,0 +1,134 @@
+// The whole path with real processes: callers, nodes in two data centres, platform, backend servers.
+#include "harness.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+
+TEST_GROUP(Path){};
+
+TEST(Path, ARequestGoesThroughAllStagesToItsWholeAnswer)
+{
+    Cluster cluster("path");
+    cluster.addUsualServers();
+    cluster.addNode("n1", "dc1");
+    cluster.addNode("n2", "dc1");
+    cluster.addNode("n3", "dc2");
+    cluster.start();
+    for (const std::string &node : cluster.nodeNames()) {
+        const std::string input = "question for " + node;
+        const CallResult plain = cluster.call(node, "answer", input);
+        LONGS_EQUAL(200, plain.status);
+        STRCMP_EQUAL(expectedText(input, ModelTokens).c_str(), plain.text().c_str());
+        LONGS_EQUAL(4, static_cast<long>(plain.body.at("stages").size()));
+        STRCMP_EQUAL(("second for " + input).c_str(), plain.body.at("answer").at("documents").at(0).get<std::string>().c_str());
+
+        CallOptions streaming;
+        streaming.stream = true;
+        const CallResult streamed = cluster.call(node, "answer", input, streaming);
+        STRCMP_EQUAL(expectedText(input, ModelTokens).c_str(), streamed.streamed.c_str());
+        STRCMP_EQUAL(streamed.streamed.c_str(), streamed.text().c_str());
+    }
+    for (const std::string &node : cluster.nodeNames()) {
+        cluster.node(node).signal(SIGTERM);
+        LONGS_EQUAL(0, cluster.node(node).wait());
+    }
+}
+
+TEST(Path, BadInputGetsANumberedErrorAndLeavesTheNodeServing)
+{
+    Cluster cluster("badinput");
+    cluster.addUsualServers();
+    cluster.addNode("n1", "dc1", "read_limit_ms: 1000\n");
+    cluster.start();
+    const std::string address = cluster.callerAddress("n1");
+    const std::map<std::string, std::string> key{{"Authorization", "Bearer caller-key"}};
+    const auto codeOf = [&](const std::string &path, const std::string &body, const std::map<std::string, std::string> &headers) {
+        const HttpReply reply = send(address, "POST", path, body, headers);
+        const Json json = Json::parse(reply.body, nullptr, false);
+        CHECK(json.is_object());
+        STRCMP_EQUAL("not_run", json.at("error").at("outcome").get<std::string>().c_str());
+        return json.at("error").at("code").get<int>();
+    };
+    const std::string path = "/v1/pipelines/answer";
+    LONGS_EQUAL(1001, codeOf(path, "{", key));
+    LONGS_EQUAL(1001, codeOf(path, R"({"input":5,"deadline_ms":100})", key));
+    LONGS_EQUAL(1001, codeOf(path, R"({"input":"a","deadline_ms":100,"more":1})", key));
+    LONGS_EQUAL(1002, codeOf(path, std::string(2 * 1024 * 1024, 'x'), key));
+    LONGS_EQUAL(1004, codeOf("/v1/other", "{}", key));
+    LONGS_EQUAL(1005, codeOf(path, R"({"input":"a"})", key));
+    LONGS_EQUAL(1005, codeOf(path, R"({"input":"a","deadline_ms":0})", key));
+    LONGS_EQUAL(1005, codeOf(path, R"({"input":"a","deadline_ms":-3})", key));
+    LONGS_EQUAL(1005, codeOf(path, R"({"input":"a","deadline_ms":99999999})", key));
+    LONGS_EQUAL(1005, codeOf(path, R"({"input":"a","deadline_ms":"soon"})", key));
+    LONGS_EQUAL(1007, codeOf("/v1/pipelines/payout", R"({"input":"a","deadline_ms":1000})", key));
+    LONGS_EQUAL(1008,
+                codeOf("/v1/pipelines/payout", R"({"input":"a","deadline_ms":1000})", {{"Authorization", "Bearer caller-key"}, {"Idempotency-Key", "a b"}}));
+    LONGS_EQUAL(1101, codeOf(path, R"({"input":"a","deadline_ms":1000})", {}));
+    LONGS_EQUAL(1102, codeOf(path, R"({"input":"a","deadline_ms":1000})", {{"Authorization", "Bearer wrong"}}));
+    LONGS_EQUAL(1102, codeOf(path, R"({"input":"a","deadline_ms":1000})", {{"Authorization", "Bearer operator-key"}}));
+    LONGS_EQUAL(1103, codeOf("/v1/pipelines/payout", R"({"input":"a","deadline_ms":1000})", {{"Authorization", "Bearer small-key"}}));
+    LONGS_EQUAL(1104, codeOf("/v1/pipelines/none", R"({"input":"a","deadline_ms":1000})", key));
+    LONGS_EQUAL(1003, codeOf(path, "{}", {{"Authorization", "Bearer caller-key"}, {"X-Long", std::string(20000, 'x')}}));
+    LONGS_EQUAL(0, static_cast<long>(cluster.ledger().size()));
+
+    // A caller that sends a byte now and then is told so and let go.
+    Poco::Net::StreamSocket slow{Poco::Net::SocketAddress(address)};
+    std::string answer;
+    const std::string start = "POST " + path + " HTTP/1.1\r\n";
+    slow.sendBytes(start.data(), static_cast<int>(start.size()));
+    CHECK(eventually([&] {
+        char c = 'x';
+        try {
+            slow.sendBytes(&c, 1);
+            if (slow.poll(Poco::Timespan(0, 100000), Poco::Net::Socket::SELECT_READ)) {
+                std::array<char, 4096> buffer{};
+                const int size = slow.receiveBytes(buffer.data(), buffer.size());
+                answer.append(buffer.data(), static_cast<std::size_t>(std::max(size, 0)));
+                return size <= 0 || answer.find("1006") != std::string::npos;
+            }
+        } catch (const Poco::Exception &) {
+            return true;
+        }
+        return false;
+    }));
+    CHECK(answer.find("1006") != std::string::npos);
+
+    // Operators' endpoints refuse callers' keys.
+    LONGS_EQUAL(401, send(cluster.node("n1").address("operators"), "GET", "/v1/status", "", key).status);
+    LONGS_EQUAL(200, cluster.call("n1", "answer", "after all this").status);
+}
+
+TEST(Path, ACallerThatGoesAwayCancelsTheEnginesStream)
+{
+    Cluster cluster("gone");
+    cluster.addUsualServers();
+    cluster.addNode("n1");
+    cluster.start();
+    cluster.controlServer("model-1", "slow_percent=5000");
+    cluster.controlServer("model-2", "slow_percent=5000");
+    {
+        Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(cluster.callerAddress("n1"))};
+        const std::string body = R"({"input":"going","deadline_ms":10000,"stream":true})";
+        const std::string request = "POST /v1/pipelines/answer HTTP/1.1\r\nHost: n1\r\nAuthorization: Bearer caller-key\r\nContent-Type: application/json\r\n"
+                                    "Content-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::array<char, 1024> buffer{};
+        CHECK(caller.receiveBytes(buffer.data(), buffer.size()) > 0); // the first token is here
+    }
+    CHECK(eventually([&] {
+        for (const LedgerLine &line : cluster.ledger()) {
+            if (line.event == "cancelled") {
+                return true;
+            }
+        }
+        return false;
+    }));
+    CHECK(eventually([&] {
+        return cluster.status("n1").value("running", 1) == 0;
+    }));
+}
--- /dev/null
+++ b/tests/standins/fault_proxy.cpp
@@ -0,0 +1,205 @@
+// Fault-injecting TCP proxy: links from a port of its own to a target, with faults on request.
+//
+//   POST /links?target=IP:PORT            -> {"id": N, "address": "IP:PORT"}
+//   POST /links/N?mode=MODE[&delay_ms=M]  modes:
+//     pass       forward
+//     refuse     close new connections at once, keep the old ones
+//     cut        close all connections, refuse new ones
+//     blackhole  all connections, old and new, stay open and forward nothing
+//     silence    the connections open now forward nothing for good; new ones work
+//     swallow    requests go through, replies don't
+#include "standin.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <nlohmann/json.hpp>
+
+#include <poll.h>
+
+namespace
+{
+using namespace vanillanotch;
+using Json = nlohmann::json;
+
+enum class Mode { Pass, Refuse, Cut, Blackhole, Swallow };
+
+struct Pair : RefCounted<Pair> {
+    Poco::Net::StreamSocket client;
+    Poco::Net::StreamSocket server;
+    std::atomic<bool> silent{false};
+    std::atomic<bool> closed{false};
+};
+
+class Link : public RefCounted<Link>
+{
+public:
+    explicit Link(const std::string &target)
+        : m_target(target)
+        , m_listener(Poco::Net::SocketAddress("127.0.0.1:0"))
+    {
+        std::thread([self = Ref<Link>(this)] {
+            self->acceptAll();
+        }).detach(); // lives as long as the process
+    }
+    std::string address() const
+    {
+        return m_listener.address().toString();
+    }
+    bool set(const std::string &mode, int delayMilliseconds)
+    {
+        m_delayMilliseconds = delayMilliseconds;
+        if (mode == "silence") {
+            const Lock lock(m_mutex);
+            for (const Ref<Pair> &pair : m_pairs) {
+                pair->silent = true;
+            }
+            return true;
+        }
+        const std::map<std::string, Mode> modes{
+            {"pass", Mode::Pass}, {"refuse", Mode::Refuse}, {"cut", Mode::Cut}, {"blackhole", Mode::Blackhole}, {"swallow", Mode::Swallow}};
+        const auto found = modes.find(mode);
+        if (found == modes.end()) {
+            return false;
+        }
+        m_mode = found->second;
+        if (m_mode == Mode::Cut) {
+            const Lock lock(m_mutex);
+            for (const Ref<Pair> &pair : m_pairs) {
+                close(*pair);
+            }
+            m_pairs.clear();
+        }
+        return true;
+    }
+
+private:
+    static void close(Pair &pair)
+    {
+        pair.closed = true;
+        ::shutdown(pair.client.impl()->sockfd(), SHUT_RDWR);
+        ::shutdown(pair.server.impl()->sockfd(), SHUT_RDWR);
+    }
+
+    void acceptAll()
+    {
+        for (;;) {
+            Ref<Pair> pair = makeRef<Pair>();
+            pair->client = m_listener.acceptConnection();
+            if (m_mode == Mode::Refuse || m_mode == Mode::Cut) {
+                pair->client.setLinger(true, 0); // a reset, as from a port where nobody listens
+                pair->client.close();
+                continue;
+            }
+            try {
+                pair->server.connect(Poco::Net::SocketAddress(m_target), Poco::Timespan(1, 0));
+                pair->server.setNoDelay(true);
+                pair->client.setNoDelay(true);
+            } catch (const Poco::Exception &) {
+                pair->client.setLinger(true, 0);
+                pair->client.close();
+                continue;
+            }
+            {
+                const Lock lock(m_mutex);
+                m_pairs.push_back(pair);
+            }
+            start(pair, true);
+            start(pair, false);
+        }
+    }
+
+    void start(const Ref<Pair> &pair, bool upstream)
+    {
+        std::thread([self = Ref<Link>(this), pair, upstream] {
+            self->forward(*pair, upstream);
+        }).detach();
+    }
+
+    bool held(const Pair &pair, bool upstream) const
+    {
+        return pair.silent || m_mode == Mode::Blackhole || (m_mode == Mode::Swallow && !upstream);
+    }
+
+    void forward(Pair &pair, bool upstream)
+    {
+        Poco::Net::StreamSocket &from = upstream ? pair.client : pair.server;
+        Poco::Net::StreamSocket &to = upstream ? pair.server : pair.client;
+        std::array<char, 65536> buffer{};
+        while (!pair.closed) {
+            if (held(pair, upstream)) {
+                standin::pauseFor(std::chrono::milliseconds(10));
+                continue;
+            }
+            pollfd ready{from.impl()->sockfd(), POLLIN, 0};
+            if (::poll(&ready, 1, 50) == 0) {
+                continue;
+            }
+            const ssize_t size = ::recv(from.impl()->sockfd(), buffer.data(), buffer.size(), 0);
+            while (size > 0 && held(pair, upstream) && !pair.closed) {
+                standin::pauseFor(std::chrono::milliseconds(10));
+            }
+            if (size <= 0) {
+                return close(pair);
+            }
+            if (m_delayMilliseconds > 0) {
+                standin::pauseFor(std::chrono::milliseconds(m_delayMilliseconds));
+            }
+            ssize_t sent = 0;
+            while (sent < size) {
+                const ssize_t step = ::send(to.impl()->sockfd(), buffer.data() + sent, static_cast<std::size_t>(size - sent), MSG_NOSIGNAL);
+                if (step <= 0) {
+                    return close(pair);
+                }
+                sent += step;
+            }
+        }
+    }
+
+    std::string m_target;
+    Poco::Net::ServerSocket m_listener;
+    std::atomic<Mode> m_mode{Mode::Pass};
+    std::atomic<int> m_delayMilliseconds{0};
+    RankedMutex m_mutex{LockRank::Leaf};
+    std::vector<Ref<Pair>> m_pairs;
+};
+
+class Proxy
+{
+public:
+    void handle(HttpExchange &exchange)
+    {
+        if (exchange.path() == "/links") {
+            const Lock lock(m_mutex);
+            m_links.push_back(makeRef<Link>(exchange.query("target")));
+            return exchange.reply(200, "application/json", Json{{"id", m_links.size() - 1}, {"address", m_links.back()->address()}}.dump());
+        }
+        const std::string prefix = "/links/";
+        Ref<Link> link;
+        {
+            const Lock lock(m_mutex);
+            link = m_links.at(std::stoul(exchange.path().substr(prefix.size())));
+        }
+        const std::string delay = exchange.query("delay_ms");
+        const bool known = link->set(exchange.query("mode"), delay.empty() ? 0 : std::stoi(delay));
+        exchange.reply(known ? 200 : 400, "text/plain", known ? "ok" : "unknown mode");
+    }
+
+private:
+    RankedMutex m_mutex{LockRank::Connections};
+    std::vector<Ref<Link>> m_links;
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const sigset_t signals = vanillanotch::standin::blockSignals();
+    Proxy proxy;
+    const vanillanotch::standin::Server server("proxy", 16, [&proxy](vanillanotch::HttpExchange &exchange) {
+        proxy.handle(exchange);
+    });
+    std::cout << "listening address=" << server.address() << std::endl;
+    vanillanotch::standin::awaitSignal(signals);
+    std::_Exit(0); // forwarding threads are still running
+}
--- /dev/null
+++ b/tests/standins/platform_standin.cpp
@@ -0,0 +1,157 @@
+// Stand-in for the platform's service: table, object store and list of VMs in memory, with faults on request.
+//
+//   POST /control?down=0|1&delay_ms=N&lose_next=N&lose_reads=0|1
+//     down       connections are closed without an answer, nothing takes effect
+//     lose_next  so many writes take effect and then lose their answer
+//   PUT  /v1/vms (JSON list document), GET /counts (reads and writes served)
+#include "platform/platform.h"
+#include "standin.h"
+
+#include <nlohmann/json.hpp>
+
+DEFINE_int32(connections, 256, "connections served at the same time");
+
+namespace
+{
+using namespace vanillanotch;
+using Json = nlohmann::json;
+
+constexpr const char *JsonType = "application/json";
+
+struct Faults {
+    std::atomic<bool> down{false};
+    std::atomic<int> delayMilliseconds{0};
+    std::atomic<int> loseNext{0};
+};
+
+class PlatformStandin
+{
+public:
+    void handle(HttpExchange &exchange)
+    {
+        if (exchange.path() == "/control") {
+            return control(exchange);
+        }
+        if (exchange.path() == "/counts") {
+            return exchange.reply(200, JsonType, Json{{"reads", m_reads.load()}, {"writes", m_writes.load()}}.dump());
+        }
+        standin::pauseFor(std::chrono::milliseconds(m_faults.delayMilliseconds));
+        if (m_faults.down) {
+            return exchange.closeAfterReply(); // no answer at all
+        }
+        serve(exchange);
+    }
+
+private:
+    void control(HttpExchange &exchange)
+    {
+        const auto number = [&exchange](const char *name, int fallback) {
+            const std::string text = exchange.query(name);
+            return text.empty() ? fallback : std::stoi(text);
+        };
+        m_faults.down = number("down", m_faults.down ? 1 : 0) != 0;
+        m_faults.delayMilliseconds = number("delay_ms", m_faults.delayMilliseconds);
+        m_faults.loseNext = number("lose_next", m_faults.loseNext);
+        exchange.reply(200, "text/plain", "ok");
+    }
+
+    void serve(HttpExchange &exchange)
+    {
+        if (exchange.method() == "GET") {
+            ++m_reads;
+            return read(exchange);
+        }
+        ++m_writes;
+        const auto body = exchange.readBody();
+        if (!body) {
+            return;
+        }
+        const auto [status, reply] = write(exchange, *body);
+        if (m_faults.loseNext > 0 && m_faults.loseNext.fetch_sub(1) > 0) {
+            return exchange.closeAfterReply(); // it took effect, the answer is lost
+        }
+        exchange.reply(status, JsonType, reply);
+    }
+
+    static Json rowToJson(const Row &row)
+    {
+        return Json{{"key", row.key}, {"value", row.value}, {"version", row.version}};
+    }
+
+    void read(HttpExchange &exchange)
+    {
+        if (exchange.path() == "/v1/rows") {
+            const auto row = m_platform.table->read(exchange.query("key")).value();
+            return row ? exchange.reply(200, JsonType, rowToJson(*row).dump()) : exchange.reply(404, JsonType, "{}");
+        }
+        if (exchange.path() == "/v1/scan") {
+            Json rows = Json::array();
+            const auto found = m_platform.table->scan(exchange.query("prefix"), exchange.query("after"), std::stoul(exchange.query("limit")));
+            for (const Row &row : *found) {
+                rows.push_back(rowToJson(row));
+            }
+            return exchange.reply(200, JsonType, Json{{"rows", rows}}.dump());
+        }
+        if (exchange.path() == "/v1/objects") {
+            const auto bytes = m_platform.objects->read(exchange.query("name"));
+            return bytes ? exchange.reply(200, "application/octet-stream", *bytes) : exchange.reply(404, JsonType, "{}");
+        }
+        if (exchange.path() == "/v1/vms") {
+            const Lock lock(m_mutex);
+            return exchange.reply(200, JsonType, m_vms);
+        }
+        exchange.reply(404, JsonType, "{}");
+    }
+
+    std::pair<int, std::string> write(HttpExchange &exchange, const std::string &body)
+    {
+        if (exchange.path() == "/v1/commit") {
+            std::vector<Write> writes;
+            for (const Json &item : Json::parse(body).at("writes")) {
+                Write entry{item.at("key").get<std::string>(), std::nullopt, item.at("expected_version").get<std::uint64_t>()};
+                if (!item.at("value").is_null()) {
+                    entry.value = item.at("value").get<std::string>();
+                }
+                writes.push_back(std::move(entry));
+            }
+            return m_platform.table->commit(writes) ? std::pair(200, "{}") : std::pair(409, "{}");
+        }
+        if (exchange.path() == "/v1/objects") {
+            const std::string name = exchange.query("name");
+            if (exchange.method() == "DELETE") {
+                m_platform.objects->remove(name);
+                return {200, "{}"};
+            }
+            const bool insert = exchange.header("If-None-Match") == "*";
+            const auto done = insert ? m_platform.objects->insert(name, body) : m_platform.objects->write(name, body);
+            return done ? std::pair(200, "{}") : std::pair(412, "{}");
+        }
+        if (exchange.path() == "/v1/vms") {
+            const Lock lock(m_mutex);
+            m_vms = body;
+            return {200, "{}"};
+        }
+        return {404, "{}"};
+    }
+
+    Platform m_platform = makeMemoryPlatform();
+    Faults m_faults;
+    std::atomic<std::uint64_t> m_reads{0};
+    std::atomic<std::uint64_t> m_writes{0};
+    RankedMutex m_mutex{LockRank::Leaf};
+    std::string m_vms = R"({"vms":[]})";
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const sigset_t signals = vanillanotch::standin::blockSignals();
+    PlatformStandin platform;
+    const vanillanotch::standin::Server server("platform", FLAGS_connections, [&platform](vanillanotch::HttpExchange &exchange) {
+        platform.handle(exchange);
+    });
+    std::cout << "listening address=" << server.address() << std::endl;
+    vanillanotch::standin::awaitSignal(signals);
+    return 0;
+}
--- /dev/null
+++ b/tests/standins/standin.h
@@ -0,0 +1,87 @@
+// What the stand-ins share: an HTTP server whose handler is a function, and the line that tells the port.
+#pragma once
+
+#include "http/http.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace vanillanotch::standin
+{
+
+class FunctionHandler final : public HttpHandler
+{
+public:
+    explicit FunctionHandler(std::function<void(HttpExchange &)> run)
+        : m_run(std::move(run))
+    {
+    }
+    void handle(HttpExchange &exchange) override
+    {
+        m_run(exchange);
+    }
+    std::string describeError(ErrorCode code) override
+    {
+        return std::string(errorName(code));
+    }
+
+private:
+    std::function<void(HttpExchange &)> m_run;
+};
+
+// Serves until SIGTERM; SIGTERM is blocked in all threads but the caller's wait.
+class Server
+{
+public:
+    Server(const std::string &name, int connections, std::function<void(HttpExchange &)> run)
+        : m_workers(2)
+        , m_timers(m_workers)
+        , m_watchdog(m_timers)
+        , m_handler(std::move(run))
+    {
+        HttpServerSettings settings;
+        settings.name = name;
+        settings.connections = connections;
+        settings.bodyLimit = 64 * 1024 * 1024;
+        settings.idleLimit = std::chrono::minutes(5);
+        m_server = std::make_unique<HttpServer>(settings, m_handler, m_watchdog);
+    }
+    std::string address() const
+    {
+        return m_server->address();
+    }
+
+private:
+    WorkerPool m_workers;
+    TimerQueue m_timers;
+    SocketWatchdog m_watchdog;
+    FunctionHandler m_handler;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+inline sigset_t blockSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+inline void awaitSignal(const sigset_t &signals)
+{
+    int signal = 0;
+    sigwait(&signals, &signal);
+}
+
+// A stand-in's service time: waits without holding a processor.
+inline void pauseFor(Duration duration)
+{
+    std::this_thread::sleep_for(duration);
+}
+
+} // namespace vanillanotch::standin
--- /dev/null
+++ b/tests/support/main.cpp
@@ -0,0 +1,12 @@
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+#include <csignal>
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    // The leak detector isn't safe for threads; AddressSanitizer looks for leaks instead.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    return CommandLineTestRunner::RunAllTests(argc, argv);
+}
