--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -107,7 +107,8 @@
     {
         if (exchange.path() == "/v1/commit") {
             std::vector<Write> writes;
-            for (const Json &item : Json::parse(body).at("writes")) {
+            const Json document = Json::parse(body);
+            for (const Json &item : document.at("writes")) {
                 Write entry{item.at("key").get<std::string>(), std::nullopt, item.at("expected_version").get<std::uint64_t>()};
                 if (!item.at("value").is_null()) {
                     entry.value = item.at("value").get<std::string>();
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -1,5 +1,6 @@
 #include "harness.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
--- /dev/null
+++ b/tests/support/load.cpp
@@ -0,0 +1,218 @@
+#include "load.h"
+
+#include <algorithm>
+
+namespace vanillanotch::test
+{
+
+namespace
+{
+constexpr Duration HealthInterval = std::chrono::milliseconds(50);
+}
+
+Balancer::Balancer(Cluster &cluster)
+    : m_cluster(cluster)
+{
+    refresh();
+    m_thread = std::thread([this] {
+        watch();
+    });
+}
+
+Balancer::~Balancer()
+{
+    {
+        const Lock lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_thread.join();
+}
+
+void Balancer::refresh()
+{
+    std::vector<Target> targets;
+    for (const std::string &name : m_cluster.nodeNames()) {
+        Process &node = m_cluster.node(name);
+        if (node.running()) {
+            targets.push_back(Target{node.address("callers"), node.address("operators"), false});
+        }
+    }
+    for (Target &target : targets) {
+        target.ready = send(target.operators, "GET", "/readyz").status == 200;
+    }
+    const Lock lock(m_mutex);
+    m_targets = std::move(targets);
+}
+
+std::string Balancer::pick(std::uint64_t random)
+{
+    const Lock lock(m_mutex);
+    std::vector<std::string> ready;
+    for (const Target &target : m_targets) {
+        if (target.ready) {
+            ready.push_back(target.callers);
+        }
+    }
+    return ready.empty() ? std::string() : ready[random % ready.size()];
+}
+
+void Balancer::watch()
+{
+    Lock lock(m_mutex);
+    while (!m_stopping) {
+        const std::vector<Target> targets = m_targets;
+        lock.unlock();
+        std::map<std::string, bool> ready;
+        for (const Target &target : targets) {
+            ready[target.callers] = send(target.operators, "GET", "/readyz").status == 200;
+        }
+        lock.lock();
+        for (Target &target : m_targets) {
+            if (const auto found = ready.find(target.callers); found != ready.end()) {
+                target.ready = found->second;
+            }
+        }
+        m_wake.wait_for(lock, HealthInterval, [this] {
+            return m_stopping;
+        });
+    }
+}
+
+Load::Load(Balancer &balancer, std::size_t callers, std::vector<std::string> pipelines, std::uint64_t seed, CallOptions options)
+    : m_balancer(balancer)
+    , m_pipelines(std::move(pipelines))
+    , m_options(std::move(options))
+{
+    for (std::size_t i = 0; i < callers; ++i) {
+        m_threads.emplace_back([this, i, seed] {
+            run(i, seed);
+        });
+    }
+}
+
+Load::~Load()
+{
+    stop();
+}
+
+std::vector<Sent> Load::stop()
+{
+    m_stopping = true;
+    for (std::thread &thread : m_threads) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+    const Lock lock(m_mutex);
+    return m_sent;
+}
+
+std::size_t Load::answered()
+{
+    const Lock lock(m_mutex);
+    return m_sent.size();
+}
+
+void Load::run(std::size_t caller, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 1000 + caller);
+    for (unsigned number = 0; !m_stopping; ++number) {
+        Sent sent;
+        sent.pipeline = m_pipelines[random() % m_pipelines.size()];
+        sent.input = "input " + std::to_string(seed) + "-" + std::to_string(caller) + "-" + std::to_string(number);
+        CallOptions options = m_options;
+        options.stream = random() % 2 == 0 && sent.pipeline != "payout";
+        if (sent.pipeline != "answer") {
+            sent.key = "key-" + std::to_string(seed) + "-" + std::to_string(caller) + "-" + std::to_string(number);
+            options.idempotencyKey = sent.key;
+        }
+        const std::string address = m_balancer.pick(random());
+        if (address.empty()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            continue;
+        }
+        sent.result = callPipeline(address, sent.pipeline, sent.input, options);
+        const Lock lock(m_mutex);
+        m_sent.push_back(std::move(sent));
+    }
+}
+
+namespace
+{
+std::string judgeAnswer(const Sent &sent)
+{
+    const bool generates = sent.pipeline != "payout";
+    if (generates && sent.result.text() != expectedText(sent.input, ModelTokens)) {
+        return "wrong text for '" + sent.input + "': " + sent.result.text();
+    }
+    if (generates && !sent.result.streamed.empty() && sent.result.streamed != sent.result.text()) {
+        return "streamed text differs for '" + sent.input + "': " + sent.result.streamed;
+    }
+    if (!generates && sent.result.body.at("answer").at("services").at("release").at("done_for") != sent.input) {
+        return "another request's payout for '" + sent.input + "'";
+    }
+    return {};
+}
+} // namespace
+
+std::string compareWithLedger(const std::vector<Sent> &sent, const std::vector<LedgerLine> &ledger)
+{
+    std::map<std::string, std::size_t> begunByRequest;
+    std::map<std::string, std::size_t> effectsByKey;
+    for (const LedgerLine &line : ledger) {
+        if (line.event != "begin") {
+            continue;
+        }
+        ++begunByRequest[line.request];
+        if (line.path == "/payout") {
+            ++effectsByKey[line.key];
+        }
+    }
+    for (const auto &[key, effects] : effectsByKey) {
+        if (effects > 1) {
+            return "the payout with key " + key + " ran " + std::to_string(effects) + " times";
+        }
+    }
+    for (const Sent &one : sent) {
+        if (one.result.status == 200) {
+            if (std::string problem = judgeAnswer(one); !problem.empty()) {
+                return problem;
+            }
+            if (one.pipeline == "payout" && effectsByKey[one.key] != 1) {
+                return "a payout was answered but never ran: " + one.key;
+            }
+        }
+        if (one.result.outcome() == "not_run") {
+            const std::string request = one.result.body.at("error").value("request", "");
+            if (!request.empty() && begunByRequest.count(request) == 1) {
+                return "refused as not_run, but the ledger has it: " + request;
+            }
+        }
+    }
+    return {};
+}
+
+std::size_t countStatus(const std::vector<Sent> &sent, int status)
+{
+    return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [status](const Sent &one) {
+        return one.result.status == status;
+    }));
+}
+
+std::string describeFailures(const std::vector<Sent> &sent)
+{
+    std::map<std::string, int> counts;
+    for (const Sent &one : sent) {
+        if (one.result.status != 200) {
+            ++counts["status " + std::to_string(one.result.status) + " code " + std::to_string(one.result.code()) + " " + one.result.outcome()];
+        }
+    }
+    std::string text;
+    for (const auto &[what, count] : counts) {
+        text += what + ": " + std::to_string(count) + "; ";
+    }
+    return text;
+}
+
+} // namespace vanillanotch::test
--- /dev/null
+++ b/tests/unit/decisions_test.cpp
@@ -0,0 +1,369 @@
+// Decisions without processes: configuration, members, routing, limits, retries, suspects, lock order.
+#include "account/account.h"
+#include "fakes.h"
+#include "fleet/fleet.h"
+#include "pipeline/pipeline.h"
+#include "request/request.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+
+namespace
+{
+BackendServerSpec serverSpec(const std::string &name, double price = 1, unsigned concurrency = 2)
+{
+    BackendServerSpec spec;
+    spec.name = name;
+    spec.dataCentre = "dc1";
+    spec.address = "127.0.0.1:1";
+    spec.capabilities = {"model"};
+    spec.concurrency = concurrency;
+    spec.pricePerSecond = price;
+    return spec;
+}
+
+std::vector<Entry> smallConfiguration(const std::vector<BackendServerSpec> &servers)
+{
+    std::vector<Entry> entries{Entry{DataCentreSpec{"dc1", "test", std::chrono::microseconds(1500)}}};
+    for (const BackendServerSpec &server : servers) {
+        entries.push_back(Entry{server});
+    }
+    entries.push_back(Entry{PresetSpec{"ordinary"}});
+    entries.push_back(Entry{PresetSpec{"peak"}});
+    entries.push_back(Entry{PresetInForce{"ordinary"}});
+    return entries;
+}
+
+AcquireInput wants(const Clock &clock, Duration wait = Duration::zero())
+{
+    AcquireInput input;
+    input.capability = "model";
+    input.giveUpAt = clock.now() + wait;
+    input.routing.slack = std::chrono::seconds(5);
+    return input;
+}
+
+MemberRecord member(int index, const std::string &dataCentre = "dc1")
+{
+    MemberRecord record;
+    record.name = "n" + std::to_string(1000 + index);
+    record.dataCentre = dataCentre;
+    record.peerAddress = "127.0.0.1:" + std::to_string(index + 1);
+    record.incarnation = 1;
+    return record;
+}
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Configuration
+//-----------------------------------------------------------------------------
+
+TEST_GROUP(ConfigurationDecisions){};
+
+TEST(ConfigurationDecisions, AnInvalidWholeIsRefusedWithEveryViolation)
+{
+    std::vector<Entry> entries = smallConfiguration({serverSpec("s1")});
+    BackendServerSpec lost = serverSpec("s2");
+    lost.dataCentre = "nowhere";
+    lost.concurrency = 0;
+    entries.push_back(Entry{lost});
+    entries.push_back(Entry{PresetInForce{"none"}});
+    const auto built = Configuration::build(1, entries);
+    CHECK(!built.has_value());
+    LONGS_EQUAL(3, static_cast<long>(built.error().size()));
+}
+
+TEST(ConfigurationDecisions, TheRevisionNeverFallsAndGapsAreNotApplied)
+{
+    ConfigurationTable table;
+    CHECK(table.install(*Configuration::build(5, smallConfiguration({serverSpec("s1")}))));
+    CHECK(!table.install(*Configuration::build(4, smallConfiguration({serverSpec("s1")}))));
+    Change change;
+    change.revision = 7;
+    change.upserts.push_back(Entry{PresetInForce{"peak"}});
+    CHECK(!table.install(change).has_value());
+    change.revision = 6;
+    LONGS_EQUAL(6, static_cast<long>(*table.install(change)));
+    STRCMP_EQUAL("peak", table.current()->preset().name.c_str());
+    LONGS_EQUAL(1, static_cast<long>(table.changesSince(5)->size()));
+    CHECK(!table.changesSince(3).has_value());
+}
+
+TEST(ConfigurationDecisions, RacingOperatorsOneWinsAndTheOtherIsTold)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        ManualClock clock;
+        Platform platform = makeMemoryPlatform();
+        FaultyTable faulty(*platform.table, seed, 30);
+        const auto store = makeTableConfigurationStore(faulty, *platform.objects);
+        const auto calm = makeTableConfigurationStore(*platform.table, *platform.objects);
+        ConfigurationTable tableA;
+        ConfigurationTable tableB;
+        ConfigurationService a(*store, tableA, clock);
+        ConfigurationService b(*store, tableB, clock);
+        std::uint64_t accepted = 0;
+        for (int round = 0; round < 6; ++round) {
+            accepted += a.replaceAll(smallConfiguration({serverSpec("s1", round + 1)}), 0, "a", "").has_value() ? 1 : 0;
+            accepted += b.usePreset(round % 2 == 0 ? "peak" : "ordinary", "b").has_value() ? 1 : 0;
+        }
+        // Whatever was lost on the way: the log has no gap, and every revision has exactly one author.
+        const Revision head = *calm->readHead();
+        const auto log = calm->readChanges(0, 100);
+        LONGS_EQUAL(head, static_cast<Revision>(log->size()));
+        for (std::size_t i = 0; i < log->size(); ++i) {
+            LONGS_EQUAL(i + 1, (*log)[i].revision);
+        }
+        ConfigurationTable tableC;
+        ConfigurationService c(*calm, tableC, clock);
+        LONGS_EQUAL(head, *c.catchUp());
+        CHECK(accepted > 0);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Members
+//-----------------------------------------------------------------------------
+
+TEST_GROUP(MemberDecisions){};
+
+TEST(MemberDecisions, ATreeOfRangesReachesEveryMemberOnce)
+{
+    for (const int size : {1, 2, 3, 7, 40, 117, 300}) {
+        std::vector<MemberRecord> members;
+        for (int i = 0; i < size; ++i) {
+            members.push_back(member(i));
+        }
+        std::map<std::string, int> reached;
+        int depth = 0;
+        std::vector<std::pair<std::string, std::string>> level{{members[static_cast<std::size_t>(size) / 2].name, ""}};
+        while (!level.empty()) {
+            std::vector<std::pair<std::string, std::string>> next;
+            for (const auto &[name, end] : level) {
+                ++reached[name];
+                for (const RelayTarget &target : relayTargets(members, name, end, 4)) {
+                    next.emplace_back(target.child.name, target.rangeEnd);
+                }
+            }
+            level = std::move(next);
+            ++depth;
+        }
+        LONGS_EQUAL(size, static_cast<long>(reached.size()));
+        for (const auto &[name, times] : reached) {
+            LONGS_EQUAL(1, times);
+        }
+        CHECK(depth <= 7);
+    }
+}
+
+TEST(MemberDecisions, ADutyHasItsHoldersWhoeverIsThere)
+{
+    std::vector<MemberRecord> members;
+    for (int i = 0; i < 117; ++i) {
+        members.push_back(member(i));
+    }
+    const auto holders = [&members] {
+        std::set<std::string> names;
+        for (const MemberRecord &record : members) {
+            if (holdsDuty(members, record.name, "root", 3)) {
+                names.insert(record.name);
+            }
+        }
+        return names;
+    };
+    const std::set<std::string> before = holders();
+    LONGS_EQUAL(3, static_cast<long>(before.size()));
+    members.erase(std::find_if(members.begin(), members.end(), [&before](const MemberRecord &record) {
+        return record.name == *before.begin();
+    }));
+    const std::set<std::string> after = holders();
+    LONGS_EQUAL(3, static_cast<long>(after.size()));
+    LONGS_EQUAL(2, std::count_if(after.begin(), after.end(), [&before](const std::string &name) {
+                    return before.count(name) == 1;
+                }));
+}
+
+TEST(MemberDecisions, NewerNewsWinsAndTheLaggingListDoesNotBringAMemberBack)
+{
+    ManualClock clock;
+    MemberTable table(clock, MembershipSettings{}, member(0));
+    table.listed({member(1)});
+    MemberRecord leaving = member(1);
+    leaving.version = 2;
+    leaving.state = MemberState::Leaving;
+    table.merge({leaving});
+    table.merge({member(1)});
+    table.listed({member(1)});
+    LONGS_EQUAL(1, static_cast<long>(table.usable("dc1").size()));
+    LONGS_EQUAL(1, static_cast<long>(table.aliveCount()));
+}
+
+//-----------------------------------------------------------------------------
+// Backend servers
+//-----------------------------------------------------------------------------
+
+TEST_GROUP(ServerDecisions){};
+
+TEST(ServerDecisions, ALeavingServerGetsNoNewWork)
+{
+    ManualClock clock;
+    BackendServerTable table(clock, "dc1", HealthSettings{}, makeDeadlineCostRouting());
+    table.reconcile(**Configuration::build(1, smallConfiguration({serverSpec("s1"), serverSpec("s2", 9)})));
+    table.replaceLeaving({"s1"});
+    for (int i = 0; i < 2; ++i) {
+        auto lease = table.acquire(wants(clock));
+        STRCMP_EQUAL("s2", lease->server().name.c_str());
+    }
+    CHECK(table.saidLeaving("s2", true));
+    LONGS_EQUAL(static_cast<int>(ErrorCode::NoFitServer), static_cast<int>(table.acquire(wants(clock)).error().code));
+}
+
+TEST(ServerDecisions, ConcurrencyIsNeverExceeded)
+{
+    ManualClock clock;
+    BackendServerTable table(clock, "dc1", HealthSettings{}, makeDeadlineCostRouting());
+    table.reconcile(**Configuration::build(1, smallConfiguration({serverSpec("s1"), serverSpec("s2")})));
+    std::vector<ServerLease> leases;
+    for (int i = 0; i < 4; ++i) {
+        leases.push_back(std::move(*table.acquire(wants(clock))));
+    }
+    LONGS_EQUAL(static_cast<int>(ErrorCode::DeadlineExceeded), static_cast<int>(table.acquire(wants(clock)).error().code));
+    leases.pop_back();
+    CHECK(table.acquire(wants(clock)).has_value());
+}
+
+TEST(ServerDecisions, AFailingServerIsQuarantinedAndProbedByOneCall)
+{
+    ManualClock clock;
+    BackendServerTable table(clock, "dc1", HealthSettings{}, makeDeadlineCostRouting());
+    table.reconcile(**Configuration::build(1, smallConfiguration({serverSpec("s1")})));
+    for (int i = 0; i < 3; ++i) {
+        table.acquire(wants(clock))->finish(CallVerdict::Failed, std::chrono::milliseconds(1), std::nullopt);
+    }
+    LONGS_EQUAL(static_cast<int>(ErrorCode::NoFitServer), static_cast<int>(table.acquire(wants(clock)).error().code));
+    clock.advance(std::chrono::milliseconds(501));
+    auto probe = table.acquire(wants(clock));
+    CHECK(probe.has_value());
+    CHECK(!table.acquire(wants(clock)).has_value());
+    probe->finish(CallVerdict::Succeeded, std::chrono::milliseconds(1), std::nullopt);
+    CHECK(table.acquire(wants(clock)).has_value());
+}
+
+TEST(ServerDecisions, WithinTheSlackTheCheaperServerIsChosenAndOutsideItTheFaster)
+{
+    const auto policy = makeDeadlineCostRouting();
+    ServerView cheap;
+    cheap.concurrency = 4;
+    cheap.expectedTime = std::chrono::milliseconds(200);
+    cheap.pricePerSecond = 1;
+    ServerView fast = cheap;
+    fast.expectedTime = std::chrono::milliseconds(50);
+    fast.pricePerSecond = 20;
+    RoutingInput input;
+    input.costWeight = 0.8;
+    input.slack = std::chrono::seconds(2);
+    LONGS_EQUAL(0, static_cast<long>(policy->choose(input, {cheap, fast})));
+    input.slack = std::chrono::milliseconds(150);
+    LONGS_EQUAL(1, static_cast<long>(policy->choose(input, {cheap, fast})));
+    input.slack = std::chrono::seconds(2);
+    input.costWeight = 0;
+    LONGS_EQUAL(1, static_cast<long>(policy->choose(input, {cheap, fast})));
+}
+
+//-----------------------------------------------------------------------------
+// Limits, retries, suspects
+//-----------------------------------------------------------------------------
+
+TEST_GROUP(LimitDecisions){};
+
+TEST(LimitDecisions, AnAccountIsHeldToItsRateAndConcurrency)
+{
+    ManualClock clock;
+    AccountTable table(clock);
+    ClientAccountSpec account;
+    account.name = "a";
+    account.requestsPerSecond = 10;
+    account.burst = 2;
+    account.concurrency = 2;
+    {
+        auto first = table.admit(account, 1);
+        auto second = table.admit(account, 1);
+        CHECK(first.has_value() && second.has_value());
+        LONGS_EQUAL(static_cast<int>(ErrorCode::AccountConcurrencyExceeded), static_cast<int>(table.admit(account, 1).error().code));
+    }
+    LONGS_EQUAL(static_cast<int>(ErrorCode::AccountRateExceeded), static_cast<int>(table.admit(account, 1).error().code));
+    clock.advance(std::chrono::milliseconds(101));
+    CHECK(table.admit(account, 1).has_value());
+    CHECK(!table.admit(account, 1).has_value());
+}
+
+TEST(LimitDecisions, RetriesStayWithinTheirBudget)
+{
+    const auto policy = makeBudgetedRetry(4, 10);
+    RetryInput input;
+    input.attempts = 1;
+    input.remaining = std::chrono::seconds(1);
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) { // every call fails
+        policy->countFirstAttempt(0.1);
+        retries += policy->allows(input) ? 1 : 0;
+    }
+    CHECK(retries <= 110);
+    CHECK(retries >= 100);
+}
+
+TEST(LimitDecisions, ASuspectIsRefusedAfterThreeDeathsAndLetGoAfterItsTime)
+{
+    ManualClock clock;
+    SuspectTable table(clock);
+    int told = 0;
+    table.onMarked([&told](const SuspectMark & /*mark*/) {
+        ++told;
+    });
+    for (const char *server : {"s1", "s1", "s2"}) {
+        table.serverDied("f", server);
+    }
+    CHECK(table.isSuspect("f"));
+    CHECK(!table.refuses("f"));
+    table.merge({SuspectMark{"f", {"s3"}, std::chrono::seconds(30)}});
+    CHECK(table.refuses("f"));
+    LONGS_EQUAL(2, told);
+    clock.advance(std::chrono::seconds(61));
+    CHECK(!table.refuses("f"));
+    CHECK(!table.isSuspect("f"));
+}
+
+//-----------------------------------------------------------------------------
+// Lock order
+//-----------------------------------------------------------------------------
+
+TEST_GROUP(LockOrder){};
+
+TEST(LockOrder, AFallInRankAborts)
+{
+    const pid_t child = ::fork();
+    if (child == 0) {
+        std::signal(SIGABRT, SIG_DFL);
+        RankedMutex low(LockRank::Configuration);
+        RankedMutex high(LockRank::Requests);
+        const Lock first(high);
+        const Lock second(low);
+        ::_exit(0);
+    }
+    int status = 0;
+    ::waitpid(child, &status, 0);
+    CHECK(WIFSIGNALED(status));
+    LONGS_EQUAL(SIGABRT, WTERMSIG(status));
+}
+
+TEST(LockOrder, LogValuesCannotForgeALine)
+{
+    STRCMP_EQUAL("\"a\\x0aevent=forged\"", escapeLogValue("a\nevent=forged").c_str());
+    STRCMP_EQUAL("plain", escapeLogValue("plain").c_str());
+    STRCMP_EQUAL("\"\"", escapeLogValue("").c_str());
+}
