--- /dev/null
+++ b/tests/unit/wire_test.cpp
@@ -0,0 +1,154 @@
+// Encoding and decoding: every problem of a file at once, round trips, hostile input.
+#include "fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+
+namespace
+{
+std::string example(const std::string &name)
+{
+    return readFile(std::string(VANILLANOTCH_SOURCES) + "/examples/" + name).value();
+}
+
+bool hasProblem(const std::vector<FileProblem> &problems, int line, const std::string &entry)
+{
+    return std::any_of(problems.begin(), problems.end(), [&](const FileProblem &problem) {
+        return problem.line == line && problem.entry == entry;
+    });
+}
+
+// Cuts, repeats and flips bytes of a document.
+std::string mutated(const std::string &text, std::mt19937_64 &random)
+{
+    std::string out = text;
+    for (std::uint64_t i = random() % 4 + 1; i > 0 && !out.empty(); --i) {
+        const std::size_t place = random() % out.size();
+        switch (random() % 4) {
+        case 0:
+            out[place] = static_cast<char>(random());
+            break;
+        case 1:
+            out.erase(place, random() % 8 + 1);
+            break;
+        case 2:
+            out.insert(place, out.substr(random() % out.size(), 8));
+            break;
+        default:
+            out.resize(place);
+        }
+    }
+    return out;
+}
+} // namespace
+
+TEST_GROUP(Wire)
+{
+};
+
+TEST(Wire, BothExamplesAreValidAndSurviveARoundTrip)
+{
+    for (const char *name : {"sonali", "dutolimpo"}) {
+        const auto entries = parseConfigurationYaml(example(std::string(name) + "/configuration.yaml"), name);
+        CHECK(entries.has_value());
+        const ConfigurationRef configuration = *Configuration::build(1, *entries);
+        LONGS_EQUAL(4, static_cast<long>(configuration->dataCentres().size()));
+        LONGS_EQUAL(5, static_cast<long>(configuration->accounts().size()));
+        LONGS_EQUAL(3, static_cast<long>(configuration->presets().size()));
+        LONGS_EQUAL(51, static_cast<long>(configuration->backendServers().size()));
+        const auto again = parseConfigurationYaml(writeConfigurationYaml(configuration->entries()), "again");
+        CHECK(again.has_value());
+        const Change same = difference(*configuration, *again);
+        LONGS_EQUAL(0, static_cast<long>(same.upserts.size() + same.deletes.size()));
+        for (const Entry &entry : configuration->entries()) {
+            const auto decoded = decodeEntry(encodeEntry(entry));
+            CHECK(decoded.has_value());
+            STRCMP_EQUAL(encodeEntry(entry).c_str(), encodeEntry(*decoded).c_str());
+        }
+        for (int i = 1; i <= 7; ++i) {
+            CHECK(parseNodeSettingsYaml(example(std::string(name) + "/nodes/entry-" + std::to_string(i) + ".yaml"), name).has_value());
+        }
+    }
+}
+
+TEST(Wire, EveryProblemOfAConfigurationIsReportedWithItsLine)
+{
+    const std::string yaml = "data_centres:\n"
+                             "  - {name: dc1, region: r, colour: red}\n"
+                             "backend_servers:\n"
+                             "  - {name: s1, data_centre: dc1, address: \"1.2.3.4:5\", capabilities: [a], concurrency: many}\n"
+                             "pipelines:\n"
+                             "  - name: p\n"
+                             "    stages:\n"
+                             "      - {name: one, kind: guessing, capability: a}\n"
+                             "client_accounts: []\n"
+                             "presets:\n"
+                             "  - {name: o, cost_weight: 7}\n"
+                             "  - {name: o}\n"
+                             "preset_in_force: o\n"
+                             "more: 1\n";
+    const auto parsed = parseConfigurationYaml(yaml, "file.yaml");
+    CHECK(!parsed.has_value());
+    CHECK(hasProblem(parsed.error(), 2, "data_centres[0].colour"));
+    CHECK(hasProblem(parsed.error(), 4, "backend_servers[0].concurrency"));
+    CHECK(hasProblem(parsed.error(), 8, "pipelines[0].stages[0].kind"));
+    CHECK(hasProblem(parsed.error(), 11, "presets[0].cost_weight"));
+    CHECK(hasProblem(parsed.error(), 12, "presets[1]"));
+    CHECK(hasProblem(parsed.error(), 14, "more"));
+    LONGS_EQUAL(6, static_cast<long>(parsed.error().size()));
+}
+
+TEST(Wire, ReferencesThatLeadNowhereAreReportedWithTheirLine)
+{
+    const std::string yaml = "data_centres:\n"
+                             "  - {name: dc1, region: r}\n"
+                             "backend_servers:\n"
+                             "  - {name: s1, data_centre: dc2, address: \"1.2.3.4:5\", capabilities: [a]}\n"
+                             "pipelines:\n"
+                             "  - name: p\n"
+                             "    stages:\n"
+                             "      - {name: one, kind: service, capability: b}\n"
+                             "client_accounts: []\n"
+                             "presets:\n"
+                             "  - {name: o}\n"
+                             "preset_in_force: other\n";
+    const auto parsed = parseConfigurationYaml(yaml, "file.yaml");
+    CHECK(!parsed.has_value());
+    CHECK(hasProblem(parsed.error(), 4, "backend_server/s1.data_centre"));
+    CHECK(hasProblem(parsed.error(), 6, "pipeline/p.stages[0].capability"));
+    CHECK(hasProblem(parsed.error(), 12, "preset_in_force.preset"));
+}
+
+TEST(Wire, MutatedDocumentsNeverCrashADecoder)
+{
+    std::mt19937_64 random(4711);
+    const std::string configuration = example("sonali/configuration.yaml").substr(0, 3000);
+    const std::string settings = example("sonali/nodes/entry-1.yaml");
+    const std::string submission = R"({"input":"text \u00e9","deadline_ms":1000,"stream":true})";
+    const std::string token = R"(data: {"id":"a","choices":[{"text":"t"}]})";
+    Change change;
+    change.revision = 7;
+    change.upserts = {Entry{PresetSpec{"o"}}, Entry{DataCentreSpec{"dc1", "r", std::chrono::microseconds(1)}}};
+    change.deletes = {EntryKey{EntryKind::Pipeline, "p"}};
+    const std::string encodedChange = encodeChange(change);
+    Answer answer;
+    answer.stages.push_back(StageReport{"s", "server", 1, std::chrono::milliseconds(2), 0.5});
+    const auto codec = makeAnswerCodec();
+    const std::string encodedAnswer = codec->encodeAnswer(answer);
+    std::size_t refused = 0;
+    for (int i = 0; i < 4000; ++i) {
+        refused += decodeSubmission(mutated(submission, random)) ? 0 : 1;
+        refused += decodeTokenLine(mutated(token, random)) ? 0 : 1;
+        refused += decodeChange(mutated(encodedChange, random)) ? 0 : 1;
+        refused += codec->decodeAnswer(mutated(encodedAnswer, random)) ? 0 : 1;
+        refused += parseNodeSettingsYaml(mutated(settings, random), "f") ? 0 : 1;
+        if (i % 10 == 0) {
+            refused += parseConfigurationYaml(mutated(configuration, random), "f") ? 0 : 1;
+        }
+    }
+    CHECK(refused > 1000);
+}
