--- a/src/request/run.cpp
+++ b/src/request/run.cpp
@@ -15,16 +15,18 @@
 class TokenForwarder final : public StageListener
 {
 public:
-    TokenForwarder(AnswerSink &sink, std::string &streamed, unsigned &count)
+    TokenForwarder(AnswerSink &sink, std::string &streamed, unsigned &count, Counter &total)
         : m_sink(sink)
         , m_streamed(streamed)
         , m_count(count)
+        , m_total(total)
     {
     }
     bool token(std::string_view text) override
     {
         m_streamed += text;
         ++m_count;
+        m_total.add();
         return m_sink.token(text);
     }
     void flush() override
@@ -44,6 +46,7 @@
     AnswerSink &m_sink;
     std::string &m_streamed;
     unsigned &m_count;
+    Counter &m_total;
 };
 
 CallVerdict verdictOf(const CallFailure &failure)
@@ -398,7 +401,7 @@
             return tl::unexpected(std::move(started.error()));
         }
     }
-    TokenForwarder listener(m_sink, m_streamed, m_streamedTokens);
+    TokenForwarder listener(m_sink, m_streamed, m_streamedTokens, m_parts.metrics.counter("vanillanotch_tokens_total"));
     const TimePoint began = m_parts.clock.now();
     auto reply = m_parts.channel.call(call, listener);
     const TimePoint ended = m_parts.clock.now();
--- /dev/null
+++ b/tests/bench/bench.h
@@ -0,0 +1,25 @@
+// Benchmarks with real processes. Each prints its results as key=value pairs on one last line.
+#pragma once
+
+#include "harness.h"
+
+namespace vanillanotch::bench
+{
+
+using test::Cluster;
+using test::Json;
+
+// What a process has used so far, from /proc.
+struct Usage {
+    Duration processor{};
+    double residentMegabytes = 0;
+};
+Usage usageOf(pid_t pid);
+
+Duration quantile(std::vector<Duration> &values, double share); // sorts the values
+double milliseconds(Duration duration);
+
+int overhead();
+int control();
+
+} // namespace vanillanotch::bench
--- /dev/null
+++ b/tests/bench/control.cpp
@@ -0,0 +1,147 @@
+// What a node spends on control at rest, and how that grows with members, backend servers and accounts.
+#include "bench.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace vanillanotch::bench
+{
+
+namespace
+{
+constexpr std::chrono::seconds RestPhase{20};
+constexpr const char *DefaultIntervals = "head_interval_ms: 1000\nexchange_interval_ms: 2000\nconnections: 64\nlog_level: warning\n";
+
+struct Sample {
+    int nodes = 0;
+    int servers = 0;
+    int accounts = 0;
+    double corePercent = 0; // mean of the nodes
+    double rootCorePercent = 0; // the largest
+    double residentMegabytes = 0; // mean
+    double bytesPerSecond = 0; // made and answered, both directions, mean
+    double platformReadsPerSecond = 0; // of all nodes together
+    double changeCoreMilliseconds = 0; // processor time of a node for one change in force
+    Duration changeTime{}; // accepted until in force at every node
+};
+
+// Bytes on the loopback device so far: with nothing else running, the nodes' own.
+double loopbackBytes()
+{
+    std::ifstream file("/proc/net/dev");
+    for (std::string line; std::getline(file, line);) {
+        if (const auto at = line.find("lo:"); at != std::string::npos) {
+            std::istringstream fields(line.substr(at + 3));
+            double bytes = 0;
+            fields >> bytes;
+            return bytes;
+        }
+    }
+    return 0;
+}
+
+std::string configurationOf(int servers, int accounts)
+{
+    std::string yaml = "data_centres:\n  - {name: dc1, region: test}\nbackend_servers:\n";
+    for (int i = 0; i < servers; ++i) {
+        yaml += "  - {name: s" + std::to_string(i) + ", data_centre: dc1, address: \"10.0.0.1:" + std::to_string(1000 + i) + "\", capabilities: [model-"
+            + std::to_string(i % 8) + "]}\n";
+    }
+    yaml += "pipelines:\n";
+    for (int i = 0; i < 8; ++i) {
+        yaml += "  - {name: p" + std::to_string(i) + ", stages: [{name: one, kind: service, capability: model-" + std::to_string(i) + "}]}\n";
+    }
+    yaml += "client_accounts:\n";
+    for (int i = 0; i < accounts; ++i) {
+        yaml += "  - {name: a" + std::to_string(i) + ", key_sha256: " + sha256Hex("key-" + std::to_string(i)) + "}\n";
+    }
+    return yaml + "presets:\n  - {name: ordinary}\n  - {name: peak}\npreset_in_force: ordinary\n";
+}
+
+double platformReads(const Cluster &cluster)
+{
+    return Json::parse(test::send(cluster.platformAddress(), "GET", "/counts").body).at("reads").get<double>();
+}
+
+Sample measure(int nodes, int servers, int accounts)
+{
+    Sample sample{nodes, servers, accounts};
+    Cluster cluster("bench-control");
+    for (int i = 0; i < nodes; ++i) {
+        cluster.addNode("n" + std::to_string(1000 + i), "dc1", DefaultIntervals);
+    }
+    cluster.registerVms();
+    const std::vector<std::string> names = cluster.nodeNames();
+    const std::string yaml = configurationOf(servers, accounts);
+    const HttpReply applied = cluster.apply(names[0], yaml);
+    if (applied.status != 200 || !cluster.awaitRevision(1, names)) {
+        std::fprintf(stderr, "control: the configuration was not taken: %d %s\n", applied.status, applied.body.c_str());
+        return sample;
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3)); // members are known everywhere
+    std::vector<Usage> before;
+    for (const std::string &name : names) {
+        before.push_back(usageOf(cluster.node(name).pid()));
+    }
+    const double reads = platformReads(cluster);
+    const double bytes = loopbackBytes();
+    std::this_thread::sleep_for(RestPhase);
+    const double rest = std::chrono::duration<double>(RestPhase).count();
+    sample.bytesPerSecond = (loopbackBytes() - bytes) / rest / nodes;
+    sample.platformReadsPerSecond = (platformReads(cluster) - reads) / rest;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const Usage after = usageOf(cluster.node(names[i]).pid());
+        const double percent = 100 * std::chrono::duration<double>(after.processor - before[i].processor).count() / rest;
+        sample.corePercent += percent / nodes;
+        sample.rootCorePercent = std::max(sample.rootCorePercent, percent);
+        sample.residentMegabytes += after.residentMegabytes / nodes;
+    }
+    constexpr int Changes = 10;
+    Duration processor{};
+    for (const std::string &name : names) {
+        processor -= usageOf(cluster.node(name).pid()).processor;
+    }
+    for (int change = 0; change < Changes; ++change) {
+        const TimePoint accepted = std::chrono::steady_clock::now();
+        cluster.operate(names[0], "POST", std::string("/v1/preset?name=") + (change % 2 == 0 ? "peak" : "ordinary"));
+        cluster.awaitRevision(static_cast<std::uint64_t>(change) + 2, {names.back(), names[names.size() / 2]});
+        sample.changeTime = std::max(sample.changeTime, std::chrono::steady_clock::now() - accepted);
+    }
+    for (const std::string &name : names) {
+        processor += usageOf(cluster.node(name).pid()).processor;
+    }
+    sample.changeCoreMilliseconds = milliseconds(processor) / nodes / Changes;
+    return sample;
+}
+
+void print(const Sample &sample)
+{
+    std::printf("nodes=%d servers=%d accounts=%d core_percent=%.3f root_core_percent=%.3f rss_mb=%.1f bytes_per_s=%.0f platform_reads_per_s=%.2f "
+                "change_core_ms=%.2f change_ms=%.1f\n",
+                sample.nodes, sample.servers, sample.accounts, sample.corePercent, sample.rootCorePercent, sample.residentMegabytes, sample.bytesPerSecond,
+                sample.platformReadsPerSecond, sample.changeCoreMilliseconds, milliseconds(sample.changeTime));
+    std::fflush(stdout);
+}
+} // namespace
+
+int control()
+{
+    for (const int nodes : {5, 20, 60}) {
+        print(measure(nodes, 100, 100));
+    }
+    for (const int entries : {1000, 4000}) {
+        print(measure(10, entries, entries));
+    }
+    const Sample whole = measure(20, 10000, 17000); // a data centre's share of nodes is 117; entries at the full size
+    print(whole);
+    const Sample many = measure(117, 435, 100);
+    print(many);
+    std::printf("core_percent=%.3f root_core_percent=%.3f rss_mb=%.1f bytes_per_s=%.0f\n", many.corePercent, many.rootCorePercent, whole.residentMegabytes,
+                many.bytesPerSecond);
+    return 0;
+}
+
+} // namespace vanillanotch::bench
--- /dev/null
+++ b/tests/bench/main.cpp
@@ -0,0 +1,61 @@
+#include "bench.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace vanillanotch::bench
+{
+
+Usage usageOf(pid_t pid)
+{
+    Usage usage;
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::vector<std::string> values;
+    for (std::string value; fields >> value;) {
+        values.push_back(value);
+    }
+    constexpr std::size_t UserTime = 11; // places behind the program's name
+    constexpr std::size_t SystemTime = 12;
+    constexpr std::size_t ResidentPages = 21;
+    const double ticks = std::stod(values.at(UserTime)) + std::stod(values.at(SystemTime));
+    usage.processor = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ticks / static_cast<double>(::sysconf(_SC_CLK_TCK))));
+    usage.residentMegabytes = std::stod(values.at(ResidentPages)) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+    return usage;
+}
+
+Duration quantile(std::vector<Duration> &values, double share)
+{
+    if (values.empty()) {
+        return Duration::zero();
+    }
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace vanillanotch::bench
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::string name = argc > 1 ? argv[1] : "";
+    if (name == "overhead") {
+        return vanillanotch::bench::overhead();
+    }
+    if (name == "control") {
+        return vanillanotch::bench::control();
+    }
+    std::fprintf(stderr, "usage: bench overhead | control\n");
+    return 2;
+}
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -171,6 +171,7 @@
 
     void run(HttpExchange &exchange, const Json &body)
     {
+        const TimePoint began = std::chrono::steady_clock::now();
         note(exchange, "begin");
         const std::string input = inputOf(body);
         if (exchange.path() == "/v1/completions" && input.find("crash-model") != std::string::npos) {
@@ -182,7 +183,8 @@
         }
         standin::pauseFor(scaled(FLAGS_service_us));
         note(exchange, "end");
-        exchange.setHeader("X-Service-Time-Us", std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(scaled(FLAGS_service_us)).count()));
+        const Duration served = std::chrono::steady_clock::now() - began;
+        exchange.setHeader("X-Service-Time-Us", std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(served).count()));
         if (m_faults.take("lose_reply")) {
             return exchange.closeAfterReply();
         }
