--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -53,17 +53,27 @@
     return reply.status == StatusConflict ? ExitConflict : ExitRefused;
 }
 
-// Gets a JSON document and prints it as it is or rendered.
-template<typename Renderer>
-int showJson(const CliOptions &options, const std::string &path, const Renderer &render)
+// The reply of a GET that succeeded; otherwise the exit code, after the error was printed.
+tl::expected<HttpReply, int> fetch(const CliOptions &options, const std::string &path)
 {
     NodeClient client(options.node, options);
-    const auto reply = client.get(path);
+    auto reply = client.get(path);
     if (!reply) {
-        return failWith(reply.error());
+        return tl::unexpected(failWith(reply.error()));
     }
     if (reply->status != StatusOk) {
-        return failWith(*reply);
+        return tl::unexpected(failWith(*reply));
+    }
+    return std::move(*reply);
+}
+
+// Gets a JSON document and prints it as it is or rendered.
+template<typename Renderer>
+int showJson(const CliOptions &options, const std::string &path, const Renderer &render)
+{
+    const auto reply = fetch(options, path);
+    if (!reply) {
+        return reply.error();
     }
     const Json json = Json::parse(reply->body, nullptr, false);
     if (options.json) {
@@ -124,13 +134,9 @@
     if (!text) {
         return ExitUsage;
     }
-    NodeClient client(options.node, options);
-    const auto reply = client.get("/v1/configuration");
+    const auto reply = fetch(options, "/v1/configuration");
     if (!reply) {
-        return failWith(reply.error());
-    }
-    if (reply->status != StatusOk) {
-        return failWith(*reply);
+        return reply.error();
     }
     const auto current = parseConfigurationYaml(reply->body, "in force");
     const ConfigurationRef base = current ? Configuration::build(1, *current).value() : Configuration::empty();
@@ -182,13 +188,9 @@
 
 int show(const CliOptions &options, const Arguments & /*arguments*/)
 {
-    NodeClient client(options.node, options);
-    const auto reply = client.get("/v1/configuration");
+    const auto reply = fetch(options, "/v1/configuration");
     if (!reply) {
-        return failWith(reply.error());
-    }
-    if (reply->status != StatusOk) {
-        return failWith(*reply);
+        return reply.error();
     }
     std::cout << reply->body;
     return ExitSuccess;
@@ -226,13 +228,9 @@
 
 int status(const CliOptions &options, const Arguments & /*arguments*/)
 {
-    NodeClient client(options.node, options);
-    const auto reply = client.get("/v1/status");
+    const auto reply = fetch(options, "/v1/status");
     if (!reply) {
-        return failWith(reply.error());
-    }
-    if (reply->status != StatusOk) {
-        return failWith(*reply);
+        return reply.error();
     }
     const Json first = Json::parse(reply->body, nullptr, false);
     std::vector<Json> nodes(first.at("members").size());
@@ -291,14 +289,10 @@
     RankedMutex mutex(LockRank::Leaf);
     std::condition_variable_any never;
     for (unsigned round = 1;; ++round) {
-        NodeClient client(options.node, options);
-        const auto servers = client.get("/v1/tables/servers");
-        const auto costs = client.get("/v1/report");
-        if (!servers || !costs) {
-            return failWith(servers ? costs.error() : servers.error());
-        }
-        if (servers->status != StatusOk) {
-            return failWith(*servers);
+        const auto servers = fetch(options, "/v1/tables/servers");
+        const auto costs = servers ? fetch(options, "/v1/report") : servers;
+        if (!costs) {
+            return costs.error();
         }
         if (options.json) {
             std::cout << servers->body << std::endl;
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -20,6 +20,6 @@
 double milliseconds(Duration duration);
 
 int overhead(const std::string &streamWorkers); // of the node under test, as in its settings
-int control();
+int control(int nodes, int servers, int accounts); // nodes 0: the whole sweep
 
 } // namespace vanillanotch::bench
--- a/tests/bench/control.cpp
+++ b/tests/bench/control.cpp
@@ -163,10 +163,15 @@
 }
 } // namespace
 
-int control()
+int control(int nodes, int servers, int accounts)
 {
-    for (const int nodes : {5, 20, 60}) {
-        print(measure(nodes, 100, 100));
+    if (nodes > 0) {
+        print(measure(nodes, servers, accounts));
+        return 0;
+    }
+
+    for (const int members : {5, 20, 60}) {
+        print(measure(members, 100, 100));
     }
     for (const int entries : {1000, 4000}) {
         print(measure(10, entries, entries));
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
@@ -54,8 +55,11 @@
         return vanillanotch::bench::overhead(argc > 2 ? argv[2] : "1");
     }
     if (name == "control") {
-        return vanillanotch::bench::control();
+        const auto number = [&](int place) {
+            return argc > place ? std::atoi(argv[place]) : 0;
+        };
+        return vanillanotch::bench::control(number(2), number(3), number(4));
     }
-    std::fprintf(stderr, "usage: bench overhead [STREAM-WORKERS] | control\n");
+    std::fprintf(stderr, "usage: bench overhead [STREAM-WORKERS] | control [NODES SERVERS ACCOUNTS]\n");
     return 2;
 }
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -306,12 +306,21 @@
 {
     Cluster cluster("stranger");
     startFour(cluster);
-    const std::string seed = cluster.node("n1").address("peers");
+    const std::string seeds = "seeds: [\"" + cluster.node("n1").address("peers") + "\"]\n";
     cluster.controlPlatform("down=1");
-    cluster.addNode("n9", "dc1", "seeds: [\"" + seed + "\"]\n");
-    CHECK(cluster.awaitRevision(1, {"n9"}));
-    // The same with another secret learns nothing: YAML takes the last of two keys only where that is allowed, so the
-    // node refuses its settings and ends with the usage code.
-    cluster.addNode("n10", "dc1", "peer_secret: another-secret-of-a-stranger\n");
-    LONGS_EQUAL(2, cluster.node("n10").wait());
+    cluster.addNode("stranger", "dc1", seeds + "peer_secret: another-secret-of-a-stranger\n");
+    cluster.addNode("friend", "dc1", seeds);
+    CHECK(cluster.awaitRevision(1, {"friend"}));
+    LONGS_EQUAL(0, cluster.revision("stranger"));
+    for (const std::string &node : cluster.nodeNames()) {
+        const std::string members = cluster.operate(node, "GET", "/v1/tables/members").body;
+        CHECK(node == "stranger" || members.find("stranger") == std::string::npos);
+    }
+}
+
+TEST(Strangers, ASettingThatStandsTwiceIsRefused)
+{
+    Cluster cluster("twice");
+    cluster.addNode("n1", "dc1", "node: another\n");
+    LONGS_EQUAL(2, cluster.node("n1").wait());
 }
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -343,7 +343,9 @@
     const std::string platform = platformLink ? makeLink(name, platformAddress()).address : platformAddress();
     const std::string file = m_folder + "/" + name + ".yaml";
     std::ofstream(file) << "node: " << name << "\ndata_centre: " << dataCentre << "\nplatform_address: " << platform
-                        << "\noperator_key_sha256: " << sha256Hex(OperatorKey) << "\npeer_secret: " << PeerSecret << "\nbalancer_grace_ms: 300\n"
+                        << "\noperator_key_sha256: " << sha256Hex(OperatorKey)
+                        << (extraSettings.find("peer_secret") == std::string::npos ? std::string("\npeer_secret: ") + PeerSecret : "")
+                        << "\nbalancer_grace_ms: 300\n"
                         << (extraSettings.find("_interval_ms") == std::string::npos ? "head_interval_ms: 200\nexchange_interval_ms: 300\n" : "")
                         << extraSettings;
     NodeEntry entry;
