Ignore a configuration that arrives late at a table; drop what nobody uses

Found by reading: two threads that install revisions 5 and 6 call their listeners outside the lock, so the server table could end with 5's servers until the next change, and the node could report 5 to its peers. Two tests, failing first (`old` instead of `new`; 5 instead of 6): the server table now remembers the revision it was reconciled with, and a member's own revision never falls.

Result codes 1206 and 1304 and the exchange's list of members were never given by anyone and are gone.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -49,8 +49,6 @@
         return "account_concurrency_exceeded";
     case ErrorCode::DeadlineUnattainable:
         return "deadline_unattainable";
-    case ErrorCode::NodeOverloaded:
-        return "node_overloaded";
     case ErrorCode::SuspectRefused:
         return "suspect_refused";
     case ErrorCode::NoFitServer:
@@ -59,8 +57,6 @@
         return "deadline_exceeded";
     case ErrorCode::CallerGone:
         return "caller_gone";
-    case ErrorCode::RetryBudgetExhausted:
-        return "retry_budget_exhausted";
     case ErrorCode::ConnectFailed:
         return "connect_failed";
     case ErrorCode::ConnectionLost:
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -60,13 +60,11 @@
     AccountRateExceeded = 1203,
     AccountConcurrencyExceeded = 1204,
     DeadlineUnattainable = 1205, // the expected finish lies past the deadline
-    NodeOverloaded = 1206,
     SuspectRefused = 1207, // the request was in flight at several server deaths
     // 13xx: routing and stages
     NoFitServer = 1301, // no backend server passes the hard gates
     DeadlineExceeded = 1302,
     CallerGone = 1303,
-    RetryBudgetExhausted = 1304,
     // 14xx: backend servers
     ConnectFailed = 1401, // nothing was sent
     ConnectionLost = 1402, // closed or reset after bytes were sent
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -129,7 +129,7 @@
     BackendServerTable(const Clock &clock, std::string dataCentre, HealthSettings health, std::unique_ptr<RoutingPolicy> policy);
     ~BackendServerTable();
 
-    void reconcile(const Configuration &configuration); // call with each configuration that comes into force
+    void reconcile(const Configuration &configuration); // call with each one that comes into force; an older one is ignored
     // Waits for a place, earliest deadline first. NoFitServer: none can become free; DeadlineExceeded; CallerGone.
     Result<ServerLease> acquire(const AcquireInput &input);
 
@@ -185,6 +185,7 @@
     std::map<std::string, Server> m_servers;
     std::map<std::string, std::vector<std::string>> m_byCapability;
     std::set<std::string> m_leavingByPlatform;
+    Revision m_revision = 0; // of the configuration reconciled last
     boost::intrusive::list<Waiter> m_waiters; // earliest deadline first
 };
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -42,11 +42,12 @@
 void MemberTable::updateSelf(MemberState state, Revision revision)
 {
     const Lock lock(m_mutex);
-    if (m_self.state == state && m_self.revision == revision) {
+    const Revision highest = std::max(m_self.revision, revision); // callers may come in another order than revisions
+    if (m_self.state == state && m_self.revision == highest) {
         return;
     }
     m_self.state = state;
-    m_self.revision = revision;
+    m_self.revision = highest;
     ++m_self.version;
 }
 
--- a/src/fleet/servers.cpp
+++ b/src/fleet/servers.cpp
@@ -68,6 +68,10 @@
 void BackendServerTable::reconcile(const Configuration &configuration)
 {
     const Lock lock(m_mutex);
+    if (configuration.revision() < m_revision) {
+        return; // two threads installed one revision after the other, and this one comes late
+    }
+    m_revision = configuration.revision();
     m_byCapability.clear();
     for (const auto &[name, spec] : configuration.backendServers()) {
         Server &server = m_servers[name];
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -100,7 +100,6 @@
 {
     encodeMember(message.sender, *out.mutable_sender());
     out.set_member_digest(message.memberDigest);
-    encodeMembers(message.members, *out.mutable_members());
     encodeSuspects(message.suspects, *out.mutable_suspects());
 }
 
@@ -112,7 +111,6 @@
     ExchangeMessage message;
     message.sender = decodeMember(in.sender());
     message.memberDigest = in.member_digest();
-    message.members = decodeMembers(in.members());
     message.suspects = decodeSuspects(in.suspects());
     return message;
 }
--- a/src/steward/control.cpp
+++ b/src/steward/control.cpp
@@ -54,7 +54,7 @@
         return;
     }
     for (const std::string &seed : seeds) {
-        const auto answer = m_parts.peers.exchange(seed, ExchangeMessage{m_parts.members.self(), 0, {}, {}});
+        const auto answer = m_parts.peers.exchange(seed, ExchangeMessage{m_parts.members.self(), 0, {}});
         if (answer) {
             applyAnswer(seed, *answer);
         }
@@ -165,7 +165,6 @@
 {
     m_parts.members.merge({message.sender});
     m_parts.members.contacted(message.sender.name, true);
-    m_parts.members.merge(message.members);
     m_parts.suspects.merge(message.suspects);
     ExchangeAnswer answer;
     answer.sender = m_parts.members.self();
--- a/src/steward/steward.h
+++ b/src/steward/steward.h
@@ -34,7 +34,6 @@
 struct ExchangeMessage {
     MemberRecord sender;
     std::uint64_t memberDigest = 0;
-    std::vector<MemberRecord> members;
     std::vector<SuspectMark> suspects;
 };
 
--- a/src/wire/json_configuration.cpp
+++ b/src/wire/json_configuration.cpp
@@ -351,7 +351,7 @@
             for (std::size_t i = first; i < std::min(first + EntriesPerPage, entries.size()); ++i) {
                 list.push_back(entryToJson(entries[i]));
             }
-            if (const auto written = m_objects.write(pageName(revision, pages++), list.dump()); !written) {
+            if (auto written = m_objects.write(pageName(revision, pages++), list.dump()); !written) {
                 return written;
             }
         }
--- a/tests/unit/decisions_test.cpp
+++ b/tests/unit/decisions_test.cpp
@@ -188,6 +188,15 @@
                 }));
 }
 
+TEST(MemberDecisions, ANodeNeverReportsALowerRevisionThanBefore)
+{
+    ManualClock clock;
+    MemberTable table(clock, MembershipSettings{}, member(0));
+    table.updateSelf(MemberState::Alive, 6);
+    table.updateSelf(MemberState::Alive, 5);
+    LONGS_EQUAL(6, static_cast<long>(table.self().revision));
+}
+
 TEST(MemberDecisions, NewerNewsWinsAndTheLaggingListDoesNotBringAMemberBack)
 {
     ManualClock clock;
@@ -223,6 +232,15 @@
     LONGS_EQUAL(static_cast<int>(ErrorCode::NoFitServer), static_cast<int>(table.acquire(wants(clock)).error().code));
 }
 
+TEST(ServerDecisions, AnOlderConfigurationThatArrivesLateChangesNothing)
+{
+    ManualClock clock;
+    BackendServerTable table(clock, "dc1", HealthSettings{}, makeDeadlineCostRouting());
+    table.reconcile(**Configuration::build(6, smallConfiguration({serverSpec("new")})));
+    table.reconcile(**Configuration::build(5, smallConfiguration({serverSpec("old")})));
+    STRCMP_EQUAL("new", table.acquire(wants(clock))->server().name.c_str());
+}
+
 TEST(ServerDecisions, ConcurrencyIsNeverExceeded)
 {
     ManualClock clock;
