Ask whether a slow caller takes bytes before reading more for it

Read with a newcomer's eyes: the pump asked only after it had passed tokens on, so a burst larger than the HTTP stream's buffer could wait for the caller inside the pump. It now asks before it takes the bytes; a request's own thread may wait.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -86,6 +86,12 @@
         return m_waiter.cancelled();
     }
     Step read() override
+    {
+        // Before the bytes are taken: passing them on may fill the caller's buffer, and would hold up the pump.
+        return callerTakesBytes() ? readNow() : Step::SlowCaller;
+    }
+    // For a thread of one's own: passing on may wait for the caller.
+    Step readNow()
     {
         std::array<char, 16384> buffer{};
         const ssize_t size = ::recv(descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
@@ -104,10 +110,6 @@
         const std::string bytes = m_connection.takeBuffered();
         return bytes.empty() ? Step::More : take(bytes);
     }
-    void flush()
-    {
-        m_waiter.pause();
-    }
     Result<void> outcome() const
     {
         return m_outcome;
@@ -123,9 +125,6 @@
             m_waiter.pause();
             return end({});
         }
-        if (!callerTakesBytes()) {
-            return Step::SlowCaller;
-        }
         m_waiter.pause();
         return Step::More;
     }
@@ -312,10 +311,9 @@
             if (auto ready = awaitBytes(m_gap); !ready) {
                 return ready;
             }
-            if (reply.read() == StreamSource::Step::Ended) {
+            if (reply.readNow() == StreamSource::Step::Ended) {
                 return reply.outcome();
             }
-            reply.flush();
         }
     }
 
--- a/src/request/run.cpp
+++ b/src/request/run.cpp
@@ -176,7 +176,7 @@
 {
     auto answer = m_parts.codec.decodeAnswer(bytes);
     if (!answer) {
-        return refuse(answer.error().code, "the recorded answer can't be read");
+        return refuse(ErrorCode::KeyOutcomeUnknown, "the recorded answer can't be read"); // it ran: never not_run
     }
     answer->repeated = true;
     return std::optional<Answer>(std::move(*answer));
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -139,6 +139,47 @@
     LONGS_EQUAL(1, countEffects(cluster.ledger(), "/payout", "rejected"));
 }
 
+TEST(Answers, ACallerThatDoesNotReadDoesNotHoldUpTheOthers)
+{
+    Cluster cluster("slow-reader");
+    ServerPlan flood;
+    flood.name = "flood-1";
+    flood.capability = "flood";
+    flood.arguments = {"--burst_tokens=400", "--token_us=2000"}; // far more than the buffers between hold
+    cluster.addServer(flood);
+    cluster.addUsualServers();
+    cluster.addNode("n1");
+    cluster.start();
+    const std::string pipeline = "pipelines:\n  - name: flood\n    deadline_limit_ms: 60000\n    stages:\n"
+                                 "      - {name: generate, kind: generation, capability: flood, max_tokens: 1000000}\n";
+    LONGS_EQUAL(200, cluster.operate("n1", "POST", "/v1/merge", pipeline).status);
+    Poco::Net::StreamSocket reader;
+    reader.connect(Poco::Net::SocketAddress(cluster.callerAddress("n1")));
+    const std::string body = R"({"input":"flood","deadline_ms":60000,"stream":true})";
+    const std::string request = "POST /v1/pipelines/flood HTTP/1.1\r\nHost: n1\r\nAuthorization: Bearer caller-key\r\nContent-Type: application/json\r\n"
+                                "Content-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    reader.sendBytes(request.data(), static_cast<int>(request.size()));
+    const auto tokens = [&cluster] {
+        const std::string metrics = cluster.operate("n1", "GET", "/metrics").body;
+        const std::string name = "\nvanillanotch_tokens_total ";
+        const auto place = metrics.find(name);
+        return place == std::string::npos ? 0L : std::stol(metrics.substr(place + name.size()));
+    };
+    CHECK(eventually([&] { // the stream has come to a stand: every buffer is full
+        const long before = tokens();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        return before > 0 && tokens() == before;
+    }));
+    for (int i = 0; i < 10; ++i) {
+        const std::string input = "beside a slow reader " + std::to_string(i);
+        const CallResult result = cluster.call("n1", "answer", input, streaming());
+        LONGS_EQUAL(200, result.status);
+        STRCMP_EQUAL(expectedText(input, ModelTokens).c_str(), result.streamed.c_str());
+        CHECK(result.body.at("time_ms").get<double>() < 10000);
+    }
+}
+
 TEST(Answers, EveryAnswerIsWholeWhileBackEndsFailUnderLoad)
 {
     Cluster cluster("answers-load");
