--- a/src/steward/duties.cpp
+++ b/src/steward/duties.cpp
@@ -88,19 +88,34 @@
 void EngineOrders::run(const Configuration &configuration)
 {
     for (const auto &[name, server] : configuration.backendServers()) {
-        if (!m_duty.fencing()) {
+        const auto fencing = m_duty.fencing();
+        if (!fencing) {
             return;
         }
-        if (server.dataCentre == m_dataCentre && !server.wantedModel.empty()) {
+        if (*fencing != m_confirmedUnder) {
+            m_confirmed.clear();
+            m_confirmedUnder = *fencing;
+        }
+        if (server.dataCentre == m_dataCentre && !server.wantedModel.empty() && !confirmedLately(server)) {
             bringUp(server);
         }
     }
 }
 
+bool EngineOrders::confirmedLately(const BackendServerSpec &server) const
+{
+    const auto found = m_confirmed.find(server.name);
+    return found != m_confirmed.end() && found->second.model == server.wantedModel && m_clock.now() - found->second.at < RecheckInterval;
+}
+
 void EngineOrders::bringUp(const BackendServerSpec &server)
 {
     const auto state = m_engines.state(server.address, m_duty.margin());
-    if (!state || state->model == server.wantedModel) {
+    if (!state) {
+        return;
+    }
+    if (state->model == server.wantedModel) {
+        m_confirmed[server.name] = Confirmed{state->model, m_clock.now()};
         return;
     }
     const auto fencing = m_duty.fencing();
--- a/src/steward/steward.h
+++ b/src/steward/steward.h
@@ -223,9 +223,16 @@
 {
 public:
     EngineOrders(Duty &duty, DutyStore &store, EngineChannel &engines, const Clock &clock, std::string dataCentre);
-    void run(const Configuration &configuration); // does nothing unless the duty is held
+    void run(const Configuration &configuration); // does nothing unless the duty is held; call from one thread at a time
 
 private:
+    static constexpr Duration RecheckInterval = std::chrono::minutes(5); // of an engine that had the wanted model
+
+    struct Confirmed {
+        std::string model;
+        TimePoint at{};
+    };
+    bool confirmedLately(const BackendServerSpec &server) const;
     void bringUp(const BackendServerSpec &server);
 
     Duty &m_duty;
@@ -233,6 +240,8 @@
     EngineChannel &m_engines;
     const Clock &m_clock;
     std::string m_dataCentre;
+    std::uint64_t m_confirmedUnder = 0; // fencing number: another holder may have ordered otherwise in between
+    std::map<std::string, Confirmed> m_confirmed;
 };
 
 } // namespace vanillanotch
