--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -51,6 +51,12 @@
         return "deadline_unattainable";
     case ErrorCode::SuspectRefused:
         return "suspect_refused";
+    case ErrorCode::ConfigurationStale:
+        return "configuration_stale";
+    case ErrorCode::Overloaded:
+        return "overloaded";
+    case ErrorCode::UnknownRoute:
+        return "unknown_route";
     case ErrorCode::NoFitServer:
         return "no_fit_server";
     case ErrorCode::DeadlineExceeded:
@@ -71,6 +77,10 @@
         return "attempt_mismatch";
     case ErrorCode::ServerBusy:
         return "server_busy";
+    case ErrorCode::WrongInstance:
+        return "wrong_instance";
+    case ErrorCode::InputsGone:
+        return "inputs_gone";
     case ErrorCode::KeyReused:
         return "key_reused";
     case ErrorCode::KeyInProgress:
@@ -97,6 +107,12 @@
         return "object_not_found";
     case ErrorCode::PlatformReplyInvalid:
         return "platform_reply_invalid";
+    case ErrorCode::StoreHistoryGone:
+        return "store_history_gone";
+    case ErrorCode::StoreRefused:
+        return "store_refused";
+    case ErrorCode::DocumentInvalid:
+        return "document_invalid";
     case ErrorCode::InvalidSettings:
         return "invalid_settings";
     case ErrorCode::FileUnreadable:
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -24,7 +24,9 @@
 #include <functional>
 #include <initializer_list>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <optional>
 #include <queue>
 #include <string>
 #include <string_view>
@@ -61,6 +63,9 @@
     AccountConcurrencyExceeded = 1204,
     DeadlineUnattainable = 1205, // the expected finish lies past the deadline
     SuspectRefused = 1207, // the request was in flight at several server deaths
+    ConfigurationStale = 1208, // the configuration can't be shown to be the newest, so API keys can't be trusted
+    Overloaded = 1209, // no place for the request at this node, or its stages are too far behind
+    UnknownRoute = 1210,
     // 13xx: routing and stages
     NoFitServer = 1301, // no backend server passes the hard gates
     DeadlineExceeded = 1302,
@@ -73,6 +78,8 @@
     InvalidReply = 1405, // the reply can't be decoded
     AttemptMismatch = 1406, // the reply names another attempt
     ServerBusy = 1407, // the server answered 429 or 503 and did not run the call
+    WrongInstance = 1408, // another server has the address now
+    InputsGone = 1409, // results of earlier stages no longer exist
     // 15xx: journal of non-idempotent requests
     KeyReused = 1501, // same key, other body
     KeyInProgress = 1502, // another holder is running this key
@@ -94,6 +101,9 @@
     FileUnreadable = 1802,
     InvalidArgument = 1803,
     ListenFailed = 1804,
+    StoreHistoryGone = 1706, // the change feed no longer goes back that far
+    StoreRefused = 1707, // 429 or 503: nothing was done
+    DocumentInvalid = 1708, // a row or document can't be read
     // 19xx: peers
     PeerUnavailable = 1901,
     PeerRefused = 1902, // wrong shared secret
@@ -186,15 +196,20 @@
 // No lock is held across a call that leaves the process.
 enum class LockRank : int {
     Configuration = 10, // ConfigurationTable: pointer to the snapshot in force
+    Deployment = 12, // DeploymentTable: routes, services and API keys in force on the platform
     Members = 20, // MemberTable
     BackendServers = 30, // BackendServerTable
+    Stages = 31, // StageScheduler: waiting pieces and lanes
+    Instances = 32, // InstanceTable: registered instances of services
+    StagePeers = 33, // StageOwners: nodes that schedule stages for others
     Accounts = 40, // AccountTable
     Requests = 50, // RequestTable
-    Estimates = 60, // StageEstimates, RetryBudget
+    Estimates = 60, // StageEstimates, RetryBudget, RetryAllowance
     Suspects = 65, // SuspectTable
     Duties = 67, // Duty
     Journal = 70, // JournalWriter: rows waiting for a group commit
     Costs = 75, // CostTable
+    Results = 78, // ResultReleaser: results of stages to be freed
     Connections = 80, // idle connections, socket watchdog
     PlatformMemory = 85, // MemoryPlatform
     Workers = 90, // WorkerPool and TimerQueue queues
@@ -248,6 +263,27 @@
     std::vector<std::thread> m_threads;
 };
 
+// Threads which run posted tasks at once: a task never waits while the limit isn't reached. Threads start on demand and stay.
+class GrowingPool
+{
+public:
+    explicit GrowingPool(std::size_t limit);
+    ~GrowingPool(); // runs what is queued, then joins
+    void post(std::function<void()> task); // beyond the limit it waits for a thread
+    std::size_t threads() const;
+
+private:
+    void run();
+
+    const std::size_t m_limit;
+    mutable RankedMutex m_mutex{LockRank::Workers};
+    std::condition_variable_any m_wake;
+    std::deque<std::function<void()>> m_tasks;
+    std::size_t m_idle = 0;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
 // Counts down to zero. Shared between a waiting thread and the tasks it waits for.
 class Latch : public RefCounted<Latch>
 {
@@ -374,6 +410,23 @@
 };
 
 void initLog(LogLevel least, const std::string &node); // standard error; call once per process
+
+// Standard output, written by a thread of its own. Lines beyond the buffer are dropped and counted; logging never blocks.
+class BufferedLog
+{
+public:
+    static constexpr std::size_t BufferBytes = 512 * 1024; // some seconds at full load
+
+    BufferedLog(LogLevel least, const std::string &node); // one for each process
+    ~BufferedLog(); // writes what is left
+    BufferedLog(const BufferedLog &) = delete;
+    BufferedLog &operator=(const BufferedLog &) = delete;
+    std::uint64_t dropped() const; // lines
+
+private:
+    struct Sink;
+    std::unique_ptr<Sink> m_sink;
+};
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 std::string escapeLogValue(std::string_view value);
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,14 +2,20 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 #include <array>
 #include <cstdio>
 #include <iostream>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace vanillanotch
 {
 
@@ -140,6 +146,121 @@
     boost::log::core::get()->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= least);
 }
 
+//-----------------------------------------------------------------------------
+// BufferedLog
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr Duration FlushInterval = std::chrono::milliseconds(250); // one wake-up for all lines of that time
+constexpr int WriteWait = 1000; // ms that the reader of the log may take nothing before the writer looks again
+
+// Collects lines; a thread of its own writes them.
+class LineBuffer : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding>
+{
+public:
+    LineBuffer()
+        : m_thread([this] {
+            run();
+        })
+    {
+    }
+    ~LineBuffer()
+    {
+        {
+            const std::unique_lock<std::mutex> lock(m_mutex);
+            m_stopping = true;
+        }
+        m_wake.notify_all();
+        m_thread.join();
+    }
+    void consume(const boost::log::record_view & /*record*/, const string_type &line)
+    {
+        bool first = false;
+        {
+            const std::unique_lock<std::mutex> lock(m_mutex);
+            if (m_lines.size() + line.size() > BufferedLog::BufferBytes) {
+                ++m_dropped;
+                return;
+            }
+            first = m_lines.empty();
+            m_lines += line;
+            m_lines += '\n';
+        }
+        if (first) {
+            m_wake.notify_one();
+        }
+    }
+    std::uint64_t dropped() const
+    {
+        return m_dropped;
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        while (!m_stopping) {
+            m_wake.wait(lock, [this] {
+                return m_stopping || !m_lines.empty();
+            });
+            m_wake.wait_for(lock, FlushInterval, [this] {
+                return m_stopping;
+            });
+            std::string lines = std::move(m_lines);
+            m_lines.clear();
+            lock.unlock();
+            write(lines);
+            lock.lock();
+        }
+        write(m_lines);
+    }
+    static void write(std::string_view lines)
+    {
+        while (!lines.empty()) {
+            pollfd entry{STDOUT_FILENO, POLLOUT, 0};
+            (void)::poll(&entry, 1, WriteWait);
+            const ssize_t count = ::write(STDOUT_FILENO, lines.data(), lines.size());
+            if (count < 0 && errno != EAGAIN && errno != EINTR) {
+                return; // nobody reads any more: there is no other place to say so
+            }
+            lines.remove_prefix(count > 0 ? static_cast<std::size_t>(count) : 0);
+        }
+    }
+
+    std::mutex m_mutex; // unranked: logging is allowed under any lock, and takes none itself
+    std::condition_variable m_wake;
+    std::string m_lines;
+    std::atomic<std::uint64_t> m_dropped{0};
+    bool m_stopping = false;
+    std::thread m_thread; // last: it starts in the constructor
+};
+} // namespace
+
+struct BufferedLog::Sink {
+    boost::shared_ptr<LineBuffer> backend = boost::make_shared<LineBuffer>();
+    boost::shared_ptr<boost::log::sinks::unlocked_sink<LineBuffer>> frontend = boost::make_shared<boost::log::sinks::unlocked_sink<LineBuffer>>(backend);
+};
+
+BufferedLog::BufferedLog(LogLevel least, const std::string &node)
+    : m_sink(std::make_unique<Sink>())
+{
+    nodeName() = node;
+    m_sink->frontend->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(m_sink->frontend);
+    boost::log::core::get()->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= least);
+}
+
+BufferedLog::~BufferedLog()
+{
+    boost::log::core::get()->remove_sink(m_sink->frontend);
+}
+
+std::uint64_t BufferedLog::dropped() const
+{
+    return m_sink->backend->dropped();
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     thread_local boost::log::sources::severity_logger<LogLevel> logger;
--- a/src/base/workers.cpp
+++ b/src/base/workers.cpp
@@ -59,6 +59,62 @@
     }
 }
 
+GrowingPool::GrowingPool(std::size_t limit)
+    : m_limit(limit)
+{
+}
+
+GrowingPool::~GrowingPool()
+{
+    {
+        const Lock lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void GrowingPool::post(std::function<void()> task)
+{
+    const Lock lock(m_mutex);
+    m_tasks.push_back(std::move(task));
+    if (m_tasks.size() > m_idle && m_threads.size() < m_limit) {
+        m_threads.emplace_back([this] {
+            run();
+        });
+    } else {
+        m_wake.notify_one();
+    }
+}
+
+std::size_t GrowingPool::threads() const
+{
+    const Lock lock(m_mutex);
+    return m_threads.size();
+}
+
+void GrowingPool::run()
+{
+    Lock lock(m_mutex);
+    for (;;) {
+        ++m_idle;
+        m_wake.wait(lock, [this] {
+            return m_stopping || !m_tasks.empty();
+        });
+        --m_idle;
+        if (m_tasks.empty()) {
+            return;
+        }
+        const std::function<void()> task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        lock.unlock();
+        task();
+        lock.lock();
+    }
+}
+
 void Latch::countDown()
 {
     const Lock lock(m_mutex);
--- /dev/null
+++ b/src/deployment/deployment.cpp
@@ -0,0 +1,110 @@
+#include "deployment/deployment.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace vanillanotch
+{
+
+Deployment::Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<TenantSpec> tenants,
+                       const FrontLimits &limits)
+    : m_version(version)
+    , m_routes(std::move(routes))
+    , m_services(std::move(services))
+    , m_tenants(std::move(tenants))
+    , m_limits(limits)
+{
+    for (const RouteSpec &route : m_routes) {
+        m_byHost[route.host].push_back(&route);
+    }
+    for (auto &[host, candidates] : m_byHost) {
+        std::sort(candidates.begin(), candidates.end(), [](const RouteSpec *a, const RouteSpec *b) {
+            return a->prefix.size() > b->prefix.size();
+        });
+    }
+    for (const TenantSpec &tenant : m_tenants) {
+        for (const std::string &key : tenant.apiKeys) {
+            m_byKey.emplace(key, &tenant);
+        }
+    }
+}
+
+const RouteSpec *Deployment::route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(std::string(host.substr(0, host.find(':'))));
+    if (found == m_byHost.end()) {
+        return nullptr;
+    }
+    for (const RouteSpec *candidate : found->second) {
+        if (path.substr(0, candidate->prefix.size()) == candidate->prefix) {
+            return candidate;
+        }
+    }
+    return nullptr;
+}
+
+const ServiceSpec *Deployment::service(const std::string &name) const
+{
+    const auto found = std::find_if(m_services.begin(), m_services.end(), [&](const ServiceSpec &service) {
+        return service.name == name;
+    });
+    return found == m_services.end() ? nullptr : &*found;
+}
+
+const TenantSpec *Deployment::tenantOf(const std::string &apiKey) const
+{
+    const auto found = m_byKey.find(apiKey);
+    return found == m_byKey.end() ? nullptr : found->second;
+}
+
+DeploymentTable::DeploymentTable(TrustSettings settings)
+    : m_settings(settings)
+{
+}
+
+DeploymentRef DeploymentTable::current() const
+{
+    const Lock lock(m_mutex);
+    return m_current;
+}
+
+bool DeploymentTable::install(const DeploymentRef &deployment)
+{
+    const Lock lock(m_mutex);
+    if (m_current && deployment->version() <= m_current->version()) {
+        return false;
+    }
+    m_current = deployment;
+    return true;
+}
+
+void DeploymentTable::confirm(TimePoint callBegan)
+{
+    const Lock lock(m_mutex);
+    m_confirmed = std::max(m_confirmed, callBegan);
+}
+
+Duration DeploymentTable::proofAge(TimePoint now) const
+{
+    const Lock lock(m_mutex);
+    return now - m_confirmed;
+}
+
+bool DeploymentTable::keysTrusted(TimePoint now) const
+{
+    return proofAge(now) < std::chrono::duration_cast<Duration>(m_settings.revocationBound * m_settings.refuseAt);
+}
+
+bool DeploymentTable::ready(TimePoint now) const
+{
+    return current() && proofAge(now) < std::chrono::duration_cast<Duration>(m_settings.revocationBound * m_settings.unreadyAt);
+}
+
+TimePoint suspendAwareNow()
+{
+    timespec time{};
+    (void)::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/entry/handlers.cpp
@@ -0,0 +1,60 @@
+#include "entry/entry.h"
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr Duration ReadinessReplyTime = std::chrono::seconds(1); // for writing the answer
+}
+
+CallersHandler::CallersHandler(ForwardService &service, DeploymentTable &deployments)
+    : m_service(service)
+    , m_deployments(deployments)
+{
+}
+
+void CallersHandler::serve(FrontExchange &exchange)
+{
+    m_service.serve(exchange);
+}
+
+std::string CallersHandler::describeError(ErrorCode code)
+{
+    return describeRefusal(code);
+}
+
+FrontLimits CallersHandler::limits()
+{
+    const DeploymentRef deployment = m_deployments.current();
+    return deployment ? deployment->limits() : FrontLimits{};
+}
+
+ReadinessHandler::ReadinessHandler(DeploymentTable &deployments, const std::atomic<bool> &leaving)
+    : m_deployments(deployments)
+    , m_leaving(leaving)
+{
+}
+
+void ReadinessHandler::serve(FrontExchange &exchange)
+{
+    const bool ready = !m_leaving && m_deployments.ready(suspendAwareNow());
+    if (m_wasReady.exchange(ready) != ready) {
+        logEvent(LogLevel::Info, "node.readiness",
+                 {{"ready", ready ? 1 : 0}, {"leaving", m_leaving ? 1 : 0}, {"proof_age_ms", m_deployments.proofAge(suspendAwareNow())}});
+    }
+    const bool asked = platform::asksReadiness(exchange.head());
+    (void)exchange.reply(!asked ? 404 : ready ? 200 : 503, Headers{}, {}, std::chrono::steady_clock::now() + ReadinessReplyTime);
+}
+
+std::string ReadinessHandler::describeError(ErrorCode code)
+{
+    return describeRefusal(code);
+}
+
+FrontLimits ReadinessHandler::limits()
+{
+    return FrontLimits{};
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/entry/listeners.cpp
@@ -0,0 +1,138 @@
+#include "entry/entry.h"
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// DeploymentListener
+//-----------------------------------------------------------------------------
+
+DeploymentListener::DeploymentListener(DeploymentTable &table, MetricsRegistry &metrics)
+    : m_table(table)
+    , m_invalid(metrics.counter("vanillanotch_documents_invalid_total", "table=\"configuration\""))
+{
+}
+
+void DeploymentListener::onInstalled(std::function<void()> listener)
+{
+    m_listener = std::move(listener);
+}
+
+void DeploymentListener::snapshot(const StoredRows &rows, TimePoint callBegan, bool afterTrouble)
+{
+    m_readable = false;
+    changes(rows, callBegan, afterTrouble);
+}
+
+void DeploymentListener::changes(const StoredRows &rows, TimePoint callBegan, bool /*afterTrouble*/)
+{
+    for (const StoredRow &row : rows.rows) {
+        if (row.key != platform::ConfigurationKey || row.removed) {
+            continue;
+        }
+        const auto deployment = platform::decodeDeployment(row.value);
+        m_readable = deployment.has_value();
+        if (!deployment) {
+            // The one in force stays; it is no longer confirmed as the newest.
+            m_invalid.add();
+            logEvent(LogLevel::Error, "configuration.invalid", {{"code", deployment.error().code}, {"row_version", row.version}, {"detail", deployment.error().detail}});
+        } else if (m_table.install(*deployment)) {
+            logEvent(LogLevel::Info, "configuration.installed",
+                     {{"version", (*deployment)->version()}, {"row_version", row.version}, {"routes", static_cast<std::uint64_t>((*deployment)->routeCount())}});
+            if (m_listener) {
+                m_listener();
+            }
+        }
+    }
+    if (m_readable) {
+        m_table.confirm(callBegan);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// InstanceListener
+//-----------------------------------------------------------------------------
+
+InstanceListener::InstanceListener(InstanceTable &table, MetricsRegistry &metrics)
+    : m_table(table)
+    , m_invalid(metrics.counter("vanillanotch_documents_invalid_total", "table=\"servers\""))
+{
+}
+
+std::optional<InstanceSpec> InstanceListener::decode(const StoredRow &row)
+{
+    auto spec = platform::decodeInstance(row.key, row.value);
+    if (!spec) {
+        m_invalid.add();
+        logEvent(LogLevel::Warning, "server.entry_invalid", {{"instance", row.key}, {"code", spec.error().code}, {"row_version", row.version}});
+        return std::nullopt;
+    }
+    return std::move(*spec);
+}
+
+void InstanceListener::snapshot(const StoredRows &rows, TimePoint /*callBegan*/, bool afterTrouble)
+{
+    std::vector<InstanceSpec> all;
+    for (const StoredRow &row : rows.rows) {
+        if (auto spec = decode(row)) {
+            all.push_back(std::move(*spec));
+        }
+    }
+    logEvent(LogLevel::Info, "servers.read", {{"instances", static_cast<std::uint64_t>(all.size())}, {"after_trouble", afterTrouble ? 1 : 0}});
+    m_table.synchronise(all, afterTrouble);
+}
+
+void InstanceListener::changes(const StoredRows &rows, TimePoint /*callBegan*/, bool afterTrouble)
+{
+    for (const StoredRow &row : rows.rows) {
+        if (row.removed) {
+            logEvent(LogLevel::Info, "server.removed", {{"instance", row.key}, {"row_version", row.version}, {"after_trouble", afterTrouble ? 1 : 0}});
+            m_table.remove(row.key, afterTrouble);
+        } else if (auto spec = decode(row)) {
+            logEvent(LogLevel::Info, "server.entry",
+                     {{"instance", row.key}, {"service", spec->service}, {"address", spec->address}, {"draining", spec->draining ? 1 : 0}, {"row_version", row.version}});
+            m_table.upsert(*spec);
+        } else {
+            m_table.remove(row.key, false); // an entry that can't be read names no server
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// MemberListener
+//-----------------------------------------------------------------------------
+
+MemberListener::MemberListener(MemberTable &table)
+    : m_table(table)
+{
+}
+
+void MemberListener::snapshot(const StoredRows &rows, TimePoint callBegan, bool afterTrouble)
+{
+    changes(rows, callBegan, afterTrouble);
+}
+
+void MemberListener::changes(const StoredRows &rows, TimePoint /*callBegan*/, bool /*afterTrouble*/)
+{
+    for (const StoredRow &row : rows.rows) {
+        if (row.removed) {
+            for (MemberRecord member : m_table.all()) {
+                if (member.name == row.key) {
+                    member.state = MemberState::Gone;
+                    ++member.version;
+                    m_table.merge({member});
+                }
+            }
+            continue;
+        }
+        const auto member = decodeMember(row.key, row.value);
+        if (!member) {
+            logEvent(LogLevel::Warning, "member.entry_invalid", {{"member", row.key}, {"code", member.error().code}});
+            continue;
+        }
+        logEvent(LogLevel::Info, "member.entry", {{"member", row.key}, {"address", member->peerAddress}, {"incarnation", member->incarnation}});
+        m_table.merge({*member});
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/forwarding/forwarding.h
@@ -0,0 +1,167 @@
+// vanillanotch forwarding library: a caller's own HTTP request, passed on to one backend server and answered from there.
+//
+// Index of sections:
+//   [TYPES]     CallerRequest, ServerCall, ReplyFacts
+//   [CODEC]     RequestCodec: headers to types and back
+//   [ALLOWANCE] ServiceAllowance: this node's part of the retry budget
+//   [SERVICE]   ForwardService: what the front end calls
+//
+// Rules this aggregate enforces:
+//   - a request that may not be repeated is sent again only when the server says that it did not run it;
+//   - a success is passed on only whole, for this attempt, and with the server's seal;
+//   - 429, 503 and 408 are answered only when the request has not run and will not run.
+#pragma once
+
+#include "base/base.h"
+#include "deployment/deployment.h"
+#include "instances/instances.h"
+#include "stages/stages.h"
+#include "transport/transport.h"
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// [TYPES]
+//-----------------------------------------------------------------------------
+
+struct PromptPart {
+    std::string id;
+    unsigned tokens = 0;
+};
+
+struct CallerRequest {
+    std::string attempt; // id, new for each try of the caller
+    std::string host;
+    std::string apiKey; // empty: none
+    std::optional<std::chrono::milliseconds> timeLeft; // nullopt: not stated
+    std::vector<PromptPart> prompt; // the last part is the request's or its session's own
+    std::vector<unsigned> pieces; // of each stage
+    std::string pieceKey;
+    std::string resumeAfter; // event id; empty: from the start
+};
+
+struct ServerCall {
+    const RequestHead *head = nullptr; // the caller's
+    std::string_view body;
+    std::string host;
+    std::string instance; // that is expected at the address
+    std::string tenant; // empty: none
+    std::chrono::milliseconds timeLeft{0};
+    std::optional<int> urgency; // 0 is first
+    std::vector<std::string> inputs; // results of the stages
+    bool staged = false; // the route has stages, so inputs are stated even when there are none
+    std::string resumeAfter;
+    std::string weightsVersion; // a resumed stream must go on with the same; empty: any
+};
+
+struct ReplyFacts {
+    bool sameAttempt = false;
+    bool sealed = false;
+    bool notExecuted = false; // the server says that it did not run the request
+    bool wrongInstance = false;
+    bool encoded = false; // not the bytes that the caller asked for
+    bool leaving = false;
+    std::string weightsVersion;
+    std::optional<ReportedLoad> load;
+};
+
+//-----------------------------------------------------------------------------
+// [CODEC]
+//-----------------------------------------------------------------------------
+
+class RequestCodec
+{
+public:
+    virtual ~RequestCodec() = default;
+    virtual Result<CallerRequest> decodeRequest(const RequestHead &head) const = 0; // MalformedRequest, InvalidDeadline
+    virtual std::string encodeCall(const ServerCall &call) const = 0; // the whole HTTP request
+    virtual ReplyFacts readReply(const ReplyHead &head, const std::string &attempt) const = 0;
+    virtual Headers answerHeaders(const ReplyHead &head) const = 0; // what the caller gets of the server's
+    virtual Headers refusalHeaders(const std::string &attempt, std::optional<std::chrono::milliseconds> retryAfter) const = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [ALLOWANCE]
+//-----------------------------------------------------------------------------
+
+struct AllowanceSettings {
+    double ratio = 0.2; // repeated calls / requests
+    double extra = 54; // repeated calls in a window besides, at all nodes together
+    std::chrono::milliseconds window{10000};
+    double margin = 0.7; // part of the budget that is used: nodes count apart
+};
+
+class ServiceAllowance final : public RetryAllowance
+{
+public:
+    // `nodes`: how many nodes share the extra calls.
+    ServiceAllowance(const Clock &clock, AllowanceSettings settings, std::function<std::size_t()> nodes);
+    void countFirst(const std::string &service) override;
+    bool take(const std::string &service) override;
+
+private:
+    struct Window {
+        std::deque<TimePoint> firsts;
+        std::deque<TimePoint> repeats;
+    };
+    static void forget(std::deque<TimePoint> &times, TimePoint before);
+
+    const Clock &m_clock;
+    const AllowanceSettings m_settings;
+    const std::function<std::size_t()> m_nodes;
+    RankedMutex m_mutex{LockRank::Estimates};
+    std::map<std::string, Window> m_windows;
+};
+
+//-----------------------------------------------------------------------------
+// [SERVICE]
+//-----------------------------------------------------------------------------
+
+struct ForwardSettings {
+    std::chrono::milliseconds answerMargin{25}; // the final answer is on its way this long before the deadline
+    std::chrono::milliseconds minimumSlack{10}; // no call is made with less time left
+    std::chrono::milliseconds resumableGap{1500}; // silence after which a resumable stream goes on elsewhere; pauses beyond 400 ms are late already
+    std::chrono::milliseconds firstReplyFloor{500}; // an idempotent request waits at least this long for its first server
+    double firstReplyTargets = 1.2; // and this many times the route's target
+    std::chrono::milliseconds retryAfter{150}; // for a caller whom another node may serve at once
+    std::size_t replyLimit = 8 * 1024 * 1024; // bytes of a plain reply
+    std::size_t runningLimit = 400; // requests at the same time; each holds a worker
+    std::size_t bodyBudget = 48 * 1024 * 1024; // bytes of all requests' bodies
+};
+
+struct ForwardParts {
+    const Clock &clock;
+    DeploymentTable &deployments;
+    InstanceTable &instances;
+    RequestCodec &codec;
+    StageExecutor &stages;
+    ResultReleaser &releaser;
+    RetryAllowance &allowance;
+    ChoicePolicy &serverChoice; // for plain services
+    ChoicePolicy &engineChoice; // for model engines
+    const UpstreamSettings &upstream;
+    MetricsRegistry &metrics;
+};
+
+class ForwardService
+{
+public:
+    ForwardService(ForwardParts parts, ForwardSettings settings);
+    void serve(FrontExchange &exchange);
+    std::size_t running() const
+    {
+        return m_running;
+    }
+
+private:
+    ForwardParts m_parts;
+    const ForwardSettings m_settings;
+    std::atomic<std::size_t> m_running{0};
+    std::atomic<std::size_t> m_bodyBytes{0};
+};
+
+// JSON body of a refusal: the numbered code and its name.
+std::string describeRefusal(ErrorCode code);
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/forwarding/run.cpp
@@ -0,0 +1,619 @@
+// Index of sections: [ADMISSION], [STAGES], [ATTEMPTS], [STREAMS], [ANSWERS]
+#include "forwarding/run.h"
+
+#include <algorithm>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr std::size_t PartialEventLimit = 1024 * 1024; // bytes of one event
+constexpr std::chrono::milliseconds UnstatedDeadline{30000}; // for a caller that states none
+constexpr int MostUrgent = 0;
+constexpr int LeastUrgent = 9;
+
+InstanceVerdict verdictOf(const UpstreamFailure &failure)
+{
+    switch (failure.code) {
+    case ErrorCode::CallerGone:
+        return InstanceVerdict::Abandoned;
+    case ErrorCode::ConnectFailed:
+        return InstanceVerdict::Unreachable;
+    default:
+        return InstanceVerdict::Failed;
+    }
+}
+
+// 5xx of a server: another one may do better.
+bool isServerFailure(int status)
+{
+    return status >= 500;
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+// Statuses by which we would promise that nothing ran.
+bool isPromise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+} // namespace
+
+ForwardRun::ForwardRun(ForwardParts &parts, const ForwardSettings &settings, FrontExchange &exchange)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_exchange(exchange)
+{
+}
+
+ForwardRun::~ForwardRun()
+{
+    releaseResults();
+}
+
+Duration ForwardRun::remaining() const
+{
+    return m_deadline - m_parts.clock.now();
+}
+
+void ForwardRun::execute()
+{
+    if (const auto admitted = admit(); !admitted) {
+        refuse(admitted.error().code);
+        return;
+    }
+    if (const auto staged = runStages(); !staged) {
+        giveUp(staged.error().code);
+    } else {
+        attempts();
+    }
+    logEnd();
+}
+
+//-----------------------------------------------------------------------------
+// [ADMISSION]
+//-----------------------------------------------------------------------------
+
+ForwardRun::Step ForwardRun::admit()
+{
+    auto request = m_parts.codec.decodeRequest(m_exchange.head());
+    if (!request) {
+        return tl::unexpected(request.error());
+    }
+    m_request = std::move(*request);
+    m_deployment = m_parts.deployments.current();
+    if (!m_deployment) {
+        return fail(ErrorCode::NotReady);
+    }
+    m_route = m_deployment->route(m_request.host, m_exchange.path());
+    if (m_route == nullptr) {
+        return fail(m_parts.deployments.keysTrusted(suspendAwareNow()) ? ErrorCode::UnknownRoute : ErrorCode::ConfigurationStale);
+    }
+    if (auto known = authenticate(); !known) {
+        return known;
+    }
+    const TimePoint arrived = m_exchange.arrived();
+    m_deadline = arrived + std::min(m_request.timeLeft.value_or(UnstatedDeadline), m_route->timeout) - m_settings.answerMargin;
+    m_target = arrived + m_route->target;
+    chooseService();
+    return {};
+}
+
+ForwardRun::Step ForwardRun::authenticate()
+{
+    m_priority = m_route->priority;
+    if (!m_deployment->keysNeeded()) {
+        return {};
+    }
+    const TenantSpec *tenant = m_request.apiKey.empty() ? nullptr : m_deployment->tenantOf(m_request.apiKey);
+    if (tenant == nullptr) {
+        if (m_route->anonymous) {
+            return {};
+        }
+        // A node that has missed a configuration can't tell a wrong key from a new one.
+        const bool trusted = m_parts.deployments.keysTrusted(suspendAwareNow());
+        return fail(!trusted ? ErrorCode::ConfigurationStale : m_request.apiKey.empty() ? ErrorCode::MissingCredentials : ErrorCode::UnknownCredentials);
+    }
+    if (!m_parts.deployments.keysTrusted(suspendAwareNow())) {
+        return fail(ErrorCode::ConfigurationStale);
+    }
+    m_tenant = tenant->name;
+    m_priority = tenant->priority.value_or(m_priority);
+    return {};
+}
+
+void ForwardRun::chooseService()
+{
+    double total = 0;
+    for (const WeightedService &part : m_route->services) {
+        total += part.weight;
+    }
+    thread_local std::mt19937_64 generator{std::random_device{}()};
+    double drawn = std::uniform_real_distribution<double>(0, total)(generator);
+    m_service = m_route->services.front().service;
+    for (const WeightedService &part : m_route->services) {
+        if (drawn < part.weight) {
+            m_service = part.service;
+            break;
+        }
+        drawn -= part.weight;
+    }
+    // The shared parts decide where a prompt's cache is; a prompt of one part is its own.
+    std::string shared;
+    const std::size_t parts = m_request.prompt.size() > 1 ? m_request.prompt.size() - 1 : m_request.prompt.size();
+    for (std::size_t i = 0; i < parts; ++i) {
+        shared += m_request.prompt[i].id + ",";
+    }
+    m_affinity = shared.empty() ? 0 : stableHash(shared);
+}
+
+//-----------------------------------------------------------------------------
+// [STAGES]
+//-----------------------------------------------------------------------------
+
+ForwardRun::Step ForwardRun::runStages()
+{
+    if (m_route->stages.empty()) {
+        m_stagesDone = m_parts.clock.now();
+        return {};
+    }
+    m_stages.assign(m_route->stages.size(), StageState{});
+    m_progress = makeRef<Signal>();
+    planHome();
+    for (;;) {
+        submitReady();
+        const bool done = std::all_of(m_stages.begin(), m_stages.end(), [](const StageState &stage) {
+            return stage.done;
+        });
+        if (done) {
+            m_stagesDone = m_parts.clock.now();
+            return {};
+        }
+        if (auto raised = awaitSignal(*m_progress, m_exchange, m_deadline); !raised) {
+            return raised;
+        }
+        if (auto collected = collect(); !collected) {
+            return collected;
+        }
+    }
+}
+
+// Large results are wanted where the engine is that will read them.
+void ForwardRun::planHome()
+{
+    ChoiceInput input;
+    input.service = m_service;
+    input.affinity = m_affinity;
+    if (const auto home = m_parts.instances.preview(input, m_parts.engineChoice)) {
+        m_homeDataCentre = home->dataCentre;
+    }
+}
+
+std::vector<std::string> ForwardRun::handlesOf(const std::vector<std::size_t> &stages) const
+{
+    std::vector<std::string> handles;
+    for (const std::size_t stage : stages) {
+        const auto &own = m_stages.at(stage).handles;
+        handles.insert(handles.end(), own.begin(), own.end());
+    }
+    return handles;
+}
+
+void ForwardRun::submitReady()
+{
+    for (std::size_t index = 0; index < m_stages.size(); ++index) {
+        StageState &state = m_stages[index];
+        const StageStep &step = m_route->stages[index];
+        const bool ready = std::all_of(step.after.begin(), step.after.end(), [this](std::size_t before) {
+            return before < m_stages.size() && m_stages[before].done;
+        });
+        if (state.submitted || !ready) {
+            continue;
+        }
+        state.submitted = true;
+        const unsigned pieces = index < m_request.pieces.size() ? m_request.pieces[index] : 0;
+        if (pieces == 0) {
+            state.done = true;
+            submitReady(); // what waits for an omitted stage is ready too
+            return;
+        }
+        StageOrder order;
+        order.request = m_request.attempt;
+        order.stage = index;
+        order.service = step.service;
+        order.pieces = pieces;
+        order.inputs = handlesOf(step.after);
+        order.key = order.inputs.empty() ? m_request.pieceKey : std::string();
+        order.resultBytes = step.resultBytes;
+        order.dataCentre = m_homeDataCentre;
+        order.target = m_target;
+        order.deadline = m_deadline;
+        order.priority = m_priority;
+        state.run = makeRef<StageRun>(std::move(order), m_progress);
+        m_parts.stages.submit(state.run);
+    }
+}
+
+ForwardRun::Step ForwardRun::collect()
+{
+    for (StageState &state : m_stages) {
+        if (state.done || !state.run) {
+            continue;
+        }
+        const auto outcome = state.run->outcome();
+        if (!outcome) {
+            continue;
+        }
+        if (!*outcome) {
+            return tl::unexpected(outcome->error());
+        }
+        state.handles = **outcome;
+        state.done = true;
+    }
+    // Results whose every user has ended are freed at once: room for them is scarce.
+    for (std::size_t index = 0; index < m_stages.size(); ++index) {
+        bool used = false;
+        bool needed = false;
+        for (std::size_t user = 0; user < m_stages.size(); ++user) {
+            const auto &after = m_route->stages[user].after;
+            if (std::find(after.begin(), after.end(), index) != after.end()) {
+                used = true;
+                needed = needed || !m_stages[user].done;
+            }
+        }
+        if (used && !needed && !m_stages[index].released) {
+            m_stages[index].released = true;
+            m_parts.releaser.add(m_stages[index].handles);
+        }
+    }
+    return {};
+}
+
+std::vector<std::string> ForwardRun::finalHandles() const
+{
+    std::vector<std::size_t> last;
+    for (std::size_t index = 0; index < m_stages.size(); ++index) {
+        const bool followed = std::any_of(m_route->stages.begin(), m_route->stages.end(), [index](const StageStep &step) {
+            return std::find(step.after.begin(), step.after.end(), index) != step.after.end();
+        });
+        if (!followed) {
+            last.push_back(index);
+        }
+    }
+    return handlesOf(last);
+}
+
+void ForwardRun::releaseResults()
+{
+    for (StageState &state : m_stages) {
+        if (state.run && !state.done) {
+            state.run->cancel();
+        }
+        if (!state.released && !state.handles.empty()) {
+            m_parts.releaser.add(state.handles);
+        }
+        state.released = true;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [ATTEMPTS]
+//-----------------------------------------------------------------------------
+
+void ForwardRun::attempts()
+{
+    m_parts.allowance.countFirst(m_service);
+    for (;;) {
+        if (m_exchange.gone()) {
+            return;
+        }
+        if (remaining() < m_settings.minimumSlack) {
+            giveUp(ErrorCode::DeadlineExceeded);
+            return;
+        }
+        const Verdict verdict = attempt();
+        if (verdict == Verdict::Answered) {
+            return;
+        }
+        m_mayHaveRun = m_mayHaveRun || verdict != Verdict::NotRun;
+        if (!mayRepeat(verdict)) {
+            giveUp(m_lastError);
+            return;
+        }
+    }
+}
+
+bool ForwardRun::mayRepeat(Verdict verdict)
+{
+    const bool allowed = verdict == Verdict::NotRun || m_route->repeatable();
+    const bool hopeless = m_lastError == ErrorCode::InputsGone || m_lastError == ErrorCode::NoFitServer;
+    if (m_exchange.gone() || !allowed || hopeless || remaining() < m_settings.minimumSlack) {
+        return false;
+    }
+    if (m_lastError == ErrorCode::ConnectFailed) {
+        return m_tried.size() < 2 + m_route->maxAttempts; // nothing was sent; a bound on the time spent
+    }
+    const unsigned limit = verdict == Verdict::NotRun ? m_route->maxAttempts + 1 : m_route->maxAttempts;
+    return m_sent < limit && m_parts.allowance.take(m_service);
+}
+
+ServerCall ForwardRun::prepareCall(const InstanceSpec &instance) const
+{
+    ServerCall call;
+    call.head = &m_exchange.head();
+    call.body = m_exchange.body();
+    call.host = m_request.host;
+    call.instance = instance.id;
+    call.tenant = m_tenant;
+    call.timeLeft = std::max(std::chrono::milliseconds(1), toMilliseconds(remaining()));
+    if (streaming()) {
+        call.urgency = std::clamp(m_priority, MostUrgent, LeastUrgent);
+    }
+    call.staged = !m_route->stages.empty();
+    call.inputs = finalHandles();
+    call.resumeAfter = m_lastEvent.empty() ? m_request.resumeAfter : m_lastEvent;
+    call.weightsVersion = m_started ? m_weightsVersion : std::string();
+    return call;
+}
+
+// A request that may run elsewhere isn't left with a silent server until its deadline.
+TimePoint ForwardRun::firstReplyLimit() const
+{
+    if (!m_route->repeatable() || m_sent >= m_route->maxAttempts) {
+        return m_deadline;
+    }
+    const auto patience = std::chrono::duration_cast<Duration>(m_route->target * m_settings.firstReplyTargets);
+    return std::min(m_deadline, m_parts.clock.now() + std::max<Duration>(m_settings.firstReplyFloor, patience));
+}
+
+ForwardRun::Verdict ForwardRun::attempt()
+{
+    ChoiceInput input;
+    input.service = m_service;
+    input.affinity = m_affinity;
+    input.avoid = m_tried;
+    const ServiceSpec *service = m_deployment->service(m_service);
+    auto lease = m_parts.instances.acquire(input, service != nullptr && service->engine ? m_parts.engineChoice : m_parts.serverChoice);
+    if (!lease) {
+        m_lastError = lease.error().code;
+        return Verdict::NotRun;
+    }
+    const InstanceSpec instance = lease->instance();
+    m_lastInstance = instance.id;
+    m_tried.insert(instance.id);
+    UpstreamCall call(m_parts.upstream);
+    const TimePoint began = m_parts.clock.now();
+    if (const auto opened = call.open(instance.address, m_deadline, m_exchange); !opened) {
+        return failed(opened.error(), *lease, began);
+    }
+    ++m_sent;
+    const auto head = call.exchange(m_parts.codec.encodeCall(prepareCall(instance)), firstReplyLimit(), m_exchange);
+    if (!head) {
+        return failed(head.error(), *lease, began);
+    }
+    return readReply(call, *head, *lease, began);
+}
+
+ForwardRun::Verdict ForwardRun::failed(const UpstreamFailure &failure, InstanceLease &lease, TimePoint began)
+{
+    const Duration took = m_parts.clock.now() - began;
+    m_lastError = failure.code;
+    lease.finish(verdictOf(failure), Duration::zero(), std::nullopt);
+    logEvent(LogLevel::Info, "request.attempt_failed",
+             {{"request", m_request.attempt},
+              {"instance", m_lastInstance},
+              {"error", failure.code},
+              {"sent", failure.sent ? 1 : 0},
+              {"took_ms", took},
+              {"left_ms", remaining()}});
+    m_parts.metrics.counter("vanillanotch_attempt_failures_total", "code=\"" + std::to_string(static_cast<int>(failure.code)) + "\"").add();
+    if (failure.code == ErrorCode::CallerGone) {
+        m_end.code = ErrorCode::CallerGone;
+        return Verdict::Answered;
+    }
+    return failure.sent ? Verdict::Unknown : Verdict::NotRun;
+}
+
+ForwardRun::Verdict ForwardRun::readReply(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began)
+{
+    const ReplyFacts facts = m_parts.codec.readReply(head, m_request.attempt);
+    if (facts.notExecuted || facts.wrongInstance) {
+        m_lastError = facts.wrongInstance ? ErrorCode::WrongInstance : head.status == 409 ? ErrorCode::InputsGone : ErrorCode::ServerBusy;
+        lease.finish(facts.wrongInstance ? InstanceVerdict::Unreachable : InstanceVerdict::Full, Duration::zero(), facts.load);
+        logEvent(LogLevel::Info, "request.not_executed", {{"request", m_request.attempt}, {"instance", m_lastInstance}, {"status", head.status}});
+        return Verdict::NotRun;
+    }
+    const bool success = isSuccess(head.status);
+    if (!facts.sameAttempt || (success && (!facts.sealed || facts.encoded))) {
+        return failed(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
+    }
+    if (success && streaming()) {
+        return relayStream(call, head, facts, lease, began);
+    }
+    return relayPlain(call, head, lease, began);
+}
+
+ForwardRun::Verdict ForwardRun::relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began)
+{
+    auto body = call.readAll(m_settings.replyLimit, m_deadline, m_exchange);
+    if (!body) {
+        return failed(body.error(), lease, began);
+    }
+    const ReplyFacts facts = m_parts.codec.readReply(head, m_request.attempt);
+    const Duration took = m_parts.clock.now() - began;
+    if (isServerFailure(head.status)) {
+        lease.finish(InstanceVerdict::Failed, took, facts.load);
+        m_lastError = ErrorCode::ServerRejected;
+        if (facts.sealed && !isPromise(head.status)) {
+            m_failure.emplace(head, std::move(*body));
+        }
+        return Verdict::Failed;
+    }
+    lease.finish(InstanceVerdict::Succeeded, took, facts.load);
+    if (isPromise(head.status)) {
+        m_lastError = ErrorCode::ServerRejected; // without saying that it did not run: it may have
+        return Verdict::Unknown;
+    }
+    m_end = ForwardEnd{head.status, ErrorCode::ServerRejected, true};
+    (void)m_exchange.reply(head.status, m_parts.codec.answerHeaders(head), *body, m_deadline + m_settings.answerMargin);
+    return Verdict::Answered;
+}
+
+//-----------------------------------------------------------------------------
+// [STREAMS]
+//-----------------------------------------------------------------------------
+
+// Passes whole events on, so that a stream that breaks within one can go on elsewhere. False: the caller has gone.
+bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, bool complete)
+{
+    const std::size_t end = buffer.rfind("\n\n");
+    const std::size_t whole = complete ? buffer.size() : end == std::string::npos ? 0 : end + 2;
+    if (whole == 0) {
+        return true;
+    }
+    const std::string_view events = std::string_view(buffer).substr(0, whole);
+    if (const std::size_t id = events.rfind("id:"); id != std::string_view::npos && (id == 0 || events[id - 1] == '\n')) {
+        std::string_view value = events.substr(id + 3);
+        value = value.substr(0, value.find('\n'));
+        while (!value.empty() && (value.front() == ' ' || value.back() == '\r')) {
+            value = value.front() == ' ' ? value.substr(1) : value.substr(0, value.size() - 1);
+        }
+        m_lastEvent = value;
+    }
+    const TimePoint until = m_deadline + m_settings.answerMargin;
+    bool there = false;
+    if (!m_started) {
+        m_started = true;
+        m_firstEvent = m_parts.clock.now();
+        there = m_exchange.beginStream(head.status, m_parts.codec.answerHeaders(head), events, until);
+        releaseResults(); // the engine has read its inputs
+    } else {
+        there = m_exchange.streamBytes(events, until);
+    }
+    buffer.erase(0, whole);
+    return there;
+}
+
+ForwardRun::Verdict ForwardRun::relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began)
+{
+    if (!m_started) {
+        m_weightsVersion = facts.weightsVersion;
+    }
+    std::string buffer;
+    TimePoint gapLimit = m_started ? m_parts.clock.now() + m_settings.resumableGap : firstReplyLimit();
+    for (;;) {
+        const bool resumable = m_route->resumable && m_sent < m_route->maxAttempts;
+        const auto complete = call.readBody(buffer, resumable ? std::min(gapLimit, m_deadline) : m_deadline, m_exchange);
+        if (!complete) {
+            return failed(complete.error(), lease, began);
+        }
+        if (buffer.size() > PartialEventLimit) {
+            return failed(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
+        }
+        if (!forwardEvents(buffer, head, *complete)) {
+            return failed(UpstreamFailure{ErrorCode::CallerGone, true, false}, lease, began);
+        }
+        gapLimit = m_parts.clock.now() + m_settings.resumableGap;
+        if (*complete) {
+            break;
+        }
+    }
+    if (!m_started) { // a stream without events
+        (void)m_exchange.beginStream(head.status, m_parts.codec.answerHeaders(head), {}, m_deadline);
+    }
+    lease.finish(InstanceVerdict::Succeeded, m_firstEvent - began, facts.load);
+    m_end = ForwardEnd{head.status, ErrorCode::ServerRejected, true};
+    (void)m_exchange.endStream(m_deadline + m_settings.answerMargin);
+    return Verdict::Answered;
+}
+
+//-----------------------------------------------------------------------------
+// [ANSWERS]
+//-----------------------------------------------------------------------------
+
+void ForwardRun::refuse(ErrorCode code)
+{
+    int status = 503;
+    std::optional<std::chrono::milliseconds> retryAfter = m_settings.retryAfter;
+    switch (code) {
+    case ErrorCode::MalformedRequest:
+    case ErrorCode::InvalidDeadline:
+        status = 400;
+        retryAfter.reset();
+        break;
+    case ErrorCode::MissingCredentials:
+    case ErrorCode::UnknownCredentials:
+        status = 401;
+        retryAfter.reset();
+        break;
+    case ErrorCode::UnknownRoute:
+        status = 404;
+        retryAfter.reset();
+        break;
+    default:
+        break;
+    }
+    m_end = ForwardEnd{status, code, false};
+    (void)m_exchange.reply(status, m_parts.codec.refusalHeaders(m_request.attempt, retryAfter), describeRefusal(code),
+                           m_parts.clock.now() + std::chrono::seconds(1));
+    m_parts.metrics.counter("vanillanotch_refusals_total", "code=\"" + std::to_string(static_cast<int>(code)) + "\"").add();
+    logEvent(LogLevel::Info, "request.refused",
+             {{"request", m_request.attempt},
+              {"code", code},
+              {"status", status},
+              {"version", m_deployment ? m_deployment->version() : std::uint64_t{0}},
+              {"proof_age_ms", m_parts.deployments.proofAge(suspendAwareNow())}});
+}
+
+// The final answer of a request that was admitted and not served.
+void ForwardRun::giveUp(ErrorCode code)
+{
+    m_end.code = code;
+    if (m_exchange.gone() || code == ErrorCode::CallerGone) {
+        m_end.code = ErrorCode::CallerGone;
+        return;
+    }
+    if (m_started) {
+        m_exchange.abort(); // nothing that ends early may look complete
+        return;
+    }
+    const TimePoint until = m_parts.clock.now() + std::chrono::seconds(1);
+    if (m_failure) {
+        m_end = ForwardEnd{m_failure->first.status, code, true};
+        (void)m_exchange.reply(m_failure->first.status, m_parts.codec.answerHeaders(m_failure->first), m_failure->second, until);
+        return;
+    }
+    const bool late = code == ErrorCode::DeadlineExceeded || code == ErrorCode::ServerTimeout;
+    m_end.status = !m_mayHaveRun ? 503 : late ? 504 : 502;
+    const auto retryAfter = !m_mayHaveRun ? std::optional(m_settings.retryAfter) : std::nullopt;
+    (void)m_exchange.reply(m_end.status, m_parts.codec.refusalHeaders(m_request.attempt, retryAfter), describeRefusal(code), until);
+    m_parts.metrics.counter("vanillanotch_refusals_total", "code=\"" + std::to_string(static_cast<int>(code)) + "\"").add();
+}
+
+void ForwardRun::logEnd() const
+{
+    const TimePoint now = m_parts.clock.now();
+    const Duration staged = m_stagesDone == TimePoint{} ? Duration::zero() : m_stagesDone - m_exchange.arrived();
+    const Duration first = m_firstEvent == TimePoint{} ? Duration::zero() : m_firstEvent - m_exchange.arrived();
+    logEvent(LogLevel::Info, "request.ended",
+             {{"request", m_request.attempt},
+              {"route", m_route->name},
+              {"version", m_deployment->version()},
+              {"service", m_service},
+              {"instance", m_lastInstance},
+              {"sent", m_sent},
+              {"status", m_end.status},
+              {"code", m_end.answeredByServer ? 0 : static_cast<int>(m_end.code)},
+              {"staged_ms", staged},
+              {"first_ms", first},
+              {"took_ms", now - m_exchange.arrived()},
+              {"left_ms", remaining()}});
+    m_parts.metrics.histogram("vanillanotch_request_seconds", "route=\"" + m_route->name + "\"").record(now - m_exchange.arrived());
+    m_parts.metrics.counter("vanillanotch_requests_total", "status=\"" + std::to_string(m_end.status) + "\"").add();
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/instances/instances.cpp
@@ -0,0 +1,296 @@
+#include "instances/instances.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr double SuspectShareLimit = 0.5; // more suspected ones than this share of a service: the fault is likely this node's
+constexpr unsigned DoublingsLimit = 5; // of the time that an instance is suspected for
+constexpr Duration LoadFresh = std::chrono::seconds(1); // a reported load older than this says nothing
+} // namespace
+
+//-----------------------------------------------------------------------------
+// InstanceLease
+//-----------------------------------------------------------------------------
+
+InstanceLease::InstanceLease(InstanceTable *table, InstanceSpec spec)
+    : m_table(table)
+    , m_spec(std::move(spec))
+{
+}
+
+InstanceLease::InstanceLease(InstanceLease &&other) noexcept
+    : m_table(std::exchange(other.m_table, nullptr))
+    , m_spec(std::move(other.m_spec))
+{
+}
+
+InstanceLease &InstanceLease::operator=(InstanceLease &&other) noexcept
+{
+    std::swap(m_table, other.m_table);
+    std::swap(m_spec, other.m_spec);
+    return *this;
+}
+
+InstanceLease::~InstanceLease()
+{
+    if (m_table != nullptr) {
+        m_table->release(m_spec.id);
+    }
+}
+
+void InstanceLease::finish(InstanceVerdict verdict, Duration time, const std::optional<ReportedLoad> &load)
+{
+    if (InstanceTable *table = std::exchange(m_table, nullptr); table != nullptr) {
+        table->release(m_spec.id);
+        table->report(m_spec.id, verdict, time, load);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// InstanceTable
+//-----------------------------------------------------------------------------
+
+InstanceTable::InstanceTable(const Clock &clock, InstanceSettings settings)
+    : m_clock(clock)
+    , m_settings(std::move(settings))
+{
+}
+
+void InstanceTable::onChange(std::function<void()> listener)
+{
+    m_listener = std::move(listener);
+}
+
+void InstanceTable::upsertLocked(const InstanceSpec &spec)
+{
+    Entry &entry = m_entries[spec.id];
+    if (entry.spec.born > spec.born && spec.born != 0) {
+        return; // a late entry of an earlier run
+    }
+    const bool sameRun = entry.spec.address == spec.address && entry.spec.born == spec.born;
+    if (!sameRun) {
+        const unsigned outstanding = entry.outstanding;
+        entry = Entry{};
+        entry.outstanding = outstanding;
+    }
+    entry.spec = spec;
+    entry.leavesAt.reset();
+}
+
+void InstanceTable::removeLocked(const std::string &id, bool registryAway, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return;
+    }
+    if (registryAway && !found->second.spec.draining) {
+        if (!found->second.leavesAt) {
+            found->second.leavesAt = now + m_settings.lapseGrace;
+        }
+        return;
+    }
+    m_entries.erase(found);
+}
+
+void InstanceTable::synchronise(const std::vector<InstanceSpec> &all, bool registryAway)
+{
+    {
+        const Lock lock(m_mutex);
+        std::set<std::string> listed;
+        for (const InstanceSpec &spec : all) {
+            upsertLocked(spec);
+            listed.insert(spec.id);
+        }
+        std::vector<std::string> missing;
+        for (const auto &[id, entry] : m_entries) {
+            if (listed.count(id) == 0) {
+                missing.push_back(id);
+            }
+        }
+        for (const std::string &id : missing) {
+            removeLocked(id, registryAway, m_clock.now());
+        }
+    }
+    if (m_listener) {
+        m_listener();
+    }
+}
+
+void InstanceTable::upsert(const InstanceSpec &spec)
+{
+    {
+        const Lock lock(m_mutex);
+        upsertLocked(spec);
+    }
+    if (m_listener) {
+        m_listener();
+    }
+}
+
+void InstanceTable::remove(const std::string &id, bool registryAway)
+{
+    const Lock lock(m_mutex);
+    removeLocked(id, registryAway, m_clock.now());
+}
+
+bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
+{
+    return !entry.spec.draining && (!entry.leavesAt || now < *entry.leavesAt);
+}
+
+InstanceView InstanceTable::viewLocked(const Entry &entry, TimePoint now) const
+{
+    InstanceView view;
+    view.spec = &entry.spec;
+    view.local = entry.spec.dataCentre == m_settings.dataCentre;
+    view.outstanding = entry.outstanding;
+    const unsigned slots = std::max(1U, entry.spec.slots);
+    double places = entry.outstanding;
+    if (entry.load && now - entry.loadAt < LoadFresh) {
+        places = std::max(places, static_cast<double>(entry.load->running + entry.load->waiting));
+    }
+    view.load = places / slots;
+    const auto remembered = [&](TimePoint since) {
+        const double halves = std::chrono::duration<double>(now - since) / std::chrono::duration<double>(m_settings.forgetting);
+        return std::exp2(-halves);
+    };
+    view.averageTime = entry.averageTime == Duration::zero() ? Duration::zero() : entry.averageTime;
+    view.failureShare = entry.failureShare * remembered(entry.failureAt);
+    view.suspected = now < entry.suspectedUntil;
+    return view;
+}
+
+std::vector<InstanceView> InstanceTable::viewsLocked(const ChoiceInput &input, TimePoint now) const
+{
+    std::vector<InstanceView> all;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.spec.service == input.service && usableLocked(entry, now)) {
+            InstanceView view = viewLocked(entry, now);
+            view.local = entry.spec.dataCentre == (input.dataCentre.empty() ? m_settings.dataCentre : input.dataCentre);
+            all.push_back(view);
+        }
+    }
+    const auto keepIfAny = [&all](const auto &wanted) {
+        std::vector<InstanceView> kept;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(kept), wanted);
+        if (!kept.empty()) {
+            all = std::move(kept);
+        }
+    };
+    keepIfAny([&input](const InstanceView &view) {
+        return input.avoid.count(view.spec->id) == 0;
+    });
+    const auto suspects = static_cast<double>(std::count_if(all.begin(), all.end(), [](const InstanceView &view) {
+        return view.suspected;
+    }));
+    if (suspects <= SuspectShareLimit * static_cast<double>(all.size())) {
+        keepIfAny([](const InstanceView &view) {
+            return !view.suspected;
+        });
+    }
+    return all;
+}
+
+Result<InstanceLease> InstanceTable::acquire(const ChoiceInput &input, ChoicePolicy &policy)
+{
+    const Lock lock(m_mutex);
+    const std::vector<InstanceView> views = viewsLocked(input, m_clock.now());
+    if (views.empty()) {
+        return fail(ErrorCode::NoFitServer, "the service has no instance");
+    }
+    const std::string &id = views.at(policy.choose(input, views)).spec->id;
+    Entry &entry = m_entries.at(id);
+    ++entry.outstanding;
+    return InstanceLease(this, entry.spec);
+}
+
+std::optional<InstanceSpec> InstanceTable::preview(const ChoiceInput &input, ChoicePolicy &policy) const
+{
+    const Lock lock(m_mutex);
+    const std::vector<InstanceView> views = viewsLocked(input, m_clock.now());
+    if (views.empty()) {
+        return std::nullopt;
+    }
+    return *views.at(policy.choose(input, views)).spec;
+}
+
+std::vector<InstanceSpec> InstanceTable::ready(const std::string &service) const
+{
+    const Lock lock(m_mutex);
+    std::vector<InstanceSpec> result;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.spec.service == service && usableLocked(entry, m_clock.now())) {
+            result.push_back(entry.spec);
+        }
+    }
+    return result;
+}
+
+bool InstanceTable::usable(const std::string &id) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && usableLocked(found->second, m_clock.now());
+}
+
+bool InstanceTable::suspected(const std::string &id) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && m_clock.now() < found->second.suspectedUntil;
+}
+
+std::size_t InstanceTable::size() const
+{
+    const Lock lock(m_mutex);
+    return m_entries.size();
+}
+
+void InstanceTable::release(const std::string &id)
+{
+    const Lock lock(m_mutex);
+    if (const auto found = m_entries.find(id); found != m_entries.end() && found->second.outstanding > 0) {
+        --found->second.outstanding;
+    }
+}
+
+void InstanceTable::report(const std::string &id, InstanceVerdict verdict, Duration time, const std::optional<ReportedLoad> &load)
+{
+    const Lock lock(m_mutex);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || verdict == InstanceVerdict::Abandoned) {
+        return;
+    }
+    Entry &entry = found->second;
+    const TimePoint now = m_clock.now();
+    if (load) {
+        entry.load = load;
+        entry.loadAt = now;
+    }
+    if (verdict == InstanceVerdict::Full) {
+        return; // healthy
+    }
+    const bool failed = verdict != InstanceVerdict::Succeeded;
+    entry.failureShare = viewLocked(entry, now).failureShare * m_settings.memory + (failed ? 1.0 - m_settings.memory : 0.0);
+    entry.failureAt = now;
+    if (verdict == InstanceVerdict::Unreachable) {
+        const unsigned doublings = std::min(entry.unreachable++, DoublingsLimit);
+        entry.suspectedUntil = now + std::min(m_settings.suspectLongest, m_settings.suspectFor * (1U << doublings));
+        return;
+    }
+    entry.unreachable = 0;
+    entry.suspectedUntil = TimePoint{};
+    if (!failed && time > Duration::zero()) {
+        const auto past = std::chrono::duration<double>(entry.averageTime);
+        const auto mixed = past * m_settings.memory + std::chrono::duration<double>(time) * (1.0 - m_settings.memory);
+        entry.averageTime = entry.averageTime == Duration::zero() ? time : std::chrono::duration_cast<Duration>(mixed);
+        entry.measuredAt = now;
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/peering/peering.cpp
@@ -0,0 +1,191 @@
+#include "peering/peering.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillanotch
+{
+
+namespace
+{
+using Json = nlohmann::json;
+
+constexpr std::string_view OrderPath = "/v1/stage-orders";
+constexpr std::string_view MetricsPath = "/metrics";
+constexpr std::size_t ReplyLimit = 256 * 1024; // bytes
+constexpr Duration ReplyTime = std::chrono::seconds(1); // for writing an answer
+
+// Times travel as what is left, since clocks of two nodes differ.
+std::int64_t leftMs(TimePoint until, TimePoint now)
+{
+    return toMilliseconds(until - now).count();
+}
+
+std::string encodeOrder(const StageOrder &order, TimePoint now)
+{
+    Json json;
+    json["request"] = order.request;
+    json["stage"] = order.stage;
+    json["service"] = order.service;
+    json["pieces"] = order.pieces;
+    if (order.inputs.empty()) {
+        json["key"] = order.key;
+    } else {
+        json["inputs"] = order.inputs;
+    }
+    json["result_bytes"] = order.resultBytes;
+    json["data_centre"] = order.dataCentre;
+    json["target_ms"] = leftMs(order.target, now);
+    json["deadline_ms"] = leftMs(order.deadline, now);
+    json["priority"] = order.priority;
+    return json.dump();
+}
+
+Result<StageOrder> decodeOrder(const std::string &text, TimePoint now)
+{
+    try {
+        const Json json = Json::parse(text);
+        StageOrder order;
+        order.request = json.at("request").get<std::string>();
+        order.stage = json.at("stage").get<std::size_t>();
+        order.service = json.at("service").get<std::string>();
+        order.pieces = json.at("pieces").get<unsigned>();
+        order.key = json.value("key", std::string());
+        order.inputs = json.value("inputs", std::vector<std::string>());
+        order.resultBytes = json.at("result_bytes").get<std::size_t>();
+        order.dataCentre = json.at("data_centre").get<std::string>();
+        order.target = now + std::chrono::milliseconds(json.at("target_ms").get<std::int64_t>());
+        order.deadline = now + std::chrono::milliseconds(json.at("deadline_ms").get<std::int64_t>());
+        order.priority = json.at("priority").get<int>();
+        return order;
+    } catch (const Json::exception &exception) {
+        return fail(ErrorCode::MalformedRequest, exception.what());
+    }
+}
+
+class HttpStagePeer final : public StagePeerChannel
+{
+public:
+    explicit HttpStagePeer(const UpstreamSettings &settings)
+        : m_settings(settings)
+    {
+    }
+
+    Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, TimePoint until,
+                                         CallerWatch &canceller) override
+    {
+        UpstreamCall call(m_settings);
+        if (const auto opened = call.open(peerAddress, until, canceller); !opened) {
+            return fail(opened.error().code == ErrorCode::CallerGone ? ErrorCode::CallerGone : ErrorCode::PeerUnavailable);
+        }
+        const std::string body = encodeOrder(order, now);
+        std::string request = "POST " + std::string(OrderPath) + " HTTP/1.1\r\nHost: " + peerAddress
+            + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto head = call.exchange(std::move(request), until, canceller);
+        const auto reply = head ? call.readAll(ReplyLimit, until, canceller) : tl::expected<std::string, UpstreamFailure>(tl::unexpected(head.error()));
+        if (!reply) {
+            return fail(reply.error().code == ErrorCode::CallerGone ? ErrorCode::CallerGone : ErrorCode::PeerUnavailable);
+        }
+        try {
+            const Json json = Json::parse(*reply);
+            if (json.contains("error")) {
+                return fail(static_cast<ErrorCode>(json.at("error").get<int>()));
+            }
+            return json.at("handles").get<std::vector<std::string>>();
+        } catch (const Json::exception &exception) {
+            return fail(ErrorCode::PeerUnavailable, exception.what());
+        }
+    }
+
+private:
+    const UpstreamSettings m_settings;
+};
+} // namespace
+
+std::unique_ptr<StagePeerChannel> makeStagePeerChannel(const UpstreamSettings &settings)
+{
+    return std::make_unique<HttpStagePeer>(settings);
+}
+
+PeerHandler::PeerHandler(StageExecutor &stages, ResultReleaser &releaser, MetricsRegistry &metrics)
+    : m_stages(stages)
+    , m_releaser(releaser)
+    , m_metrics(metrics)
+{
+}
+
+std::string PeerHandler::describeError(ErrorCode code)
+{
+    return Json{{"error", static_cast<int>(code)}}.dump();
+}
+
+FrontLimits PeerHandler::limits()
+{
+    return FrontLimits{};
+}
+
+void PeerHandler::serve(FrontExchange &exchange)
+{
+    const TimePoint until = std::chrono::steady_clock::now() + ReplyTime;
+    Headers headers;
+    if (exchange.path() == OrderPath && exchange.head().method == "POST") {
+        serveOrder(exchange);
+    } else if (exchange.path() == MetricsPath && exchange.head().method == "GET") {
+        headers.add("Content-Type", "text/plain; version=0.0.4");
+        (void)exchange.reply(200, headers, m_metrics.renderText(), until);
+    } else {
+        headers.add("Content-Type", "application/json");
+        (void)exchange.reply(404, headers, describeError(ErrorCode::UnknownPath), until);
+    }
+}
+
+void PeerHandler::serveOrder(FrontExchange &exchange)
+{
+    Headers headers;
+    headers.add("Content-Type", "application/json");
+    auto order = decodeOrder(exchange.body(), exchange.arrived());
+    if (!order) {
+        logEvent(LogLevel::Warning, "peer.order_unreadable", {{"error", order.error().code}});
+        (void)exchange.reply(400, headers, describeError(order.error().code), std::chrono::steady_clock::now() + ReplyTime);
+        return;
+    }
+    const TimePoint deadline = order->deadline;
+    const auto progress = makeRef<Signal>();
+    const auto run = makeRef<StageRun>(std::move(*order), progress);
+    m_stages.submit(run);
+    std::optional<Result<std::vector<std::string>>> outcome;
+    while (!outcome) {
+        if (const auto raised = awaitSignal(*progress, exchange, deadline); !raised) {
+            run->cancel();
+            outcome = tl::unexpected(raised.error());
+        } else {
+            outcome = run->outcome();
+        }
+    }
+    const std::string body = *outcome ? Json{{"handles", **outcome}}.dump() : describeError(outcome->error().code);
+    const bool delivered = exchange.reply(200, headers, body, std::chrono::steady_clock::now() + ReplyTime);
+    if (!delivered && *outcome) {
+        m_releaser.add(**outcome);
+    }
+}
+
+std::string encodeMember(const MemberRecord &member)
+{
+    return Json{{"data_centre", member.dataCentre}, {"peer_address", member.peerAddress}, {"incarnation", member.incarnation}}.dump();
+}
+
+Result<MemberRecord> decodeMember(const std::string &name, const std::string &json)
+{
+    try {
+        const Json document = Json::parse(json);
+        MemberRecord member;
+        member.name = name;
+        member.dataCentre = document.at("data_centre").get<std::string>();
+        member.peerAddress = document.at("peer_address").get<std::string>();
+        member.incarnation = document.at("incarnation").get<std::uint64_t>();
+        return member;
+    } catch (const Json::exception &exception) {
+        return fail(ErrorCode::DocumentInvalid, exception.what());
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/stages/runs.cpp
@@ -0,0 +1,207 @@
+#include "stages/stages.h"
+
+#include <algorithm>
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// StageRun
+//-----------------------------------------------------------------------------
+
+StageRun::StageRun(StageOrder order, Ref<Signal> progress)
+    : m_order(std::move(order))
+    , m_progress(std::move(progress))
+    , m_handles(m_order.pieces)
+    , m_attempts(m_order.pieces, 0)
+    , m_missing(m_order.pieces)
+{
+}
+
+void StageRun::cancel()
+{
+    Ref<Signal> signal;
+    {
+        const Lock lock(m_mutex);
+        m_cancelled = true;
+        signal = m_cancelSignal;
+    }
+    if (signal) {
+        signal->raise();
+    }
+}
+
+bool StageRun::cancelled() const
+{
+    const Lock lock(m_mutex);
+    return m_cancelled;
+}
+
+Ref<Signal> StageRun::cancelSignal()
+{
+    auto created = makeRef<Signal>();
+    const Lock lock(m_mutex);
+    if (!m_cancelSignal) {
+        m_cancelSignal = std::move(created);
+        if (m_cancelled) {
+            m_cancelSignal->raise();
+        }
+    }
+    return m_cancelSignal;
+}
+
+std::optional<Result<std::vector<std::string>>> StageRun::outcome() const
+{
+    const Lock lock(m_mutex);
+    if (m_error) {
+        return Result<std::vector<std::string>>(vanillanotch::fail(*m_error));
+    }
+    if (m_missing > 0) {
+        return std::nullopt;
+    }
+    return Result<std::vector<std::string>>(m_handles);
+}
+
+bool StageRun::complete(unsigned piece, const std::string &handle)
+{
+    bool last = false;
+    {
+        const Lock lock(m_mutex);
+        if (m_cancelled || m_error || !m_handles.at(piece).empty()) {
+            return false;
+        }
+        m_handles.at(piece) = handle;
+        last = --m_missing == 0;
+    }
+    if (last) {
+        m_progress->raise();
+    }
+    return true;
+}
+
+void StageRun::fail(ErrorCode code)
+{
+    {
+        const Lock lock(m_mutex);
+        if (m_error || m_missing == 0) {
+            return;
+        }
+        m_error = code;
+    }
+    m_progress->raise();
+}
+
+unsigned StageRun::countAttempt(unsigned piece)
+{
+    const Lock lock(m_mutex);
+    return ++m_attempts.at(piece);
+}
+
+//-----------------------------------------------------------------------------
+// Batches
+//-----------------------------------------------------------------------------
+
+bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings)
+{
+    const bool aMeets = a.target > now;
+    const bool bMeets = b.target > now;
+    if (aMeets != bMeets) {
+        return aMeets;
+    }
+    if (!aMeets) {
+        return a.deadline < b.deadline;
+    }
+    return a.target + settings.priorityStep * a.priority < b.target + settings.priorityStep * b.priority;
+}
+
+std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings)
+{
+    queue.erase(std::remove_if(queue.begin(), queue.end(),
+                               [](const WaitingWork &work) {
+                                   return work.pieces.empty() || work.run->cancelled();
+                               }),
+                queue.end());
+    std::vector<WaitingWork *> eligible;
+    bool waitedLong = false;
+    for (WaitingWork &work : queue) {
+        const StageOrder &order = work.run->order();
+        const bool elsewhere = !order.dataCentre.empty() && order.dataCentre != lane.dataCentre && order.resultBytes >= settings.largeResult;
+        if (elsewhere && now - work.since < settings.dataCentrePatience) {
+            continue;
+        }
+        waitedLong = waitedLong || now - work.since >= settings.slowPatience;
+        eligible.push_back(&work);
+    }
+    if (lane.slowness > settings.slowLane && !waitedLong) {
+        return {};
+    }
+    std::stable_sort(eligible.begin(), eligible.end(), [&](const WaitingWork *a, const WaitingWork *b) {
+        return moreUrgent(a->run->order(), b->run->order(), now, settings);
+    });
+    std::vector<BatchPick> picks;
+    for (WaitingWork *work : eligible) {
+        while (!work->pieces.empty() && picks.size() < batch) {
+            picks.push_back(BatchPick{work->run, work->pieces.back()});
+            work->pieces.pop_back();
+        }
+    }
+    return picks;
+}
+
+//-----------------------------------------------------------------------------
+// ResultReleaser
+//-----------------------------------------------------------------------------
+
+std::string addressOfHandle(const std::string &handle)
+{
+    const std::size_t slash = handle.find('/');
+    return slash == std::string::npos ? std::string() : handle.substr(0, slash);
+}
+
+ResultReleaser::ResultReleaser(StageChannel &channel, TimerQueue &timers, GrowingPool &pool, ReleaseSettings settings)
+    : m_channel(channel)
+    , m_timers(timers)
+    , m_pool(pool)
+    , m_settings(settings)
+{
+}
+
+void ResultReleaser::add(const std::vector<std::string> &handles)
+{
+    bool schedule = false;
+    {
+        const Lock lock(m_mutex);
+        for (const std::string &handle : handles) {
+            if (const std::string address = addressOfHandle(handle); !address.empty()) {
+                m_byAddress[address].push_back(handle);
+            }
+        }
+        schedule = !m_scheduled && !m_byAddress.empty();
+        m_scheduled = m_scheduled || schedule;
+    }
+    if (schedule) {
+        m_timers.after(m_settings.interval, [this] {
+            flush();
+        });
+    }
+}
+
+void ResultReleaser::flush()
+{
+    std::map<std::string, std::vector<std::string>> all;
+    {
+        const Lock lock(m_mutex);
+        all.swap(m_byAddress);
+        m_scheduled = false;
+    }
+    for (auto &[address, handles] : all) {
+        m_pool.post([this, address = address, handles = std::move(handles)] {
+            if (const auto released = m_channel.release(address, handles, std::chrono::steady_clock::now() + m_settings.callLimit); !released) {
+                // The results end with their lifetime; nothing else depends on it.
+                logEvent(LogLevel::Debug, "results.release_failed", {{"address", address}, {"error", released.error().code}});
+            }
+        });
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/stages/scheduler.cpp
@@ -0,0 +1,263 @@
+#include "stages/stages.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr double SlownessMemory = 0.5; // weight of the past in a lane's slowness
+
+Duration declaredTime(const StageCapacity &capacity, std::size_t pieces)
+{
+    return capacity.callTime + capacity.pieceTime * pieces;
+}
+} // namespace
+
+StageScheduler::StageScheduler(StageParts parts, SchedulerSettings settings)
+    : m_parts(parts)
+    , m_settings(settings)
+{
+}
+
+std::optional<StageCapacity> StageScheduler::capacityOf(const std::string &service) const
+{
+    const DeploymentRef deployment = m_parts.deployments.current();
+    const ServiceSpec *spec = deployment ? deployment->service(service) : nullptr;
+    return spec != nullptr ? spec->stage : std::nullopt;
+}
+
+void StageScheduler::submit(const Ref<StageRun> &run)
+{
+    const StageOrder &order = run->order();
+    WaitingWork work;
+    work.run = run;
+    work.since = m_parts.clock.now();
+    for (unsigned piece = 0; piece < order.pieces; ++piece) {
+        work.pieces.push_back(order.pieces - 1 - piece); // taken from the back
+    }
+    {
+        const Lock lock(m_mutex);
+        m_queues[order.service].work.push_back(std::move(work));
+    }
+    m_parts.allowance.countFirst(order.service);
+    dispatch(order.service);
+}
+
+std::size_t StageScheduler::waiting() const
+{
+    const Lock lock(m_mutex);
+    std::size_t pieces = 0;
+    for (const auto &[service, queue] : m_queues) {
+        for (const WaitingWork &work : queue.work) {
+            pieces += work.pieces.size();
+        }
+    }
+    return pieces;
+}
+
+void StageScheduler::instancesChanged()
+{
+    std::vector<std::string> services;
+    {
+        const Lock lock(m_mutex);
+        for (const auto &[service, queue] : m_queues) {
+            if (!queue.work.empty()) {
+                services.push_back(service);
+            }
+        }
+    }
+    for (const std::string &service : services) {
+        dispatch(service);
+    }
+}
+
+double StageScheduler::slownessOf(const Lane &lane, TimePoint now) const
+{
+    const double halves = std::chrono::duration<double>(now - lane.measuredAt) / std::chrono::duration<double>(m_settings.slownessForgetting);
+    return 1.0 + (lane.slowness - 1.0) * std::exp2(-halves);
+}
+
+std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const std::string &service, ServiceQueue &queue, const StageCapacity &capacity)
+{
+    const TimePoint now = m_parts.clock.now();
+    std::vector<std::pair<double, InstanceSpec>> free; // fastest first
+    for (InstanceSpec &instance : m_parts.instances.ready(service)) {
+        const Lane &lane = queue.lanes[instance.id];
+        if (lane.calls < capacity.slots && now >= lane.blockedUntil && !m_parts.instances.suspected(instance.id)) {
+            free.emplace_back(slownessOf(lane, now), std::move(instance));
+        }
+    }
+    std::sort(free.begin(), free.end(), [](const auto &a, const auto &b) {
+        return a.first < b.first;
+    });
+    std::vector<Dispatch> dispatches;
+    for (auto &[slowness, instance] : free) {
+        std::vector<BatchPick> batch = planBatch(queue.work, LaneView{instance.dataCentre, slowness}, capacity.batch, now, m_settings.batches);
+        if (!batch.empty()) {
+            ++queue.lanes[instance.id].calls;
+            dispatches.push_back(Dispatch{std::move(instance), std::move(batch), capacity});
+        }
+    }
+    return dispatches;
+}
+
+void StageScheduler::dispatch(const std::string &service)
+{
+    const auto capacity = capacityOf(service);
+    if (!capacity) {
+        return; // the service is no longer in force; runs end at their deadline
+    }
+    std::vector<Dispatch> dispatches;
+    bool recheck = false;
+    {
+        const Lock lock(m_mutex);
+        ServiceQueue &queue = m_queues[service];
+        dispatches = planLocked(service, queue, *capacity);
+        recheck = !queue.work.empty() && !queue.recheckDue;
+        queue.recheckDue = queue.recheckDue || recheck;
+    }
+    for (Dispatch &dispatched : dispatches) {
+        m_parts.pool.post([this, service, dispatched = std::move(dispatched)] {
+            runBatch(service, dispatched);
+        });
+    }
+    if (recheck) {
+        m_parts.timers.after(m_settings.recheck, [this, service] {
+            {
+                const Lock lock(m_mutex);
+                m_queues[service].recheckDue = false;
+            }
+            dispatch(service);
+        });
+    }
+}
+
+void StageScheduler::runBatch(const std::string &service, const Dispatch &dispatched)
+{
+    std::vector<PieceCall> calls;
+    calls.reserve(dispatched.batch.size());
+    TimePoint latest{};
+    for (const BatchPick &pick : dispatched.batch) {
+        calls.push_back(PieceCall{&pick.run->order(), pick.piece});
+        latest = std::max(latest, pick.run->order().deadline);
+    }
+    const Duration declared = declaredTime(dispatched.capacity, calls.size());
+    const TimePoint began = m_parts.clock.now();
+    const auto patience = std::chrono::duration_cast<Duration>(declared * m_settings.callPatience) + m_settings.callFloor;
+    const auto reply = m_parts.channel.run(dispatched.instance, calls, began, std::min(latest, began + patience));
+    const TimePoint ended = m_parts.clock.now();
+    const bool worked = reply.has_value();
+    {
+        const Lock lock(m_mutex);
+        Lane &lane = m_queues[service].lanes[dispatched.instance.id];
+        lane.calls -= lane.calls > 0 ? 1 : 0;
+        if (worked || reply.error().code == ErrorCode::ServerTimeout) {
+            const double measured = std::chrono::duration<double>(ended - began) / std::chrono::duration<double>(declared);
+            lane.slowness = slownessOf(lane, ended) * SlownessMemory + measured * (1.0 - SlownessMemory);
+            lane.measuredAt = ended;
+        }
+    }
+    logEvent(LogLevel::Info, "stage.call",
+             {{"service", service},
+              {"instance", dispatched.instance.id},
+              {"first_request", calls.front().order->request},
+              {"pieces", static_cast<std::uint64_t>(calls.size())},
+              {"error", worked ? 0 : static_cast<int>(reply.error().code)},
+              {"declared_ms", declared},
+              {"took_ms", ended - began}});
+    m_parts.metrics.histogram("vanillanotch_stage_call_seconds").record(ended - began);
+    m_parts.metrics.counter("vanillanotch_stage_pieces_total").add(calls.size());
+    if (worked) {
+        settle(service, dispatched, *reply);
+    } else {
+        recover(service, dispatched, reply.error());
+    }
+    dispatch(service);
+}
+
+void StageScheduler::settle(const std::string &service, const Dispatch &dispatched, const BatchReply &reply)
+{
+    m_parts.instances.report(dispatched.instance.id, InstanceVerdict::Succeeded, Duration::zero(), reply.load);
+    std::vector<BatchPick> again;
+    std::vector<std::string> unused;
+    bool noRoom = false;
+    for (std::size_t i = 0; i < dispatched.batch.size(); ++i) {
+        const BatchPick &pick = dispatched.batch[i];
+        const PieceOutcome &outcome = reply.outcomes.at(i);
+        switch (outcome.fault) {
+        case PieceFault::None:
+            if (!pick.run->complete(pick.piece, outcome.handle)) {
+                unused.push_back(outcome.handle);
+            }
+            break;
+        case PieceFault::Late:
+            pick.run->fail(ErrorCode::DeadlineExceeded);
+            break;
+        case PieceFault::InputGone:
+            pick.run->fail(ErrorCode::InputsGone);
+            break;
+        case PieceFault::NoRoom:
+            noRoom = true;
+            again.push_back(pick);
+            break;
+        case PieceFault::Failed:
+            again.push_back(pick);
+            break;
+        }
+    }
+    m_parts.releaser.add(unused);
+    if (noRoom) {
+        const Lock lock(m_mutex);
+        m_queues[service].lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + m_settings.fullPause;
+    }
+    requeue(service, again, true);
+}
+
+void StageScheduler::recover(const std::string &service, const Dispatch &dispatched, const UpstreamFailure &failure)
+{
+    const bool full = failure.code == ErrorCode::ServerBusy;
+    const bool moved = failure.code == ErrorCode::WrongInstance;
+    const Duration pause = full ? m_settings.fullPause : m_settings.failedPause;
+    {
+        const Lock lock(m_mutex);
+        m_queues[service].lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + pause;
+    }
+    if (!full && !moved) {
+        m_parts.instances.report(dispatched.instance.id, InstanceVerdict::Unreachable, Duration::zero(), std::nullopt);
+    }
+    requeue(service, dispatched.batch, failure.sent);
+}
+
+// `counts`: the pieces have reached an instance, so that another call is charged.
+void StageScheduler::requeue(const std::string &service, const std::vector<BatchPick> &picks, bool counts)
+{
+    if (picks.empty()) {
+        return;
+    }
+    if (counts && !m_parts.allowance.take(service)) {
+        for (const BatchPick &pick : picks) {
+            pick.run->fail(ErrorCode::Overloaded);
+        }
+        return;
+    }
+    std::map<StageRun *, WaitingWork> works;
+    for (const BatchPick &pick : picks) {
+        if (counts && pick.run->countAttempt(pick.piece) >= m_settings.batches.attempts) {
+            pick.run->fail(ErrorCode::ServerRejected);
+            continue;
+        }
+        WaitingWork &work = works[pick.run.get()];
+        work.run = pick.run;
+        work.pieces.push_back(pick.piece);
+        work.since = m_parts.clock.now() - m_settings.batches.slowPatience; // it has waited enough to be choosy
+    }
+    const Lock lock(m_mutex);
+    for (auto &[run, work] : works) {
+        m_queues[service].work.push_back(std::move(work));
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/stages/stages.h
@@ -0,0 +1,303 @@
+// vanillanotch stages library: work in pieces that must be done before a request can run.
+//
+// Index of sections:
+//   [ORDERS]    StageOrder, StageRun: one stage of one request, and how far it is
+//   [CHANNEL]   StageChannel: one call of several pieces at one instance
+//   [BATCHES]   planBatch: which waiting pieces an instance does next
+//   [SCHEDULER] StageScheduler: queues and lanes of the instances that this node drives
+//   [OWNERS]    OwnedStages: each service is scheduled at one node, the others hand it their orders
+//   [RESULTS]   ResultReleaser: frees results that nobody needs any more
+//
+// Rules this aggregate enforces:
+//   - a piece is answered once, with a result made for its request, stage and position;
+//   - an instance has no more calls from this node than it has slots;
+//   - pieces of a request that was given up are not sent any more, and their results are freed.
+#pragma once
+
+#include "base/base.h"
+#include "deployment/deployment.h"
+#include "fleet/fleet.h"
+#include "instances/instances.h"
+#include "transport/transport.h"
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// [ORDERS]
+//-----------------------------------------------------------------------------
+
+struct StageOrder {
+    std::string request; // the caller's attempt
+    std::size_t stage = 0; // position in the route
+    std::string service;
+    unsigned pieces = 0;
+    std::string key; // what the pieces are made from; for a stage that needs no other
+    std::vector<std::string> inputs; // results of the stages before; empty: made from the key
+    std::size_t resultBytes = 0; // approximate, of one piece
+    std::string dataCentre; // where large results are wanted; empty: anywhere
+    TimePoint target{}; // the request earns its full credit until then
+    TimePoint deadline{};
+    int priority = 0; // 0 is the highest
+};
+
+class StageRun : public RefCounted<StageRun>
+{
+public:
+    StageRun(StageOrder order, Ref<Signal> progress);
+
+    const StageOrder &order() const
+    {
+        return m_order;
+    }
+    void cancel(); // no piece is sent any more; `cancelSignal` is raised
+    bool cancelled() const;
+    // Raised by cancel(): lets a thread that waits on a socket for this run stop.
+    Ref<Signal> cancelSignal();
+
+    // Results in the order of pieces once all are there; nullopt: still running.
+    std::optional<Result<std::vector<std::string>>> outcome() const;
+
+    // For executors. False: the run has ended or is cancelled, so nobody will use the result.
+    bool complete(unsigned piece, const std::string &handle);
+    void fail(ErrorCode code);
+    unsigned countAttempt(unsigned piece); // returns how often the piece has been sent
+
+private:
+    const StageOrder m_order;
+    const Ref<Signal> m_progress;
+    mutable RankedMutex m_mutex{LockRank::Leaf};
+    std::vector<std::string> m_handles; // empty: not done
+    std::vector<unsigned> m_attempts;
+    unsigned m_missing;
+    std::optional<ErrorCode> m_error;
+    bool m_cancelled = false;
+    Ref<Signal> m_cancelSignal;
+};
+
+class StageExecutor
+{
+public:
+    virtual ~StageExecutor() = default;
+    virtual void submit(const Ref<StageRun> &run) = 0; // returns at once
+};
+
+//-----------------------------------------------------------------------------
+// [CHANNEL]
+//-----------------------------------------------------------------------------
+
+struct PieceCall {
+    const StageOrder *order = nullptr;
+    unsigned piece = 0;
+};
+
+enum class PieceFault { None, Late, InputGone, NoRoom, Failed };
+
+struct PieceOutcome {
+    std::string handle; // empty: see the fault
+    PieceFault fault = PieceFault::None;
+};
+
+struct BatchReply {
+    std::vector<PieceOutcome> outcomes; // as many as pieces were asked for, in their order
+    std::optional<ReportedLoad> load;
+};
+
+class StageChannel
+{
+public:
+    virtual ~StageChannel() = default;
+    // Errors: ConnectFailed, ConnectionLost, ServerTimeout, InvalidReply, ServerBusy, WrongInstance.
+    virtual tl::expected<BatchReply, UpstreamFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint now, TimePoint until) = 0;
+    virtual Result<void> release(const std::string &address, const std::vector<std::string> &handles, TimePoint until) = 0;
+};
+
+// One order at another node. The run's outcome is the whole answer.
+class StagePeerChannel
+{
+public:
+    virtual ~StagePeerChannel() = default;
+    virtual Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, TimePoint until,
+                                                 CallerWatch &canceller)
+        = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [BATCHES]
+//-----------------------------------------------------------------------------
+
+struct BatchSettings {
+    std::chrono::milliseconds dataCentrePatience{80}; // a large result waits this long for a lane in its data centre
+    std::size_t largeResult = 500'000; // bytes; moving more between data centres costs more than a short wait
+    double slowLane = 2.0; // times the declared time: beyond it a lane is taken only when others keep work waiting
+    std::chrono::milliseconds slowPatience{250}; // work that has waited this long goes to a slow lane as well
+    std::chrono::milliseconds priorityStep{150}; // of later target for each rank of priority
+    unsigned attempts = 3; // calls that one piece may be part of
+};
+
+// Work of one run that waits for a lane.
+struct WaitingWork {
+    Ref<StageRun> run;
+    std::vector<unsigned> pieces;
+    TimePoint since{};
+};
+
+struct LaneView {
+    std::string dataCentre;
+    double slowness = 1; // measured / declared time
+};
+
+struct BatchPick {
+    Ref<StageRun> run;
+    unsigned piece = 0;
+};
+
+// Orders work: what can still meet its target by target and priority, then the rest by deadline.
+bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings);
+
+// Takes at most `batch` pieces out of `queue`, the most urgent first. Cancelled work is dropped.
+std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings);
+
+//-----------------------------------------------------------------------------
+// [RESULTS]
+//-----------------------------------------------------------------------------
+
+struct ReleaseSettings {
+    std::chrono::milliseconds interval{150}; // results of this long are freed together
+    std::chrono::milliseconds callLimit{1000};
+};
+
+class ResultReleaser
+{
+public:
+    ResultReleaser(StageChannel &channel, TimerQueue &timers, GrowingPool &pool, ReleaseSettings settings = {});
+    void add(const std::vector<std::string> &handles);
+
+private:
+    void flush();
+
+    StageChannel &m_channel;
+    TimerQueue &m_timers;
+    GrowingPool &m_pool;
+    const ReleaseSettings m_settings;
+    RankedMutex m_mutex{LockRank::Results};
+    std::map<std::string, std::vector<std::string>> m_byAddress;
+    bool m_scheduled = false;
+};
+
+// The address that a result's handle names; empty: it names none.
+std::string addressOfHandle(const std::string &handle);
+
+//-----------------------------------------------------------------------------
+// [SCHEDULER]
+//-----------------------------------------------------------------------------
+
+// Extra calls that this node may make, by service.
+class RetryAllowance
+{
+public:
+    virtual ~RetryAllowance() = default;
+    virtual void countFirst(const std::string &service) = 0;
+    virtual bool take(const std::string &service) = 0; // false: none is left for now
+};
+
+struct StageParts {
+    const Clock &clock;
+    DeploymentTable &deployments;
+    InstanceTable &instances;
+    StageChannel &channel;
+    RetryAllowance &allowance;
+    ResultReleaser &releaser;
+    GrowingPool &pool;
+    TimerQueue &timers;
+    MetricsRegistry &metrics;
+};
+
+struct SchedulerSettings {
+    BatchSettings batches;
+    std::chrono::milliseconds fullPause{60}; // after an instance refused for load
+    std::chrono::milliseconds failedPause{1000}; // after an instance was unreachable
+    std::chrono::milliseconds recheck{40}; // until work that waits by choice is looked at again
+    double callPatience = 6; // times the declared time of a call that it may take; a slow server takes five
+    std::chrono::milliseconds callFloor{600}; // besides
+    std::chrono::milliseconds slownessForgetting{3000}; // half of a lane's slowness is forgotten in this time
+};
+
+class StageScheduler final : public StageExecutor
+{
+public:
+    StageScheduler(StageParts parts, SchedulerSettings settings = {});
+    void submit(const Ref<StageRun> &run) override;
+    void instancesChanged(); // looks for lanes that work waits for
+    std::size_t waiting() const; // pieces
+
+private:
+    struct Lane {
+        unsigned calls = 0;
+        TimePoint blockedUntil{};
+        double slowness = 1;
+        TimePoint measuredAt{};
+    };
+    struct ServiceQueue {
+        std::vector<WaitingWork> work;
+        std::map<std::string, Lane> lanes; // by instance
+        bool recheckDue = false;
+    };
+    struct Dispatch {
+        InstanceSpec instance;
+        std::vector<BatchPick> batch;
+        StageCapacity capacity;
+    };
+    double slownessOf(const Lane &lane, TimePoint now) const;
+    std::vector<Dispatch> planLocked(const std::string &service, ServiceQueue &queue, const StageCapacity &capacity);
+    void dispatch(const std::string &service);
+    void runBatch(const std::string &service, const Dispatch &dispatch);
+    void settle(const std::string &service, const Dispatch &dispatch, const BatchReply &reply);
+    void recover(const std::string &service, const Dispatch &dispatch, const UpstreamFailure &failure);
+    void requeue(const std::string &service, const std::vector<BatchPick> &picks, bool counts);
+    std::optional<StageCapacity> capacityOf(const std::string &service) const;
+
+    StageParts m_parts;
+    const SchedulerSettings m_settings;
+    mutable RankedMutex m_mutex{LockRank::Stages};
+    std::map<std::string, ServiceQueue> m_queues;
+};
+
+//-----------------------------------------------------------------------------
+// [OWNERS]
+//-----------------------------------------------------------------------------
+
+struct OwnerSettings {
+    std::size_t lanesForOwner = 6; // instances that one node schedules at most; more are split among several
+    std::chrono::milliseconds peerPause{2000}; // a peer that failed isn't asked again for this long
+    std::chrono::milliseconds peerLimit{1500}; // longest wait for a peer's answer while there is time for a call of our own
+};
+
+// How orders are spread over the nodes.
+enum class StageSharing {
+    EachNode, // every node calls the instances for itself
+    Owners, // a service's orders go to its owner by rendezvous hashing
+    OwnersByDataCentre, // as Owners, split by the data centre where results are wanted
+};
+
+class OwnedStages final : public StageExecutor
+{
+public:
+    OwnedStages(StageParts parts, StageScheduler &local, StagePeerChannel &peers, MemberTable &members, StageSharing sharing, OwnerSettings settings = {});
+    void submit(const Ref<StageRun> &run) override;
+
+private:
+    std::optional<MemberRecord> ownerOf(const StageOrder &order) const; // nullopt: this node
+    void runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner);
+
+    StageParts m_parts;
+    StageScheduler &m_local;
+    StagePeerChannel &m_peers;
+    MemberTable &m_members;
+    const StageSharing m_sharing;
+    const OwnerSettings m_settings;
+    mutable RankedMutex m_mutex{LockRank::StagePeers};
+    std::map<std::string, TimePoint> m_pausedUntil; // by member
+};
+
+} // namespace vanillanotch
--- a/src/steward/steward.h
+++ b/src/steward/steward.h
@@ -21,7 +21,7 @@
 #include "base/base.h"
 #include "configuration/configuration.h"
 #include "fleet/fleet.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "request/request.h"
 
 namespace vanillanotch
--- a/src/platform/http_platform.cpp
+++ b/src/storage/http_storage.cpp
@@ -1,6 +1,6 @@
 // The platform's service over HTTP with JSON bodies; docs/PLATFORM.md gives the protocol.
 #include "http/http.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <Poco/URI.h>
 
--- a/src/platform/memory_platform.cpp
+++ b/src/storage/memory_storage.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 namespace vanillanotch
 {
--- a/src/platform/platform.h
+++ b/src/storage/storage.h
@@ -1,4 +1,4 @@
-// vanillanotch platform library: the platform's service as this system sees it.
+// vanillanotch storage library: the platform's service as this system sees it.
 //
 // Index of sections:
 //   [TABLE]    Table: rows with versions, all-or-nothing conditional commits
--- /dev/null
+++ b/src/transport/call.cpp
@@ -0,0 +1,249 @@
+#include "transport/transport.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr int InterimFrom = 100;
+constexpr int InterimTo = 200;
+
+int pollTimeout(TimePoint until)
+{
+    const auto left = until - std::chrono::steady_clock::now();
+    return left <= Duration::zero() ? 0 : static_cast<int>(toMilliseconds(left).count()) + 1;
+}
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    if (::setsockopt(descriptor, level, name, &value, sizeof value) != 0) {
+        logEvent(LogLevel::Debug, "socket.option_failed", {{"option", name}, {"errno", errno}});
+    }
+}
+} // namespace
+
+UpstreamCall::UpstreamCall(const UpstreamSettings &settings)
+    : m_settings(settings)
+{
+}
+
+UpstreamFailure UpstreamCall::failure(ErrorCode code) const
+{
+    return UpstreamFailure{code, m_sent, false};
+}
+
+tl::expected<void, UpstreamFailure> UpstreamCall::open(const std::string &address, TimePoint until, CallerWatch &caller)
+{
+    assertNoLockHeld("UpstreamCall::open");
+    until = std::min(until, std::chrono::steady_clock::now() + m_settings.connectTimeout);
+    Poco::Net::StreamSocket socket;
+    try {
+        socket.connectNB(Poco::Net::SocketAddress(address));
+    } catch (const Poco::Exception &exception) {
+        UpstreamFailure failed = failure(ErrorCode::ConnectFailed);
+        failed.refused = exception.code() == ECONNREFUSED;
+        return tl::unexpected(failed);
+    }
+    m_connection = std::make_unique<Connection>(socket);
+    const int descriptor = m_connection->descriptor();
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(m_settings.unacknowledgedLimit.count()));
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(m_settings.keepAliveIdle.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(m_settings.keepAliveInterval.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, m_settings.keepAliveProbes);
+    for (;;) {
+        std::array<pollfd, 2> entries{};
+        entries[0].fd = descriptor;
+        entries[0].events = POLLOUT;
+        caller.prepare(entries[1]);
+        (void)::poll(entries.data(), entries.size(), pollTimeout(until));
+        caller.examine(entries[1]);
+        if (caller.gone()) {
+            return tl::unexpected(failure(ErrorCode::CallerGone));
+        }
+        if ((entries[0].revents & (POLLOUT | POLLERR | POLLHUP)) != 0) {
+            int error = 0;
+            socklen_t size = sizeof error;
+            (void)::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+            if (error == 0) {
+                return {};
+            }
+            UpstreamFailure failed = failure(ErrorCode::ConnectFailed);
+            failed.refused = error == ECONNREFUSED || error == ECONNRESET;
+            return tl::unexpected(failed);
+        }
+        if (std::chrono::steady_clock::now() >= until) {
+            return tl::unexpected(failure(ErrorCode::ConnectFailed));
+        }
+    }
+}
+
+// Sends what is left of the request and reads what has come, whichever is possible first.
+tl::expected<void, UpstreamFailure> UpstreamCall::waitForBytes(TimePoint until, CallerWatch &caller)
+{
+    assertNoLockHeld("UpstreamCall::waitForBytes");
+    for (;;) {
+        std::array<pollfd, 2> entries{};
+        entries[0].fd = m_connection->descriptor();
+        entries[0].events = static_cast<short>(POLLIN | (!m_unsent.empty() && !m_sendBroken ? POLLOUT : 0));
+        caller.prepare(entries[1]);
+        (void)::poll(entries.data(), entries.size(), pollTimeout(until));
+        caller.examine(entries[1]);
+        if (caller.gone()) {
+            return tl::unexpected(failure(ErrorCode::CallerGone));
+        }
+        if ((entries[0].revents & POLLOUT) != 0 && m_connection->send(m_unsent) == IoState::Reset) {
+            m_sendBroken = true; // an early answer may still be there to read
+        }
+        if ((entries[0].revents & (POLLIN | POLLERR | POLLHUP)) != 0) {
+            switch (m_connection->receive()) {
+            case IoState::Progress:
+                return {};
+            case IoState::Closed:
+                m_ended = true;
+                return {};
+            case IoState::Reset:
+                m_ended = true;
+                m_reset = true;
+                return {};
+            case IoState::WouldBlock:
+                break;
+            }
+        }
+        if (std::chrono::steady_clock::now() >= until) {
+            return tl::unexpected(failure(ErrorCode::ServerTimeout));
+        }
+    }
+}
+
+std::optional<Result<ReplyHead>> UpstreamCall::takeHead()
+{
+    std::string &received = m_connection->received();
+    for (;;) {
+        const std::size_t end = received.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            if (received.size() > m_settings.headLimit) {
+                return fail(ErrorCode::InvalidReply, "head too long");
+            }
+            return std::nullopt;
+        }
+        auto head = parseReplyHead(std::string_view(received).substr(0, end + 4));
+        received.erase(0, end + 4);
+        if (head && head->status >= InterimFrom && head->status < InterimTo) {
+            continue;
+        }
+        return head;
+    }
+}
+
+tl::expected<ReplyHead, UpstreamFailure> UpstreamCall::exchange(std::string request, TimePoint until, CallerWatch &caller)
+{
+    m_request = std::move(request);
+    m_unsent = m_request;
+    m_sent = true; // from here on a byte may have left
+    if (m_connection->send(m_unsent) == IoState::Reset) {
+        m_sendBroken = true;
+    }
+    for (;;) {
+        if (auto head = takeHead()) {
+            if (!*head) {
+                return tl::unexpected(failure(ErrorCode::InvalidReply));
+            }
+            const auto framing = replyFraming(**head);
+            if (!framing) {
+                return tl::unexpected(failure(ErrorCode::InvalidReply));
+            }
+            m_framing = *framing;
+            m_complete = m_framing.kind == BodyKind::None;
+            m_head = std::move(**head);
+            return m_head;
+        }
+        if (m_ended) {
+            return tl::unexpected(failure(ErrorCode::ConnectionLost));
+        }
+        if (auto waited = waitForBytes(until, caller); !waited) {
+            return tl::unexpected(waited.error());
+        }
+    }
+}
+
+tl::expected<bool, UpstreamFailure> UpstreamCall::decode(std::string &out, bool ended, bool reset)
+{
+    std::string &received = m_connection->received();
+    if (m_framing.kind == BodyKind::Chunked) {
+        if (const auto fed = m_chunks.feed(received, out); !fed) {
+            return tl::unexpected(failure(ErrorCode::InvalidReply));
+        }
+        m_complete = m_chunks.complete();
+    } else if (m_framing.kind == BodyKind::Length) {
+        const std::size_t taken = std::min(received.size(), m_framing.length - m_bodyRead);
+        out.append(received, 0, taken);
+        received.erase(0, taken);
+        m_bodyRead += taken;
+        m_complete = m_bodyRead == m_framing.length;
+    } else {
+        out += received;
+        received.clear();
+        m_complete = ended && !reset;
+    }
+    if (!m_complete && ended) {
+        return tl::unexpected(failure(ErrorCode::ConnectionLost));
+    }
+    return m_complete;
+}
+
+tl::expected<bool, UpstreamFailure> UpstreamCall::readBody(std::string &out, TimePoint until, CallerWatch &caller)
+{
+    if (m_complete) {
+        return true;
+    }
+    const std::size_t before = out.size();
+    for (;;) {
+        auto decoded = decode(out, m_ended, m_reset);
+        if (!decoded || *decoded || out.size() > before) {
+            return decoded;
+        }
+        if (auto waited = waitForBytes(until, caller); !waited) {
+            return tl::unexpected(waited.error());
+        }
+    }
+}
+
+tl::expected<std::string, UpstreamFailure> UpstreamCall::readAll(std::size_t limit, TimePoint until, CallerWatch &caller)
+{
+    std::string body;
+    for (;;) {
+        const auto complete = readBody(body, until, caller);
+        if (!complete) {
+            return tl::unexpected(complete.error());
+        }
+        if (body.size() > limit) {
+            return tl::unexpected(failure(ErrorCode::InvalidReply));
+        }
+        if (*complete) {
+            return body;
+        }
+    }
+}
+
+bool UpstreamCall::reusable() const
+{
+    return m_connection && m_complete && m_unsent.empty() && !m_sendBroken && !m_ended && m_framing.kind != BodyKind::UntilClose
+        && m_connection->received().empty() && m_head.minorVersion == 1 && !m_head.headers.listContains("Connection", "close");
+}
+
+void UpstreamCall::close()
+{
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/transport/messages.cpp
@@ -0,0 +1,383 @@
+#include "transport/transport.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cctype>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr std::size_t ChunkLineLimit = 1024; // bytes of a size line or of one trailer line
+constexpr std::size_t TrailerLimit = 8 * 1024; // bytes of all trailers
+constexpr std::size_t ChunkDigits = 8; // hexadecimal digits: 4 GB, more than any limit
+
+char lower(char c)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 || Others.find(c) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+    });
+}
+
+bool isTarget(std::string_view text)
+{
+    return !text.empty() && text.front() == '/' && std::all_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte > ' ' && byte < 0x7f;
+    });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+// The next line without its CR LF; a CR or LF anywhere else is an error.
+std::optional<std::string_view> nextLine(std::string_view &block)
+{
+    const std::size_t end = block.find("\r\n");
+    if (end == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view line = block.substr(0, end);
+    block.remove_prefix(end + 2);
+    if (line.find_first_of("\r\n") != std::string_view::npos) {
+        return std::nullopt;
+    }
+    return line;
+}
+
+std::optional<int> minorVersion(std::string_view text)
+{
+    if (text == "HTTP/1.1") {
+        return 1;
+    }
+    if (text == "HTTP/1.0") {
+        return 0;
+    }
+    return std::nullopt;
+}
+
+Result<void> parseFields(std::string_view block, Headers &headers, ErrorCode code)
+{
+    for (;;) {
+        const auto line = nextLine(block);
+        if (!line) {
+            return fail(code, "a line that does not end with CR LF");
+        }
+        if (line->empty()) {
+            return block.empty() ? Result<void>() : fail(code, "bytes behind the head");
+        }
+        const std::size_t colon = line->find(':');
+        if (colon == std::string_view::npos || !isToken(line->substr(0, colon))) {
+            return fail(code, "no proper header name"); // also a folded line and a space before the colon
+        }
+        const std::string_view value = trimmed(line->substr(colon + 1));
+        if (!isFieldValue(value)) {
+            return fail(code, "a control character in a header");
+        }
+        headers.add(std::string(line->substr(0, colon)), std::string(value));
+    }
+}
+
+std::optional<std::size_t> decimal(std::string_view text)
+{
+    std::size_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool digits = !text.empty() && std::isdigit(static_cast<unsigned char>(text.front())) != 0;
+    if (!digits || error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+// Framing from the fields alone; `absent` when there are none.
+Result<BodyFraming> framingOf(const Headers &headers, int version, BodyKind absent, ErrorCode code)
+{
+    const std::size_t codings = headers.count("Transfer-Encoding");
+    const std::size_t lengths = headers.count("Content-Length");
+    if (codings > 0) {
+        const bool chunked = codings == 1 && equalIgnoringCase(*headers.find("Transfer-Encoding"), "chunked");
+        if (!chunked || lengths > 0 || version == 0) {
+            return fail(code, "unknown or ambiguous transfer coding");
+        }
+        return BodyFraming{BodyKind::Chunked, 0};
+    }
+    if (lengths == 0) {
+        return BodyFraming{absent, 0};
+    }
+    const auto length = decimal(*headers.find("Content-Length"));
+    if (lengths > 1 || !length) {
+        return fail(code, "no single proper length");
+    }
+    return BodyFraming{*length == 0 ? BodyKind::None : BodyKind::Length, *length};
+}
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Headers
+//-----------------------------------------------------------------------------
+
+bool equalIgnoringCase(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return lower(x) == lower(y);
+           });
+}
+
+bool concernsOneConnection(std::string_view headerName)
+{
+    static constexpr std::array<std::string_view, 9> Names = {"Connection", "Keep-Alive",        "Proxy-Connection", "Transfer-Encoding", "TE",
+                                                              "Trailer",    "Proxy-Authenticate", "Upgrade",          "Content-Length"};
+    return std::any_of(Names.begin(), Names.end(), [&](std::string_view name) {
+        return equalIgnoringCase(name, headerName);
+    });
+}
+
+const std::string *Headers::find(std::string_view name) const
+{
+    for (const HeaderField &field : m_fields) {
+        if (equalIgnoringCase(field.name, name)) {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
+std::size_t Headers::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(std::count_if(m_fields.begin(), m_fields.end(), [&](const HeaderField &field) {
+        return equalIgnoringCase(field.name, name);
+    }));
+}
+
+void Headers::add(std::string name, std::string value)
+{
+    m_fields.push_back(HeaderField{std::move(name), std::move(value)});
+}
+
+void Headers::remove(std::string_view name)
+{
+    m_fields.erase(std::remove_if(m_fields.begin(), m_fields.end(),
+                                  [&](const HeaderField &field) {
+                                      return equalIgnoringCase(field.name, name);
+                                  }),
+                   m_fields.end());
+}
+
+bool Headers::listContains(std::string_view name, std::string_view token) const
+{
+    for (const HeaderField &field : m_fields) {
+        if (!equalIgnoringCase(field.name, name)) {
+            continue;
+        }
+        std::string_view rest = field.value;
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            if (equalIgnoringCase(trimmed(rest.substr(0, comma)), token)) {
+                return true;
+            }
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return false;
+}
+
+//-----------------------------------------------------------------------------
+// Heads
+//-----------------------------------------------------------------------------
+
+Result<RequestHead> parseRequestHead(std::string_view block)
+{
+    const auto line = nextLine(block);
+    if (!line) {
+        return fail(ErrorCode::MalformedRequest, "no request line");
+    }
+    const std::size_t first = line->find(' ');
+    const std::size_t second = first == std::string_view::npos ? first : line->find(' ', first + 1);
+    if (second == std::string_view::npos) {
+        return fail(ErrorCode::MalformedRequest, "no proper request line");
+    }
+    RequestHead head;
+    head.method = line->substr(0, first);
+    head.target = line->substr(first + 1, second - first - 1);
+    const auto version = minorVersion(line->substr(second + 1));
+    if (!isToken(head.method) || !isTarget(head.target) || !version) {
+        return fail(ErrorCode::MalformedRequest, "no proper request line");
+    }
+    head.minorVersion = *version;
+    if (auto fields = parseFields(block, head.headers, ErrorCode::MalformedRequest); !fields) {
+        return tl::unexpected(fields.error());
+    }
+    if (head.headers.count("Host") != 1) {
+        return fail(ErrorCode::MalformedRequest, "not exactly one Host");
+    }
+    return head;
+}
+
+Result<BodyFraming> requestFraming(const RequestHead &head)
+{
+    return framingOf(head.headers, head.minorVersion, BodyKind::None, ErrorCode::MalformedRequest);
+}
+
+Result<ReplyHead> parseReplyHead(std::string_view block)
+{
+    constexpr std::size_t VersionSize = 8;
+    constexpr std::size_t StatusSize = 3;
+    const auto line = nextLine(block);
+    if (!line || line->size() < VersionSize + 1 + StatusSize || (*line)[VersionSize] != ' ') {
+        return fail(ErrorCode::InvalidReply, "no status line");
+    }
+    const auto version = minorVersion(line->substr(0, VersionSize));
+    const auto status = decimal(line->substr(VersionSize + 1, StatusSize));
+    const bool ends = line->size() == VersionSize + 1 + StatusSize || (*line)[VersionSize + 1 + StatusSize] == ' ';
+    if (!version || !status || *status < 100 || *status > 599 || !ends) {
+        return fail(ErrorCode::InvalidReply, "no proper status line");
+    }
+    ReplyHead head;
+    head.status = static_cast<int>(*status);
+    head.minorVersion = *version;
+    if (auto fields = parseFields(block, head.headers, ErrorCode::InvalidReply); !fields) {
+        return tl::unexpected(fields.error());
+    }
+    return head;
+}
+
+Result<BodyFraming> replyFraming(const ReplyHead &head)
+{
+    if (head.status == 204 || head.status == 304) {
+        return BodyFraming{};
+    }
+    return framingOf(head.headers, head.minorVersion, BodyKind::UntilClose, ErrorCode::InvalidReply);
+}
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Chunks
+//-----------------------------------------------------------------------------
+
+const std::string_view LastChunk = "0\r\n\r\n";
+
+void appendChunk(std::string &out, std::string_view data)
+{
+    std::array<char, 20> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
+    out.append(size.data(), end);
+    out += "\r\n";
+    out += data;
+    out += "\r\n";
+}
+
+Result<bool> ChunkDecoder::takeLine(std::string &in, std::string &line)
+{
+    const std::size_t end = in.find('\n');
+    if (end == std::string::npos) {
+        return in.size() > ChunkLineLimit ? Result<bool>(fail(ErrorCode::MalformedRequest, "chunk line too long")) : Result<bool>(false);
+    }
+    if (end == 0 || in[end - 1] != '\r' || end > ChunkLineLimit) {
+        return fail(ErrorCode::MalformedRequest, "no proper chunk line");
+    }
+    line = in.substr(0, end - 1);
+    in.erase(0, end + 1);
+    return true;
+}
+
+Result<void> ChunkDecoder::feed(std::string &in, std::string &out)
+{
+    while (m_state != State::Done) {
+        if (m_state == State::Data) {
+            const std::size_t taken = std::min(m_left, in.size());
+            out.append(in, 0, taken);
+            in.erase(0, taken);
+            m_left -= taken;
+            if (m_left > 0) {
+                return {};
+            }
+            m_state = State::DataEnd;
+            continue;
+        }
+        std::string line;
+        const auto whole = takeLine(in, line);
+        if (!whole) {
+            return tl::unexpected(whole.error());
+        }
+        if (!*whole) {
+            return {};
+        }
+        if (m_state == State::DataEnd) {
+            if (!line.empty()) {
+                return fail(ErrorCode::MalformedRequest, "a chunk longer than its size");
+            }
+            m_state = State::Size;
+        } else if (m_state == State::Trailer) {
+            m_trailerBytes += line.size();
+            if (m_trailerBytes > TrailerLimit) {
+                return fail(ErrorCode::MalformedRequest, "trailers too long");
+            }
+            m_state = line.empty() ? State::Done : State::Trailer;
+        } else {
+            const std::string_view digits = std::string_view(line).substr(0, line.find(';'));
+            std::size_t size = 0;
+            const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
+            const bool proper = !digits.empty() && digits.size() <= ChunkDigits && digits.front() != '-' && error == std::errc();
+            if (!proper || end != digits.data() + digits.size()) {
+                return fail(ErrorCode::MalformedRequest, "no proper chunk size");
+            }
+            m_left = size;
+            m_state = size == 0 ? State::Trailer : State::Data;
+        }
+    }
+    return {};
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/transport/server.cpp
@@ -0,0 +1,465 @@
+#include "transport/transport.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr int ListenBacklog = 512; // connections not yet accepted
+constexpr std::size_t PipelinedLimit = 64 * 1024; // bytes read ahead while a request is served
+constexpr Duration ErrorReplyTime = std::chrono::seconds(1); // for an answer to something unreadable
+constexpr Duration SweepInterval = std::chrono::seconds(1); // looks for connections that idle too long
+constexpr std::size_t EventsAtOnce = 64;
+
+int pollTimeout(TimePoint until)
+{
+    const auto left = until - std::chrono::steady_clock::now();
+    return left <= Duration::zero() ? 0 : static_cast<int>(toMilliseconds(left).count()) + 1;
+}
+} // namespace
+
+// A caller's connection. Its worker owns it while a request is served, the watching thread between two.
+class FrontConnection
+{
+public:
+    explicit FrontConnection(const Poco::Net::StreamSocket &socket)
+        : io(socket)
+        , descriptor(io.descriptor())
+    {
+    }
+    Connection io;
+    const int descriptor; // kept as the key after the socket is closed
+    bool gone = false;
+    bool idle = false; // guarded by the server's mutex
+    TimePoint idleSince{};
+};
+
+//-----------------------------------------------------------------------------
+// FrontExchange
+//-----------------------------------------------------------------------------
+
+FrontExchange::FrontExchange(FrontServer &server, FrontConnection &connection, RequestHead head, std::string body, TimePoint arrived)
+    : m_server(server)
+    , m_connection(connection)
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+    , m_arrived(arrived)
+    , m_close(m_head.minorVersion == 0 || m_head.headers.listContains("Connection", "close"))
+{
+}
+
+std::string_view FrontExchange::path() const
+{
+    const std::string_view target = m_head.target;
+    return target.substr(0, target.find('?'));
+}
+
+std::string FrontExchange::encodeHead(int status, const Headers &headers) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\n";
+    for (const HeaderField &field : headers.all()) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    if (m_close || m_server.closing()) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+bool FrontExchange::send(std::string_view bytes, TimePoint until)
+{
+    assertNoLockHeld("FrontExchange::send");
+    while (!bytes.empty() && !m_connection.gone) {
+        const IoState state = m_connection.io.send(bytes);
+        if (state == IoState::Reset) {
+            m_connection.gone = true;
+        } else if (state == IoState::WouldBlock) {
+            pollfd entry{m_connection.io.descriptor(), POLLOUT, 0};
+            (void)::poll(&entry, 1, pollTimeout(until));
+            if (std::chrono::steady_clock::now() >= until) {
+                m_connection.gone = true; // it takes nothing: as good as gone
+            }
+        }
+    }
+    return !m_connection.gone;
+}
+
+bool FrontExchange::reply(int status, const Headers &headers, std::string_view body, TimePoint until)
+{
+    m_answered = true;
+    std::string text = encodeHead(status, headers);
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (m_head.method != "HEAD") {
+        text += body;
+    }
+    return send(text, until);
+}
+
+bool FrontExchange::beginStream(int status, const Headers &headers, std::string_view firstBytes, TimePoint until)
+{
+    m_answered = true;
+    m_streaming = true;
+    m_chunked = m_head.minorVersion == 1;
+    m_close = m_close || !m_chunked;
+    std::string text = encodeHead(status, headers);
+    text += m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+    if (m_chunked && !firstBytes.empty()) {
+        appendChunk(text, firstBytes);
+    } else {
+        text += firstBytes;
+    }
+    return send(text, until);
+}
+
+bool FrontExchange::streamBytes(std::string_view bytes, TimePoint until)
+{
+    if (!m_chunked || bytes.empty()) {
+        return send(bytes, until);
+    }
+    std::string text;
+    appendChunk(text, bytes);
+    return send(text, until);
+}
+
+bool FrontExchange::endStream(TimePoint until)
+{
+    m_streaming = false;
+    return m_chunked ? send(LastChunk, until) : !m_connection.gone;
+}
+
+void FrontExchange::abort()
+{
+    m_answered = true;
+    m_connection.gone = true;
+    m_connection.io.abort();
+}
+
+bool FrontExchange::gone() const
+{
+    return m_connection.gone;
+}
+
+void FrontExchange::prepare(pollfd &entry) const
+{
+    const bool full = m_connection.io.received().size() >= PipelinedLimit;
+    entry.fd = m_connection.gone ? -1 : m_connection.io.descriptor();
+    entry.events = static_cast<short>(full ? POLLRDHUP : POLLIN | POLLRDHUP);
+    entry.revents = 0;
+}
+
+void FrontExchange::examine(const pollfd &entry)
+{
+    if (entry.fd < 0 || entry.revents == 0) {
+        return;
+    }
+    if ((entry.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0) {
+        m_connection.gone = true;
+        return;
+    }
+    const IoState state = m_connection.io.receive(); // a further request, kept for later, or the end
+    if (state == IoState::Closed || state == IoState::Reset) {
+        m_connection.gone = true;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// FrontServer
+//-----------------------------------------------------------------------------
+
+FrontServer::FrontServer(std::string name, const std::string &address, FrontHandler &handler, GrowingPool &pool)
+    : m_name(std::move(name))
+    , m_handler(handler)
+    , m_pool(pool)
+    , m_epoll(::epoll_create1(EPOLL_CLOEXEC))
+    , m_stop(makeRef<Signal>())
+{
+    m_listener.bind(Poco::Net::SocketAddress(address), true);
+    m_listener.listen(ListenBacklog);
+    m_listener.setBlocking(false);
+    for (const int descriptor : {static_cast<int>(m_listener.impl()->sockfd()), m_stop->descriptor()}) {
+        epoll_event event{};
+        event.events = EPOLLIN;
+        event.data.fd = descriptor;
+        (void)::epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
+    }
+    m_thread = std::thread([this] {
+        watch();
+    });
+}
+
+FrontServer::~FrontServer()
+{
+    stop();
+    ::close(m_epoll);
+}
+
+std::string FrontServer::address() const
+{
+    return m_listener.address().toString();
+}
+
+void FrontServer::beginClosing()
+{
+    m_closing = true;
+}
+
+void FrontServer::closeIdle()
+{
+    m_closing = true;
+    m_accepting = false;
+    m_stop->raise();
+}
+
+void FrontServer::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    m_stopping = true;
+    m_stop->raise();
+    m_thread.join();
+}
+
+void FrontServer::watch()
+{
+    std::array<epoll_event, EventsAtOnce> events{};
+    TimePoint nextSweep = std::chrono::steady_clock::now() + SweepInterval;
+    while (!m_stopping) {
+        const int count = ::epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), pollTimeout(nextSweep));
+        for (int i = 0; i < count; ++i) {
+            const int descriptor = events.at(static_cast<std::size_t>(i)).data.fd;
+            if (descriptor == m_stop->descriptor()) {
+                m_stop->clear();
+            } else if (descriptor == static_cast<int>(m_listener.impl()->sockfd())) {
+                accept();
+            } else {
+                ready(descriptor);
+            }
+        }
+        if (!m_accepting || std::chrono::steady_clock::now() >= nextSweep) {
+            sweep();
+            nextSweep = std::chrono::steady_clock::now() + SweepInterval;
+        }
+    }
+}
+
+void FrontServer::accept()
+{
+    for (;;) {
+        try {
+            const Poco::Net::StreamSocket socket = m_listener.acceptConnection();
+            auto connection = std::make_unique<FrontConnection>(socket);
+            FrontConnection &added = *connection;
+            {
+                const Lock lock(m_mutex);
+                m_connections[added.descriptor] = std::move(connection);
+            }
+            park(added);
+        } catch (const Poco::Exception &) {
+            return; // nothing more waits
+        }
+    }
+}
+
+void FrontServer::ready(int descriptor)
+{
+    FrontConnection *connection = nullptr;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_connections.find(descriptor);
+        if (found == m_connections.end() || !found->second->idle) {
+            return;
+        }
+        connection = found->second.get();
+        connection->idle = false;
+    }
+    ++m_busy;
+    m_pool.post([this, connection] {
+        serve(*connection);
+        --m_busy;
+    });
+}
+
+// Leaves the connection to the watching thread until there is something to read.
+void FrontServer::park(FrontConnection &connection)
+{
+    epoll_event event{};
+    event.events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+    event.data.fd = connection.descriptor;
+    const Lock lock(m_mutex);
+    const bool known = connection.idleSince != TimePoint{};
+    connection.idle = true;
+    connection.idleSince = std::chrono::steady_clock::now();
+    (void)::epoll_ctl(m_epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, connection.descriptor, &event);
+}
+
+void FrontServer::drop(FrontConnection &connection)
+{
+    std::unique_ptr<FrontConnection> owned;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_connections.find(connection.descriptor);
+        owned = std::move(found->second);
+        m_connections.erase(found);
+        owned->io.close(); // within the lock: the number may be given to a new connection at once
+    }
+}
+
+void FrontServer::sweep()
+{
+    const Duration limit = m_accepting ? Duration(m_handler.limits().idleTimeout) : Duration::zero();
+    const TimePoint now = std::chrono::steady_clock::now();
+    const Lock lock(m_mutex);
+    for (auto it = m_connections.begin(); it != m_connections.end();) {
+        const FrontConnection &connection = *it->second;
+        it = connection.idle && now - connection.idleSince >= limit ? m_connections.erase(it) : std::next(it);
+    }
+    if (!m_accepting) {
+        m_listener.close();
+    }
+}
+
+void FrontServer::serve(FrontConnection &connection)
+{
+    bool open = true;
+    do {
+        open = serveOne(connection);
+    } while (open && !connection.io.received().empty());
+    if (open) {
+        park(connection);
+    } else {
+        drop(connection);
+    }
+}
+
+bool FrontServer::readHead(FrontConnection &connection, const FrontLimits &limits, TimePoint until, std::string &block)
+{
+    std::string &received = connection.io.received();
+    for (;;) {
+        const std::size_t end = received.find("\r\n\r\n");
+        const bool bare = received.find("\n\n") < end; // bare line feeds never end a head
+        if (end != std::string::npos && end + 4 <= limits.headBytes && !bare) {
+            block = received.substr(0, end + 4);
+            received.erase(0, end + 4);
+            return true;
+        }
+        if (received.size() > limits.headBytes || bare) {
+            refuse(connection, bare ? ErrorCode::MalformedRequest : ErrorCode::HeaderTooLarge, bare ? 400 : 431);
+            return false;
+        }
+        pollfd entry{connection.io.descriptor(), POLLIN, 0};
+        (void)::poll(&entry, 1, pollTimeout(until));
+        const IoState state = connection.io.receive();
+        if (state == IoState::Closed || state == IoState::Reset) {
+            return false;
+        }
+        if (state == IoState::WouldBlock && std::chrono::steady_clock::now() >= until) {
+            if (!received.empty()) {
+                refuse(connection, ErrorCode::ReadTimeout, 408);
+            }
+            return false;
+        }
+    }
+}
+
+Result<std::string> FrontServer::readBody(FrontConnection &connection, const BodyFraming &framing, const FrontLimits &limits)
+{
+    std::string body;
+    if (framing.kind == BodyKind::None) {
+        return body;
+    }
+    if (framing.kind == BodyKind::Length && framing.length > limits.bodyBytes) {
+        return fail(ErrorCode::BodyTooLarge);
+    }
+    const TimePoint until = std::chrono::steady_clock::now() + limits.bodyTimeout;
+    std::string &received = connection.io.received();
+    ChunkDecoder chunks;
+    for (;;) {
+        if (framing.kind == BodyKind::Chunked) {
+            if (auto fed = chunks.feed(received, body); !fed) {
+                return tl::unexpected(fed.error());
+            }
+        } else {
+            const std::size_t taken = std::min(received.size(), framing.length - body.size());
+            body.append(received, 0, taken);
+            received.erase(0, taken);
+        }
+        if (body.size() > limits.bodyBytes) {
+            return fail(ErrorCode::BodyTooLarge);
+        }
+        if (framing.kind == BodyKind::Chunked ? chunks.complete() : body.size() == framing.length) {
+            return body;
+        }
+        pollfd entry{connection.io.descriptor(), POLLIN, 0};
+        (void)::poll(&entry, 1, pollTimeout(until));
+        const IoState state = connection.io.receive();
+        if (state == IoState::Closed || state == IoState::Reset) {
+            return fail(ErrorCode::CallerGone);
+        }
+        if (state == IoState::WouldBlock && std::chrono::steady_clock::now() >= until) {
+            return fail(ErrorCode::ReadTimeout);
+        }
+    }
+}
+
+// Answers something that can't be read, and takes nothing more from the connection.
+void FrontServer::refuse(FrontConnection &connection, ErrorCode code, int status)
+{
+    logEvent(LogLevel::Warning, "request.unreadable", {{"server", m_name}, {"code", code}, {"status", status}});
+    FrontExchange exchange(*this, connection, RequestHead{}, std::string(), std::chrono::steady_clock::now());
+    exchange.closeAfter();
+    Headers headers;
+    headers.add("Content-Type", "application/json");
+    (void)exchange.reply(status, headers, m_handler.describeError(code), std::chrono::steady_clock::now() + ErrorReplyTime);
+    // Unread bytes would turn the close into a reset that could overtake the answer.
+    (void)::shutdown(connection.io.descriptor(), SHUT_WR);
+    while (connection.io.receive() == IoState::Progress) {
+        connection.io.received().clear();
+    }
+}
+
+bool FrontServer::serveOne(FrontConnection &connection)
+{
+    const TimePoint arrived = std::chrono::steady_clock::now();
+    const FrontLimits limits = m_handler.limits();
+    std::string block;
+    if (!readHead(connection, limits, arrived + limits.headTimeout, block)) {
+        return false;
+    }
+    auto head = parseRequestHead(block);
+    const auto framing = head ? requestFraming(*head) : Result<BodyFraming>(tl::unexpected(head.error()));
+    if (!framing) {
+        refuse(connection, ErrorCode::MalformedRequest, 400);
+        return false;
+    }
+    if (head->headers.listContains("Expect", "100-continue") && connection.io.received().empty()) {
+        std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        (void)connection.io.send(interim);
+    }
+    auto body = readBody(connection, *framing, limits);
+    if (!body) {
+        const ErrorCode code = body.error().code;
+        if (code != ErrorCode::CallerGone) {
+            refuse(connection, code, code == ErrorCode::BodyTooLarge ? 413 : code == ErrorCode::ReadTimeout ? 408 : 400);
+        }
+        return false;
+    }
+    FrontExchange exchange(*this, connection, std::move(*head), std::move(*body), arrived);
+    m_handler.serve(exchange);
+    const bool unfinished = !exchange.m_answered || exchange.m_streaming;
+    if (unfinished && !connection.gone) {
+        connection.io.abort();
+    }
+    return !unfinished && !connection.gone && !exchange.m_close && !m_closing;
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/transport/sockets.cpp
@@ -0,0 +1,128 @@
+#include "transport/transport.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <cerrno>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr std::size_t ReceiveBytes = 16 * 1024;
+} // namespace
+
+Connection::Connection(const Poco::Net::StreamSocket &socket)
+    : m_socket(socket)
+    , m_descriptor(static_cast<int>(socket.impl()->sockfd()))
+{
+    m_socket.setBlocking(false);
+    m_socket.setNoDelay(true);
+}
+
+Connection::~Connection()
+{
+    close();
+}
+
+IoState Connection::receive()
+{
+    std::array<char, ReceiveBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by recv
+    const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        m_received.append(buffer.data(), static_cast<std::size_t>(count));
+        return IoState::Progress;
+    }
+    if (count == 0) {
+        return IoState::Closed;
+    }
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoState::WouldBlock : IoState::Reset;
+}
+
+IoState Connection::send(std::string_view &data)
+{
+    const ssize_t count = ::send(m_descriptor, data.data(), data.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count >= 0) {
+        data.remove_prefix(static_cast<std::size_t>(count));
+        return IoState::Progress;
+    }
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoState::WouldBlock : IoState::Reset;
+}
+
+void Connection::abort()
+{
+    if (m_descriptor >= 0) {
+        const linger hard{1, 0};
+        (void)::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    }
+    close();
+}
+
+void Connection::close()
+{
+    if (m_descriptor >= 0) {
+        m_descriptor = -1;
+        m_socket.close();
+    }
+}
+
+Signal::Signal()
+    : m_descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+}
+
+Signal::~Signal()
+{
+    ::close(m_descriptor);
+}
+
+void Signal::raise()
+{
+    const std::uint64_t one = 1;
+    if (::write(m_descriptor, &one, sizeof one) < 0 && errno != EAGAIN) {
+        logEvent(LogLevel::Error, "signal.raise_failed", {{"errno", errno}});
+    }
+}
+
+void Signal::clear()
+{
+    std::uint64_t count = 0;
+    if (::read(m_descriptor, &count, sizeof count) < 0 && errno != EAGAIN) {
+        logEvent(LogLevel::Error, "signal.clear_failed", {{"errno", errno}});
+    }
+}
+
+void NoCaller::prepare(pollfd &entry) const
+{
+    entry.fd = -1;
+}
+
+Result<void> awaitSignal(Signal &signal, CallerWatch &caller, TimePoint until)
+{
+    assertNoLockHeld("awaitSignal");
+    for (;;) {
+        const auto left = until - std::chrono::steady_clock::now();
+        if (left <= Duration::zero()) {
+            return fail(ErrorCode::DeadlineExceeded);
+        }
+        std::array<pollfd, 2> entries{};
+        entries[0].fd = signal.descriptor();
+        entries[0].events = POLLIN;
+        caller.prepare(entries[1]);
+        (void)::poll(entries.data(), entries.size(), static_cast<int>(toMilliseconds(left).count()) + 1);
+        caller.examine(entries[1]);
+        if (caller.gone()) {
+            return fail(ErrorCode::CallerGone);
+        }
+        if ((entries[0].revents & POLLIN) != 0) {
+            signal.clear();
+            return {};
+        }
+    }
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/watch/watch.cpp
@@ -0,0 +1,105 @@
+#include "watch/watch.h"
+
+#include "deployment/deployment.h"
+
+namespace vanillanotch
+{
+
+TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, WatchSettings settings, MetricsRegistry &metrics)
+    : m_store(store)
+    , m_table(std::move(table))
+    , m_listener(listener)
+    , m_settings(settings)
+    , m_calls(metrics.counter("vanillanotch_store_calls_total", "table=\"" + m_table + "\""))
+    , m_failures(metrics.counter("vanillanotch_store_failures_total", "table=\"" + m_table + "\""))
+    , m_nextPause(settings.firstPause)
+{
+}
+
+TableWatch::~TableWatch()
+{
+    stop();
+}
+
+void TableWatch::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void TableWatch::stop()
+{
+    {
+        const Lock lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void TableWatch::run()
+{
+    for (;;) {
+        if (step()) {
+            m_nextPause = m_settings.firstPause;
+        } else {
+            pause();
+        }
+        const Lock lock(m_mutex);
+        if (m_stopping) {
+            return;
+        }
+    }
+}
+
+void TableWatch::pause()
+{
+    // A random part keeps nodes apart that lost the store at the same moment.
+    const double part = std::uniform_real_distribution<double>(0.5, 1.0)(m_generator);
+    const auto duration = std::chrono::duration_cast<Duration>(m_nextPause * part);
+    m_nextPause = std::min<Duration>(m_settings.longestPause, m_nextPause * 2);
+    Lock lock(m_mutex);
+    m_wake.wait_for(lock, duration, [this] {
+        return m_stopping;
+    });
+}
+
+bool TableWatch::step()
+{
+    const TimePoint began = suspendAwareNow();
+    m_calls.add();
+    const bool whole = !m_version;
+    const auto rows = whole ? m_store.readTable(m_table, m_settings.answerLimit)
+                            : m_store.awaitChanges(m_table, *m_version, m_settings.wait, m_settings.wait + m_settings.answerLimit);
+    if (!rows) {
+        if (rows.error().code == ErrorCode::StoreHistoryGone) {
+            logEvent(LogLevel::Warning, "store.history_gone", {{"table", m_table}, {"version", *m_version}});
+            m_version.reset();
+            return true;
+        }
+        m_failures.add();
+        m_lastFailure = suspendAwareNow();
+        if (!m_lost) {
+            logEvent(LogLevel::Warning, "store.lost", {{"table", m_table}, {"error", rows.error().code}, {"detail", rows.error().detail}});
+        }
+        m_lost = true;
+        return false;
+    }
+    if (m_lost) {
+        logEvent(LogLevel::Info, "store.regained", {{"table", m_table}, {"version", rows->version}});
+        m_lost = false;
+    }
+    const bool afterTrouble = m_lastFailure != TimePoint{} && suspendAwareNow() - m_lastFailure < m_settings.troubleMemory;
+    if (whole) {
+        m_listener.snapshot(*rows, began, afterTrouble);
+    } else {
+        m_listener.changes(*rows, began, afterTrouble);
+    }
+    m_version = std::max(m_version.value_or(0), rows->version);
+    return true;
+}
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/wire/entry_yaml.cpp
@@ -0,0 +1,53 @@
+#include "wire/yaml_reader.h"
+
+namespace vanillanotch
+{
+
+namespace
+{
+void readOneOf(YamlMapping &document, const std::string &name, std::string &value, const std::vector<std::string> &allowed)
+{
+    document.read(name, value);
+    std::string list;
+    for (const std::string &word : allowed) {
+        if (word == value) {
+            return;
+        }
+        list += (list.empty() ? "" : ", ") + word;
+    }
+    document.problems().add(document.markOf(name), name, "allowed are " + list);
+}
+} // namespace
+
+tl::expected<EntrySettings, std::vector<FileProblem>> parseEntrySettingsYaml(const std::string &text, const std::string &file)
+{
+    using std::chrono::milliseconds;
+    YamlProblems problems(file);
+    const auto root = parseYaml(text, problems);
+    if (!root) {
+        return tl::unexpected(problems.take());
+    }
+    EntrySettings settings;
+    YamlMapping document(*root, "", problems);
+    document.read("node", settings.node, true);
+    document.read("data_centre", settings.dataCentre, true);
+    document.read("caller_address", settings.callerAddress, true);
+    document.read("readiness_address", settings.readinessAddress, true);
+    document.read("peer_address", settings.peerAddress, true);
+    document.read("store_address", settings.storeAddress, true);
+    document.read("revocation_bound_ms", settings.revocationBound, milliseconds(100), milliseconds(600000));
+    document.read("stop_limit_ms", settings.stopLimit, milliseconds(100), milliseconds(600000));
+    document.read("retry_window_ms", settings.retryWindow, milliseconds(100), milliseconds(600000));
+    document.read("retry_ratio", settings.retryRatio, 0, 10);
+    document.read("retry_extra", settings.retryExtra, 0, 1e9);
+    readOneOf(document, "stage_sharing", settings.stageSharing, {"each_node", "owners", "owners_by_data_centre"});
+    readOneOf(document, "engine_choice", settings.engineChoice, {"prompt_home", "shortest_time", "least_outstanding"});
+    settings.logLevel = readLogLevel(document);
+    document.finish();
+    if (!problems.empty()) {
+        return tl::unexpected(problems.take());
+    }
+    return settings;
+}
+
+} // namespace vanillanotch
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -11,7 +11,7 @@
 #include "configuration/configuration.h"
 #include "fleet/fleet.h"
 #include "journal/journal.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "request/request.h"
 #include "steward/steward.h"
 
@@ -69,6 +69,25 @@
 };
 tl::expected<NodeSettings, std::vector<FileProblem>> parseNodeSettingsYaml(const std::string &text, const std::string &file);
 
+// What a node on the users' platform is told at its start; deploy/entry.yaml is filled in by the platform.
+struct EntrySettings {
+    std::string node; // name of the entry VM; no default
+    std::string dataCentre; // no default
+    std::string callerAddress; // IP:port, callers' HTTP; no default
+    std::string readinessAddress; // IP:port, the balancer's question; no default
+    std::string peerAddress; // IP:port, other nodes and metrics; no default
+    std::string storeAddress; // IP:port, the platform's store; no default
+    LogLevel logLevel = LogLevel::Info;
+    std::chrono::milliseconds revocationBound{5000}; // a key that was taken away is refused after this long
+    std::chrono::milliseconds stopLimit{8000}; // from SIGTERM until the platform kills the process
+    std::chrono::milliseconds retryWindow{10000}; // of the retry budget
+    double retryRatio = 0.2; // repeated calls / requests, by service and window
+    double retryExtra = 0; // repeated calls besides, at all nodes together
+    std::string stageSharing = "owners"; // each_node, owners or owners_by_data_centre
+    std::string engineChoice = "prompt_home"; // prompt_home, shortest_time or least_outstanding
+};
+tl::expected<EntrySettings, std::vector<FileProblem>> parseEntrySettingsYaml(const std::string &text, const std::string &file);
+
 //-----------------------------------------------------------------------------
 // [JSON]
 //-----------------------------------------------------------------------------
--- a/src/wire/yaml.cpp
+++ b/src/wire/yaml.cpp
@@ -35,16 +35,6 @@
 
 namespace
 {
-std::optional<YAML::Node> parseYaml(const std::string &text, YamlProblems &problems)
-{
-    try {
-        return YAML::Load(text);
-    } catch (const YAML::Exception &exception) {
-        problems.add(exception.mark, "", exception.msg);
-        return std::nullopt;
-    }
-}
-
 //-----------------------------------------------------------------------------
 // [CONFIGURATION]
 //-----------------------------------------------------------------------------
@@ -370,19 +360,6 @@
     check(makeRouting(settings.routing) != nullptr, "routing", "allowed are deadline_cost, round_robin and least_outstanding");
 }
 
-LogLevel readLogLevel(YamlMapping &document)
-{
-    std::string name = "info";
-    document.read("log_level", name);
-    const std::map<std::string, LogLevel> levels{
-        {"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}};
-    const auto found = levels.find(name);
-    if (found == levels.end()) {
-        document.problems().add(document.markOf("log_level"), "log_level", "allowed are debug, info, warning and error");
-        return LogLevel::Info;
-    }
-    return found->second;
-}
 } // namespace
 
 tl::expected<NodeSettings, std::vector<FileProblem>> parseNodeSettingsYaml(const std::string &text, const std::string &file)
--- a/src/wire/yaml_reader.cpp
+++ b/src/wire/yaml_reader.cpp
@@ -141,4 +141,28 @@
     }
 }
 
+std::optional<YAML::Node> parseYaml(const std::string &text, YamlProblems &problems)
+{
+    try {
+        return YAML::Load(text);
+    } catch (const YAML::Exception &exception) {
+        problems.add(exception.mark, "", exception.msg);
+        return std::nullopt;
+    }
+}
+
+LogLevel readLogLevel(YamlMapping &document)
+{
+    std::string name = "info";
+    document.read("log_level", name);
+    const std::map<std::string, LogLevel> levels{
+        {"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}};
+    const auto found = levels.find(name);
+    if (found == levels.end()) {
+        document.problems().add(document.markOf("log_level"), "log_level", "allowed are debug, info, warning and error");
+        return LogLevel::Info;
+    }
+    return found->second;
+}
+
 } // namespace vanillanotch
--- a/src/wire/yaml_reader.h
+++ b/src/wire/yaml_reader.h
@@ -68,4 +68,7 @@
     std::set<std::string> m_known;
 };
 
+std::optional<YAML::Node> parseYaml(const std::string &text, YamlProblems &problems); // nullopt: no YAML
+LogLevel readLogLevel(YamlMapping &document); // member log_level
+
 } // namespace vanillanotch
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -4,7 +4,7 @@
 //     down       connections are closed without an answer, nothing takes effect
 //     lose_next  so many writes take effect and then lose their answer
 //   PUT  /v1/vms (JSON list document), GET /counts (reads and writes served)
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "standin.h"
 
 #include <nlohmann/json.hpp>
--- a/tests/support/fakes.h
+++ b/tests/support/fakes.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "journal/journal.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "wire/wire.h"
 
 #include <random>
