--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -10,6 +10,7 @@
 {
 constexpr std::size_t PartialEventLimit = 1024 * 1024; // bytes of one event
 constexpr std::chrono::milliseconds UnstatedDeadline{30000}; // for a caller that states none
+constexpr std::size_t LargeResult = 500'000; // bytes of one piece; a server has room for a few dozen of these
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
 
@@ -203,38 +204,79 @@
     return handles;
 }
 
-void ForwardRun::submitReady()
+bool ForwardRun::isFollowed(std::size_t stage) const
 {
-    for (std::size_t index = 0; index < m_stages.size(); ++index) {
-        StageState &state = m_stages[index];
-        const StageStep &step = m_route->stages[index];
-        const bool ready = std::all_of(step.after.begin(), step.after.end(), [this](std::size_t before) {
-            return before < m_stages.size() && m_stages[before].done;
-        });
-        if (state.submitted || !ready) {
-            continue;
-        }
-        state.submitted = true;
-        const unsigned pieces = index < m_request.pieces.size() ? m_request.pieces[index] : 0;
-        if (pieces == 0) {
-            state.done = true;
-            submitReady(); // what waits for an omitted stage is ready too
-            return;
+    return std::any_of(m_route->stages.begin(), m_route->stages.end(), [stage](const StageStep &step) {
+        return std::find(step.after.begin(), step.after.end(), stage) != step.after.end();
+    });
+}
+
+bool ForwardRun::mayStart(std::size_t stage) const
+{
+    const StageStep &step = m_route->stages[stage];
+    const bool inputsDone = std::all_of(step.after.begin(), step.after.end(), [this](std::size_t before) {
+        return before < m_stages.size() && m_stages[before].done;
+    });
+    if (m_stages[stage].submitted || !inputsDone) {
+        return false;
+    }
+    if (isFollowed(stage) || step.resultBytes < LargeResult) {
+        return true;
+    }
+    // Large results that only the engine needs are made last: until then they would fill the room for results.
+    for (std::size_t other = 0; other < m_stages.size(); ++other) {
+        if (!m_stages[other].submitted && other != stage && !(step.after.empty() && m_route->stages[other].after.empty() && !isFollowed(other))) {
+            return false;
         }
-        StageOrder order;
-        order.request = m_request.attempt;
-        order.stage = index;
-        order.service = step.service;
-        order.pieces = pieces;
-        order.inputs = handlesOf(step.after);
-        order.key = order.inputs.empty() ? m_request.pieceKey : std::string();
-        order.resultBytes = step.resultBytes;
+    }
+    return true;
+}
+
+StageOrder ForwardRun::orderFor(std::size_t stage, unsigned pieces) const
+{
+    const StageStep &step = m_route->stages[stage];
+    StageOrder order;
+    order.request = m_request.attempt;
+    order.stage = stage;
+    order.service = step.service;
+    order.pieces = pieces;
+    order.inputs = handlesOf(step.after);
+    order.key = order.inputs.empty() ? m_request.pieceKey : std::string();
+    order.resultBytes = step.resultBytes;
+    order.target = m_target;
+    order.deadline = m_deadline;
+    order.priority = m_priority;
+    if (order.inputs.empty()) {
         order.dataCentre = m_homeDataCentre;
-        order.target = m_target;
-        order.deadline = m_deadline;
-        order.priority = m_priority;
-        state.run = makeRef<StageRun>(std::move(order), m_progress);
-        m_parts.stages.submit(state.run);
+        order.movedBytes = isFollowed(stage) ? 0 : pieces * step.resultBytes;
+        return order;
+    }
+    // Every piece reads all inputs.
+    for (const std::size_t before : step.after) {
+        order.movedBytes += pieces * m_stages[before].handles.size() * m_route->stages[before].resultBytes;
+    }
+    order.dataCentre = m_parts.instances.dataCentreOf(addressOfHandle(order.inputs.front()));
+    return order;
+}
+
+void ForwardRun::submitReady()
+{
+    for (bool changed = true; changed;) {
+        changed = false;
+        for (std::size_t index = 0; index < m_stages.size(); ++index) {
+            if (!mayStart(index)) {
+                continue;
+            }
+            StageState &state = m_stages[index];
+            state.submitted = true;
+            changed = true; // what waits for an omitted stage is ready too
+            const unsigned pieces = index < m_request.pieces.size() ? m_request.pieces[index] : 0;
+            state.done = pieces == 0;
+            if (!state.done) {
+                state.run = makeRef<StageRun>(orderFor(index, pieces), m_progress);
+                m_parts.stages.submit(state.run);
+            }
+        }
     }
 }
 
@@ -277,10 +319,7 @@
 {
     std::vector<std::size_t> last;
     for (std::size_t index = 0; index < m_stages.size(); ++index) {
-        const bool followed = std::any_of(m_route->stages.begin(), m_route->stages.end(), [index](const StageStep &step) {
-            return std::find(step.after.begin(), step.after.end(), index) != step.after.end();
-        });
-        if (!followed) {
+        if (!isFollowed(index)) {
             last.push_back(index);
         }
     }
@@ -605,6 +644,8 @@
               {"version", m_deployment->version()},
               {"service", m_service},
               {"instance", m_lastInstance},
+              {"prompt", m_request.prompt.empty() ? std::string() : m_request.prompt.front().id},
+              {"prompt_parts", static_cast<std::uint64_t>(m_request.prompt.size())},
               {"sent", m_sent},
               {"status", m_end.status},
               {"code", m_end.answeredByServer ? 0 : static_cast<int>(m_end.code)},
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -44,6 +44,9 @@
     // [STAGES]
     Step runStages();
     void submitReady();
+    bool mayStart(std::size_t stage) const;
+    bool isFollowed(std::size_t stage) const;
+    StageOrder orderFor(std::size_t stage, unsigned pieces) const;
     Step collect();
     void planHome();
     std::vector<std::string> handlesOf(const std::vector<std::size_t> &stages) const;
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -32,6 +32,7 @@
     } else {
         json["inputs"] = order.inputs;
     }
+    json["moved_bytes"] = order.movedBytes;
     json["result_bytes"] = order.resultBytes;
     json["data_centre"] = order.dataCentre;
     json["target_ms"] = leftMs(order.target, now);
@@ -51,6 +52,7 @@
         order.pieces = json.at("pieces").get<unsigned>();
         order.key = json.value("key", std::string());
         order.inputs = json.value("inputs", std::vector<std::string>());
+        order.movedBytes = json.at("moved_bytes").get<std::size_t>();
         order.resultBytes = json.at("result_bytes").get<std::size_t>();
         order.dataCentre = json.at("data_centre").get<std::string>();
         order.target = now + std::chrono::milliseconds(json.at("target_ms").get<std::int64_t>());
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -114,6 +114,15 @@
     return a.target + settings.priorityStep * a.priority < b.target + settings.priorityStep * b.priority;
 }
 
+namespace
+{
+Duration patienceFor(const StageOrder &order, TimePoint since, const BatchSettings &settings)
+{
+    const auto slack = std::chrono::duration_cast<Duration>((order.target - since) * settings.dataCentreSlack);
+    return std::min<Duration>(settings.dataCentrePatience, slack);
+}
+} // namespace
+
 std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings)
 {
     queue.erase(std::remove_if(queue.begin(), queue.end(),
@@ -125,8 +134,8 @@
     bool waitedLong = false;
     for (WaitingWork &work : queue) {
         const StageOrder &order = work.run->order();
-        const bool elsewhere = !order.dataCentre.empty() && order.dataCentre != lane.dataCentre && order.resultBytes >= settings.largeResult;
-        if (elsewhere && now - work.since < settings.dataCentrePatience) {
+        const bool elsewhere = !order.dataCentre.empty() && order.dataCentre != lane.dataCentre && order.movedBytes >= settings.largeMove;
+        if (elsewhere && now - work.since < patienceFor(order, work.since, settings)) {
             continue;
         }
         waitedLong = waitedLong || now - work.since >= settings.slowPatience;
@@ -140,6 +149,9 @@
     });
     std::vector<BatchPick> picks;
     for (WaitingWork *work : eligible) {
+        if (!picks.empty() && picks.size() + work->pieces.size() > batch) {
+            continue; // pieces of one request share their inputs: together they are fetched once
+        }
         while (!work->pieces.empty() && picks.size() < batch) {
             picks.push_back(BatchPick{work->run, work->pieces.back()});
             work->pieces.pop_back();
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -34,8 +34,9 @@
     unsigned pieces = 0;
     std::string key; // what the pieces are made from; for a stage that needs no other
     std::vector<std::string> inputs; // results of the stages before; empty: made from the key
+    std::string dataCentre; // where its inputs lie or its results are wanted; empty: anywhere
+    std::size_t movedBytes = 0; // that cross data centres when it is done elsewhere
     std::size_t resultBytes = 0; // approximate, of one piece
-    std::string dataCentre; // where large results are wanted; empty: anywhere
     TimePoint target{}; // the request earns its full credit until then
     TimePoint deadline{};
     int priority = 0; // 0 is the highest
@@ -127,8 +128,9 @@
 //-----------------------------------------------------------------------------
 
 struct BatchSettings {
-    std::chrono::milliseconds dataCentrePatience{80}; // a large result waits this long for a lane in its data centre
-    std::size_t largeResult = 500'000; // bytes; moving more between data centres costs more than a short wait
+    std::chrono::milliseconds dataCentrePatience{250}; // work waits at most this long for a lane in its data centre
+    double dataCentreSlack = 0.25; // and at most this share of the time to its target
+    std::size_t largeMove = 500'000; // bytes; moving more between data centres costs more than a short wait
     double slowLane = 2.0; // times the declared time: beyond it a lane is taken only when others keep work waiting
     std::chrono::milliseconds slowPatience{250}; // work that has waited this long goes to a slow lane as well
     std::chrono::milliseconds priorityStep{150}; // of later target for each rank of priority
@@ -155,7 +157,8 @@
 // Orders work: what can still meet its target by target and priority, then the rest by deadline.
 bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings);
 
-// Takes at most `batch` pieces out of `queue`, the most urgent first. Cancelled work is dropped.
+// Takes at most `batch` pieces out of `queue`, the most urgent first; work is split only when it is larger than a batch.
+// Cancelled work is dropped.
 std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings);
 
 //-----------------------------------------------------------------------------
