--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -98,7 +98,7 @@
     , m_scheduler(StageParts{m_clock, m_deployments, m_instances, *m_stageChannel, m_allowance, m_releaser, m_pool, m_timers, m_metrics})
     , m_stages(StageParts{m_clock, m_deployments, m_instances, *m_stageChannel, m_allowance, m_releaser, m_pool, m_timers, m_metrics}, m_scheduler,
                *m_stagePeers, m_members, sharingOf(settings.stageSharing))
-    , m_service(ForwardParts{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_releaser, m_allowance, *m_serverChoice, *m_engineChoice, m_upstream,
+    , m_service(ForwardParts{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_allowance, *m_serverChoice, *m_engineChoice, m_upstream,
                              m_metrics},
                 ForwardSettings{})
     , m_deploymentListener(m_deployments, m_metrics)
@@ -109,7 +109,7 @@
     , m_memberWatch(*m_store, MembersTable, m_memberListener, watching(MembersWait), m_metrics)
     , m_callersHandler(m_service, m_deployments)
     , m_readinessHandler(m_deployments, m_leaving)
-    , m_peerHandler(m_scheduler, m_releaser, m_metrics)
+    , m_peerHandler(m_scheduler, m_metrics)
 {
     m_instances.onChange([this] {
         m_scheduler.instancesChanged();
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -136,7 +136,7 @@
     InstanceTable &instances;
     RequestCodec &codec;
     StageExecutor &stages;
-    ResultReleaser &releaser;
+    ResultSink &results;
     RetryAllowance &allowance;
     ChoicePolicy &serverChoice; // for plain services
     ChoicePolicy &engineChoice; // for model engines
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -10,6 +10,7 @@
 {
 constexpr std::size_t PartialEventLimit = 1024 * 1024; // bytes of one event
 constexpr std::chrono::milliseconds UnstatedDeadline{30000}; // for a caller that states none
+constexpr std::chrono::milliseconds EngineTime{150}; // of an idle engine until its first event
 constexpr std::size_t LargeResult = 500'000; // bytes of one piece; a server has room for a few dozen of these
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
@@ -232,6 +233,26 @@
     return true;
 }
 
+// Declared time of the longest chain of stages that follow.
+Duration ForwardRun::timeAfter(std::size_t stage) const
+{
+    Duration longest{};
+    for (std::size_t next = 0; next < m_stages.size(); ++next) {
+        const StageStep &step = m_route->stages[next];
+        if (std::find(step.after.begin(), step.after.end(), stage) == step.after.end()) {
+            continue;
+        }
+        const ServiceSpec *service = m_deployment->service(step.service);
+        const unsigned pieces = next < m_request.pieces.size() ? m_request.pieces[next] : 0;
+        Duration own{};
+        if (service != nullptr && service->stage && pieces > 0) {
+            own = service->stage->callTime + service->stage->pieceTime * pieces;
+        }
+        longest = std::max(longest, own + timeAfter(next));
+    }
+    return longest;
+}
+
 StageOrder ForwardRun::orderFor(std::size_t stage, unsigned pieces) const
 {
     const StageStep &step = m_route->stages[stage];
@@ -243,7 +264,7 @@
     order.inputs = handlesOf(step.after);
     order.key = order.inputs.empty() ? m_request.pieceKey : std::string();
     order.resultBytes = step.resultBytes;
-    order.target = m_target;
+    order.target = m_target - timeAfter(stage) - EngineTime;
     order.deadline = m_deadline;
     order.priority = m_priority;
     if (order.inputs.empty()) {
@@ -255,7 +276,9 @@
     for (const std::size_t before : step.after) {
         order.movedBytes += pieces * m_stages[before].handles.size() * m_route->stages[before].resultBytes;
     }
-    order.dataCentre = m_parts.instances.dataCentreOf(addressOfHandle(order.inputs.front()));
+    if (const auto maker = m_parts.instances.at(addressOfHandle(order.inputs.front()))) {
+        order.dataCentre = maker->dataCentre;
+    }
     return order;
 }
 
@@ -309,7 +332,7 @@
         }
         if (used && !needed && !m_stages[index].released) {
             m_stages[index].released = true;
-            m_parts.releaser.add(m_stages[index].handles);
+            m_parts.results.add(m_stages[index].handles);
         }
     }
     return {};
@@ -333,7 +356,7 @@
             state.run->cancel();
         }
         if (!state.released && !state.handles.empty()) {
-            m_parts.releaser.add(state.handles);
+            m_parts.results.add(state.handles);
         }
         state.released = true;
     }
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -46,6 +46,7 @@
     void submitReady();
     bool mayStart(std::size_t stage) const;
     bool isFollowed(std::size_t stage) const;
+    Duration timeAfter(std::size_t stage) const;
     StageOrder orderFor(std::size_t stage, unsigned pieces) const;
     Step collect();
     void planHome();
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -245,15 +245,15 @@
     return found != m_entries.end() && m_clock.now() < found->second.suspectedUntil;
 }
 
-std::string InstanceTable::dataCentreOf(const std::string &address) const
+std::optional<InstanceSpec> InstanceTable::at(const std::string &address) const
 {
     const Lock lock(m_mutex);
     for (const auto &[id, entry] : m_entries) {
         if (entry.spec.address == address) {
-            return entry.spec.dataCentre;
+            return entry.spec;
         }
     }
-    return std::string();
+    return std::nullopt;
 }
 
 std::size_t InstanceTable::size() const
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -135,7 +135,7 @@
     std::vector<InstanceSpec> ready(const std::string &service) const; // by id, suspected ones included
     bool usable(const std::string &id) const; // registered and not draining
     bool suspected(const std::string &id) const;
-    std::string dataCentreOf(const std::string &address) const; // empty: no instance is there
+    std::optional<InstanceSpec> at(const std::string &address) const; // nullopt: no instance is there
     void report(const std::string &id, InstanceVerdict verdict, Duration time, const std::optional<ReportedLoad> &load);
     void onChange(std::function<void()> listener); // set once, before use; called without a lock
     std::size_t size() const;
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -10,6 +10,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view OrderPath = "/v1/stage-orders";
+constexpr std::string_view ReleasePath = "/v1/stage-releases";
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr std::size_t ReplyLimit = 256 * 1024; // bytes
 constexpr Duration ReplyTime = std::chrono::seconds(1); // for writing an answer
@@ -72,18 +73,10 @@
     {
     }
 
-    Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, TimePoint until,
-                                         CallerWatch &canceller) override
+    Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, Duration patience,
+                                         CallerWatch &canceller, const std::function<bool()> &alive) override
     {
-        UpstreamCall call(m_settings);
-        if (const auto opened = call.open(peerAddress, until, canceller); !opened) {
-            return fail(opened.error().code == ErrorCode::CallerGone ? ErrorCode::CallerGone : ErrorCode::PeerUnavailable);
-        }
-        const std::string body = encodeOrder(order, now);
-        std::string request = "POST " + std::string(OrderPath) + " HTTP/1.1\r\nHost: " + peerAddress
-            + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        const auto head = call.exchange(std::move(request), until, canceller);
-        const auto reply = head ? call.readAll(ReplyLimit, until, canceller) : tl::expected<std::string, UpstreamFailure>(tl::unexpected(head.error()));
+        const auto reply = post(peerAddress, OrderPath, encodeOrder(order, now), now + patience, order.deadline, canceller, alive);
         if (!reply) {
             return fail(reply.error().code == ErrorCode::CallerGone ? ErrorCode::CallerGone : ErrorCode::PeerUnavailable);
         }
@@ -98,7 +91,37 @@
         }
     }
 
+    Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) override
+    {
+        NoCaller nobody;
+        const auto reply = post(peerAddress, ReleasePath, Json{{"handles", handles}}.dump(), until, until, nobody, [] {
+            return false;
+        });
+        return reply ? Result<void>() : fail(ErrorCode::PeerUnavailable);
+    }
+
 private:
+    // The reply's head is awaited until `first`, then for as long again while `alive` says so, but not beyond `last`.
+    tl::expected<std::string, UpstreamFailure> post(const std::string &address, std::string_view path, const std::string &body, TimePoint first,
+                                                    TimePoint last, CallerWatch &canceller, const std::function<bool()> &alive) const
+    {
+        const Duration patience = first - std::chrono::steady_clock::now();
+        UpstreamCall call(m_settings);
+        if (const auto opened = call.open(address, first, canceller); !opened) {
+            return tl::unexpected(opened.error());
+        }
+        std::string request = "POST " + std::string(path) + " HTTP/1.1\r\nHost: " + address
+            + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        auto head = call.exchange(std::move(request), first, canceller);
+        while (!head && head.error().code == ErrorCode::ServerTimeout && std::chrono::steady_clock::now() < last && alive()) {
+            head = call.awaitHead(std::min(last, std::chrono::steady_clock::now() + patience), canceller);
+        }
+        if (!head) {
+            return tl::unexpected(head.error());
+        }
+        return call.readAll(ReplyLimit, last, canceller);
+    }
+
     const UpstreamSettings m_settings;
 };
 } // namespace
@@ -108,9 +131,8 @@
     return std::make_unique<HttpStagePeer>(settings);
 }
 
-PeerHandler::PeerHandler(StageExecutor &stages, ResultReleaser &releaser, MetricsRegistry &metrics)
+PeerHandler::PeerHandler(StageScheduler &stages, MetricsRegistry &metrics)
     : m_stages(stages)
-    , m_releaser(releaser)
     , m_metrics(metrics)
 {
 }
@@ -131,6 +153,8 @@
     Headers headers;
     if (exchange.path() == OrderPath && exchange.head().method == "POST") {
         serveOrder(exchange);
+    } else if (exchange.path() == ReleasePath && exchange.head().method == "POST") {
+        serveRelease(exchange);
     } else if (exchange.path() == MetricsPath && exchange.head().method == "GET") {
         headers.add("Content-Type", "text/plain; version=0.0.4");
         (void)exchange.reply(200, headers, m_metrics.renderText(), until);
@@ -166,7 +190,21 @@
     const std::string body = *outcome ? Json{{"handles", **outcome}}.dump() : describeError(outcome->error().code);
     const bool delivered = exchange.reply(200, headers, body, std::chrono::steady_clock::now() + ReplyTime);
     if (!delivered && *outcome) {
-        m_releaser.add(**outcome);
+        m_stages.release(**outcome);
+    }
+}
+
+void PeerHandler::serveRelease(FrontExchange &exchange)
+{
+    Headers headers;
+    headers.add("Content-Type", "application/json");
+    const TimePoint until = std::chrono::steady_clock::now() + ReplyTime;
+    try {
+        m_stages.release(Json::parse(exchange.body()).at("handles").get<std::vector<std::string>>());
+        (void)exchange.reply(200, headers, "{}", until);
+    } catch (const Json::exception &) {
+        logEvent(LogLevel::Warning, "peer.release_unreadable", {{"error", ErrorCode::MalformedRequest}});
+        (void)exchange.reply(400, headers, describeError(ErrorCode::MalformedRequest), until);
     }
 }
 
--- a/src/peering/peering.h
+++ b/src/peering/peering.h
@@ -15,16 +15,16 @@
 class PeerHandler final : public FrontHandler
 {
 public:
-    PeerHandler(StageExecutor &stages, ResultReleaser &releaser, MetricsRegistry &metrics);
+    PeerHandler(StageScheduler &stages, MetricsRegistry &metrics);
     void serve(FrontExchange &exchange) override;
     std::string describeError(ErrorCode code) override;
     FrontLimits limits() override;
 
 private:
     void serveOrder(FrontExchange &exchange);
+    void serveRelease(FrontExchange &exchange);
 
-    StageExecutor &m_stages;
-    ResultReleaser &m_releaser;
+    StageScheduler &m_stages;
     MetricsRegistry &m_metrics;
 };
 
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -46,12 +46,12 @@
 {
 }
 
-std::optional<MemberRecord> OwnedStages::ownerOf(const StageOrder &order) const
+std::optional<MemberRecord> OwnedStages::ownerOf(const std::string &service, const std::string &dataCentre) const
 {
     const MemberRecord self = m_members.self();
-    std::string duty = "stages/" + order.service;
+    std::string duty = "stages/" + service;
     if (m_sharing == StageSharing::OwnersByDataCentre) {
-        duty += "/" + order.dataCentre;
+        duty += "/" + dataCentre;
     }
     std::optional<MemberRecord> best;
     std::uint64_t bestRank = 0;
@@ -73,7 +73,7 @@
 
 void OwnedStages::submit(const Ref<StageRun> &run)
 {
-    const auto owner = m_sharing == StageSharing::EachNode ? std::nullopt : ownerOf(run->order());
+    const auto owner = m_sharing == StageSharing::EachNode ? std::nullopt : ownerOf(run->order().service, run->order().dataCentre);
     if (!owner) {
         m_local.submit(run);
         return;
@@ -83,11 +83,29 @@
     });
 }
 
+void OwnedStages::heard(const std::string &member)
+{
+    const Lock lock(m_mutex);
+    m_heardAt[member] = m_parts.clock.now();
+}
+
+bool OwnedStages::silent(const std::string &member) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_heardAt.find(member);
+    return found == m_heardAt.end() || m_parts.clock.now() - found->second > m_settings.peerSilence;
+}
+
 void OwnedStages::runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner)
 {
     RunCanceller canceller(*run);
     const TimePoint now = m_parts.clock.now();
-    const auto handles = m_peers.run(owner.peerAddress, run->order(), now, std::min(run->order().deadline, now + m_settings.peerLimit), canceller);
+    const auto handles = m_peers.run(owner.peerAddress, run->order(), now, m_settings.peerSilence, canceller, [this, &owner] {
+        return !silent(owner.name);
+    });
+    if (handles) {
+        heard(owner.name);
+    }
     if (handles && handles->size() == run->order().pieces) {
         std::vector<std::string> unused;
         for (unsigned piece = 0; piece < handles->size(); ++piece) {
@@ -95,7 +113,7 @@
                 unused.push_back((*handles)[piece]);
             }
         }
-        m_parts.releaser.add(unused);
+        add(unused);
         return;
     }
     const ErrorCode code = handles ? ErrorCode::InvalidReply : handles.error().code;
@@ -116,4 +134,55 @@
     m_local.submit(run);
 }
 
+void OwnedStages::add(const std::vector<std::string> &handles)
+{
+    if (handles.empty()) {
+        return;
+    }
+    bool schedule = false;
+    {
+        const Lock lock(m_mutex);
+        m_unused.insert(m_unused.end(), handles.begin(), handles.end());
+        schedule = !m_flushDue;
+        m_flushDue = true;
+    }
+    if (schedule) {
+        m_parts.timers.after(m_settings.releaseInterval, [this] {
+            flush();
+        });
+    }
+}
+
+void OwnedStages::flush()
+{
+    std::vector<std::string> unused;
+    {
+        const Lock lock(m_mutex);
+        unused.swap(m_unused);
+        m_flushDue = false;
+    }
+    std::vector<std::string> own;
+    std::map<std::string, std::pair<std::string, std::vector<std::string>>> byPeer; // address and handles by name
+    for (std::string &handle : unused) {
+        const auto maker = m_parts.instances.at(addressOfHandle(handle));
+        const auto owner = maker && m_sharing != StageSharing::EachNode ? ownerOf(maker->service, maker->dataCentre) : std::nullopt;
+        if (owner) {
+            byPeer[owner->name].first = owner->peerAddress;
+            byPeer[owner->name].second.push_back(std::move(handle));
+        } else {
+            own.push_back(std::move(handle));
+        }
+    }
+    m_local.release(own);
+    for (auto &[name, peer] : byPeer) {
+        m_parts.pool.post([this, name = name, peer = std::move(peer)] {
+            if (m_peers.release(peer.first, peer.second, m_parts.clock.now() + m_settings.releaseLimit)) {
+                heard(name);
+            } else {
+                m_local.release(peer.second);
+            }
+        });
+    }
+}
+
 } // namespace vanillanotch
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -1,6 +1,7 @@
 #include "stages/stages.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace vanillanotch
 {
@@ -103,15 +104,12 @@
 
 bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings)
 {
-    const bool aMeets = a.target > now;
-    const bool bMeets = b.target > now;
-    if (aMeets != bMeets) {
-        return aMeets;
-    }
-    if (!aMeets) {
-        return a.deadline < b.deadline;
-    }
-    return a.target + settings.priorityStep * a.priority < b.target + settings.priorityStep * b.priority;
+    const auto rank = [&](const StageOrder &order) {
+        return std::max(order.target, order.target > now ? order.target : now + settings.latePenalty) + settings.priorityStep * order.priority;
+    };
+    const TimePoint aRank = rank(a);
+    const TimePoint bRank = rank(b);
+    return aRank != bRank ? aRank < bRank : a.deadline < b.deadline;
 }
 
 namespace
@@ -148,13 +146,32 @@
         return moreUrgent(a->run->order(), b->run->order(), now, settings);
     });
     std::vector<BatchPick> picks;
+    std::size_t room = lane.roomBytes == 0 ? std::numeric_limits<std::size_t>::max() : lane.roomBytes;
+    const auto fits = [&room](const WaitingWork &work) {
+        return work.pieces.size() * work.run->order().resultBytes <= room;
+    };
+    std::size_t waiting = 0;
+    for (const WaitingWork *work : eligible) {
+        waiting += work->pieces.size();
+    }
+    const auto take = [&](WaitingWork &work) {
+        const std::size_t bytes = work.run->order().resultBytes;
+        while (!work.pieces.empty() && picks.size() < batch && bytes <= room) {
+            picks.push_back(BatchPick{work.run, work.pieces.back()});
+            work.pieces.pop_back();
+            room -= bytes;
+        }
+    };
     for (WaitingWork *work : eligible) {
-        if (!picks.empty() && picks.size() + work->pieces.size() > batch) {
-            continue; // pieces of one request share their inputs: together they are fetched once
+        const bool whole = picks.size() + work->pieces.size() <= batch && fits(*work);
+        if (whole || (picks.empty() && work->pieces.size() > batch)) {
+            take(*work);
         }
-        while (!work->pieces.empty() && picks.size() < batch) {
-            picks.push_back(BatchPick{work->run, work->pieces.back()});
-            work->pieces.pop_back();
+    }
+    // Pieces of one request share their inputs: split, they are fetched twice.
+    if (waiting >= 2 * batch) {
+        for (WaitingWork *work : eligible) {
+            take(*work);
         }
     }
     return picks;
@@ -178,6 +195,11 @@
 {
 }
 
+void ResultReleaser::onFreed(ResultListener *listener)
+{
+    m_listener = listener;
+}
+
 void ResultReleaser::add(const std::vector<std::string> &handles)
 {
     bool schedule = false;
@@ -211,6 +233,8 @@
             if (const auto released = m_channel.release(address, handles, std::chrono::steady_clock::now() + m_settings.callLimit); !released) {
                 // The results end with their lifetime; nothing else depends on it.
                 logEvent(LogLevel::Debug, "results.release_failed", {{"address", address}, {"error", released.error().code}});
+            } else if (m_listener != nullptr) {
+                m_listener->freed(handles);
             }
         });
     }
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -20,6 +20,7 @@
     : m_parts(parts)
     , m_settings(settings)
 {
+    parts.releaser.onFreed(this);
 }
 
 std::optional<StageCapacity> StageScheduler::capacityOf(const std::string &service) const
@@ -74,6 +75,47 @@
     }
 }
 
+void StageScheduler::holdLocked(const std::string &service, const std::string &instance, const std::string &handle, std::size_t bytes, Duration life)
+{
+    Lane &lane = m_queues[service].lanes[instance];
+    lane.heldBytes += bytes;
+    lane.held.emplace_back(m_parts.clock.now() + life, handle);
+    m_held[handle] = HeldResult{service, instance, bytes};
+}
+
+void StageScheduler::freeLocked(const std::string &handle)
+{
+    if (const auto found = m_held.find(handle); found != m_held.end()) {
+        Lane &lane = m_queues[found->second.service].lanes[found->second.instance];
+        lane.heldBytes -= std::min(lane.heldBytes, found->second.bytes);
+        m_held.erase(found);
+    }
+}
+
+void StageScheduler::forgetExpiredLocked(Lane &lane, TimePoint now)
+{
+    while (!lane.held.empty() && lane.held.front().first <= now) {
+        freeLocked(lane.held.front().second);
+        lane.held.pop_front();
+    }
+}
+
+void StageScheduler::release(const std::vector<std::string> &handles)
+{
+    m_parts.releaser.add(handles);
+}
+
+void StageScheduler::freed(const std::vector<std::string> &handles)
+{
+    {
+        const Lock lock(m_mutex);
+        for (const std::string &handle : handles) {
+            freeLocked(handle);
+        }
+    }
+    instancesChanged();
+}
+
 double StageScheduler::slownessOf(const Lane &lane, TimePoint now) const
 {
     const double halves = std::chrono::duration<double>(now - lane.measuredAt) / std::chrono::duration<double>(m_settings.slownessForgetting);
@@ -85,7 +127,8 @@
     const TimePoint now = m_parts.clock.now();
     std::vector<std::pair<double, InstanceSpec>> free; // fastest first
     for (InstanceSpec &instance : m_parts.instances.ready(service)) {
-        const Lane &lane = queue.lanes[instance.id];
+        Lane &lane = queue.lanes[instance.id];
+        forgetExpiredLocked(lane, now);
         if (lane.calls < capacity.slots && now >= lane.blockedUntil && !m_parts.instances.suspected(instance.id)) {
             free.emplace_back(slownessOf(lane, now), std::move(instance));
         }
@@ -95,9 +138,19 @@
     });
     std::vector<Dispatch> dispatches;
     for (auto &[slowness, instance] : free) {
-        std::vector<BatchPick> batch = planBatch(queue.work, LaneView{instance.dataCentre, slowness}, capacity.batch, now, m_settings.batches);
+        Lane &lane = queue.lanes[instance.id];
+        LaneView view{instance.dataCentre, slowness, 0};
+        if (capacity.roomBytes > 0) {
+            const std::size_t used = lane.heldBytes + lane.promisedBytes;
+            const auto usable = static_cast<std::size_t>(static_cast<double>(capacity.roomBytes) * m_settings.roomMargin);
+            view.roomBytes = usable > used ? usable - used : 1;
+        }
+        std::vector<BatchPick> batch = planBatch(queue.work, view, capacity.batch, now, m_settings.batches);
         if (!batch.empty()) {
-            ++queue.lanes[instance.id].calls;
+            ++lane.calls;
+            for (const BatchPick &pick : batch) {
+                lane.promisedBytes += pick.run->order().resultBytes;
+            }
             dispatches.push_back(Dispatch{std::move(instance), std::move(batch), capacity});
         }
     }
@@ -154,6 +207,13 @@
         const Lock lock(m_mutex);
         Lane &lane = m_queues[service].lanes[dispatched.instance.id];
         lane.calls -= lane.calls > 0 ? 1 : 0;
+        for (std::size_t i = 0; i < dispatched.batch.size(); ++i) {
+            const std::size_t bytes = dispatched.batch[i].run->order().resultBytes;
+            lane.promisedBytes -= std::min(lane.promisedBytes, bytes);
+            if (worked && reply->outcomes.at(i).fault == PieceFault::None) {
+                holdLocked(service, dispatched.instance.id, reply->outcomes[i].handle, bytes, dispatched.capacity.resultLife);
+            }
+        }
         if (worked || reply.error().code == ErrorCode::ServerTimeout) {
             const double measured = std::chrono::duration<double>(ended - began) / std::chrono::duration<double>(declared);
             lane.slowness = slownessOf(lane, ended) * SlownessMemory + measured * (1.0 - SlownessMemory);
@@ -208,12 +268,12 @@
             break;
         }
     }
-    m_parts.releaser.add(unused);
+    release(unused);
     if (noRoom) {
         const Lock lock(m_mutex);
         m_queues[service].lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + m_settings.fullPause;
     }
-    requeue(service, again, true);
+    requeue(service, again, !noRoom);
 }
 
 void StageScheduler::recover(const std::string &service, const Dispatch &dispatched, const UpstreamFailure &failure)
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -37,7 +37,7 @@
     std::string dataCentre; // where its inputs lie or its results are wanted; empty: anywhere
     std::size_t movedBytes = 0; // that cross data centres when it is done elsewhere
     std::size_t resultBytes = 0; // approximate, of one piece
-    TimePoint target{}; // the request earns its full credit until then
+    TimePoint target{}; // done by then, the request can still earn its full credit
     TimePoint deadline{};
     int priority = 0; // 0 is the highest
 };
@@ -118,9 +118,11 @@
 {
 public:
     virtual ~StagePeerChannel() = default;
-    virtual Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, TimePoint until,
-                                                 CallerWatch &canceller)
+    // `alive` is asked each time when nothing has come for `patience`; false ends the call with PeerUnavailable.
+    virtual Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, Duration patience,
+                                                 CallerWatch &canceller, const std::function<bool()> &alive)
         = 0;
+    virtual Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) = 0;
 };
 
 //-----------------------------------------------------------------------------
@@ -133,7 +135,8 @@
     std::size_t largeMove = 500'000; // bytes; moving more between data centres costs more than a short wait
     double slowLane = 2.0; // times the declared time: beyond it a lane is taken only when others keep work waiting
     std::chrono::milliseconds slowPatience{250}; // work that has waited this long goes to a slow lane as well
-    std::chrono::milliseconds priorityStep{150}; // of later target for each rank of priority
+    std::chrono::milliseconds priorityStep{250}; // of later target for each rank of priority
+    std::chrono::milliseconds latePenalty{1000}; // what can't meet its target any more waits for what still can
     unsigned attempts = 3; // calls that one piece may be part of
 };
 
@@ -147,6 +150,7 @@
 struct LaneView {
     std::string dataCentre;
     double slowness = 1; // measured / declared time
+    std::size_t roomBytes = 0; // for results; 0: not stated
 };
 
 struct BatchPick {
@@ -154,31 +158,49 @@
     unsigned piece = 0;
 };
 
-// Orders work: what can still meet its target by target and priority, then the rest by deadline.
+// Orders work: what can still meet its target by target and priority, then the rest.
 bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings);
 
-// Takes at most `batch` pieces out of `queue`, the most urgent first; work is split only when it is larger than a batch.
-// Cancelled work is dropped.
+// Takes at most `batch` pieces out of `queue`, the most urgent first; work is split only
+// while another whole batch waits. Cancelled work is dropped.
 std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings);
 
 //-----------------------------------------------------------------------------
 // [RESULTS]
 //-----------------------------------------------------------------------------
 
+// Takes results that nobody needs any more.
+class ResultSink
+{
+public:
+    virtual ~ResultSink() = default;
+    virtual void add(const std::vector<std::string> &handles) = 0;
+};
+
+class ResultListener
+{
+public:
+    virtual ~ResultListener() = default;
+    virtual void freed(const std::vector<std::string> &handles) = 0; // their room is there again
+};
+
 struct ReleaseSettings {
-    std::chrono::milliseconds interval{150}; // results of this long are freed together
+    std::chrono::milliseconds interval{10}; // results of this long are freed together; room for them is scarce
     std::chrono::milliseconds callLimit{1000};
 };
 
-class ResultReleaser
+// Frees results at their makers.
+class ResultReleaser final : public ResultSink
 {
 public:
     ResultReleaser(StageChannel &channel, TimerQueue &timers, GrowingPool &pool, ReleaseSettings settings = {});
-    void add(const std::vector<std::string> &handles);
+    void add(const std::vector<std::string> &handles) override;
+    void onFreed(ResultListener *listener); // set once, before use
 
 private:
     void flush();
 
+    ResultListener *m_listener = nullptr;
     StageChannel &m_channel;
     TimerQueue &m_timers;
     GrowingPool &m_pool;
@@ -221,17 +243,20 @@
     std::chrono::milliseconds fullPause{60}; // after an instance refused for load
     std::chrono::milliseconds failedPause{1000}; // after an instance was unreachable
     std::chrono::milliseconds recheck{40}; // until work that waits by choice is looked at again
+    double roomMargin = 0.95; // of an instance's room that is used; sizes are approximate
     double callPatience = 6; // times the declared time of a call that it may take; a slow server takes five
     std::chrono::milliseconds callFloor{600}; // besides
     std::chrono::milliseconds slownessForgetting{3000}; // half of a lane's slowness is forgotten in this time
 };
 
-class StageScheduler final : public StageExecutor
+class StageScheduler final : public StageExecutor, public ResultListener
 {
 public:
     StageScheduler(StageParts parts, SchedulerSettings settings = {});
     void submit(const Ref<StageRun> &run) override;
     void instancesChanged(); // looks for lanes that work waits for
+    void release(const std::vector<std::string> &handles); // results that this node has ordered or not
+    void freed(const std::vector<std::string> &handles) override;
     std::size_t waiting() const; // pieces
 
 private:
@@ -240,6 +265,14 @@
         TimePoint blockedUntil{};
         double slowness = 1;
         TimePoint measuredAt{};
+        std::size_t promisedBytes = 0; // results of the running calls
+        std::size_t heldBytes = 0; // results that nobody has freed
+        std::deque<std::pair<TimePoint, std::string>> held; // by the end of their life; freed ones included
+    };
+    struct HeldResult {
+        std::string service;
+        std::string instance;
+        std::size_t bytes = 0;
     };
     struct ServiceQueue {
         std::vector<WaitingWork> work;
@@ -252,6 +285,9 @@
         StageCapacity capacity;
     };
     double slownessOf(const Lane &lane, TimePoint now) const;
+    void holdLocked(const std::string &service, const std::string &instance, const std::string &handle, std::size_t bytes, Duration life);
+    void freeLocked(const std::string &handle);
+    void forgetExpiredLocked(Lane &lane, TimePoint now);
     std::vector<Dispatch> planLocked(const std::string &service, ServiceQueue &queue, const StageCapacity &capacity);
     void dispatch(const std::string &service);
     void runBatch(const std::string &service, const Dispatch &dispatch);
@@ -264,6 +300,7 @@
     const SchedulerSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::Stages};
     std::map<std::string, ServiceQueue> m_queues;
+    std::unordered_map<std::string, HeldResult> m_held; // by handle
 };
 
 //-----------------------------------------------------------------------------
@@ -273,7 +310,9 @@
 struct OwnerSettings {
     std::size_t lanesForOwner = 6; // instances that one node schedules at most; more are split among several
     std::chrono::milliseconds peerPause{2000}; // a peer that failed isn't asked again for this long
-    std::chrono::milliseconds peerLimit{1500}; // longest wait for a peer's answer while there is time for a call of our own
+    std::chrono::milliseconds releaseInterval{10}; // results of this long are given up together
+    std::chrono::milliseconds releaseLimit{500}; // for telling an owner; results end by themselves some time later
+    std::chrono::milliseconds peerSilence{700}; // an owner that answers nothing for this long is taken for gone; calls take a third
 };
 
 // How orders are spread over the nodes.
@@ -283,15 +322,20 @@
     OwnersByDataCentre, // as Owners, split by the data centre where results are wanted
 };
 
-class OwnedStages final : public StageExecutor
+// Orders go to the owners of their services, and so do results that are given up: the owners keep count of the room for them.
+class OwnedStages final : public StageExecutor, public ResultSink
 {
 public:
     OwnedStages(StageParts parts, StageScheduler &local, StagePeerChannel &peers, MemberTable &members, StageSharing sharing, OwnerSettings settings = {});
     void submit(const Ref<StageRun> &run) override;
+    void add(const std::vector<std::string> &handles) override;
 
 private:
-    std::optional<MemberRecord> ownerOf(const StageOrder &order) const; // nullopt: this node
+    std::optional<MemberRecord> ownerOf(const std::string &service, const std::string &dataCentre) const; // nullopt: this node
+    void flush();
     void runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner);
+    void heard(const std::string &member);
+    bool silent(const std::string &member) const;
 
     StageParts m_parts;
     StageScheduler &m_local;
@@ -301,6 +345,9 @@
     const OwnerSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::StagePeers};
     std::map<std::string, TimePoint> m_pausedUntil; // by member
+    std::map<std::string, TimePoint> m_heardAt; // by member
+    std::vector<std::string> m_unused; // results to be given up
+    bool m_flushDue = false;
 };
 
 } // namespace vanillanotch
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -151,6 +151,11 @@
     if (m_connection->send(m_unsent) == IoState::Reset) {
         m_sendBroken = true;
     }
+    return awaitHead(until, caller);
+}
+
+tl::expected<ReplyHead, UpstreamFailure> UpstreamCall::awaitHead(TimePoint until, CallerWatch &caller)
+{
     for (;;) {
         if (auto head = takeHead()) {
             if (!*head) {
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -211,6 +211,8 @@
     tl::expected<void, UpstreamFailure> open(const std::string &address, TimePoint until, CallerWatch &caller);
     // Sends the request and waits for the reply's head. A reply may come before all of the request is sent.
     tl::expected<ReplyHead, UpstreamFailure> exchange(std::string request, TimePoint until, CallerWatch &caller);
+    // Waits for the head again, after exchange() or an earlier wait ended with ServerTimeout.
+    tl::expected<ReplyHead, UpstreamFailure> awaitHead(TimePoint until, CallerWatch &caller);
     // Waits for more of the body and appends it, decoded. True: the body is complete.
     tl::expected<bool, UpstreamFailure> readBody(std::string &out, TimePoint until, CallerWatch &caller);
     // Reads the whole body. InvalidReply: longer than `limit` bytes.
