--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -78,10 +78,10 @@
     return true;
 }
 
-void DeploymentTable::confirm(TimePoint callBegan)
+void DeploymentTable::confirm(TimePoint asOf)
 {
     const Lock lock(m_mutex);
-    m_confirmed = std::max(m_confirmed, callBegan);
+    m_confirmed = std::max(m_confirmed, asOf);
 }
 
 Duration DeploymentTable::proofAge(TimePoint now) const
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -137,7 +137,7 @@
 struct TrustSettings {
     std::chrono::milliseconds revocationBound{5000}; // a taken-away key is refused this long after the operator was told so
     double refuseAt = 0.9; // share of the bound after which keys aren't trusted; the rest is for what a call takes
-    double unreadyAt = 0.56; // share of the bound after which new connections should go elsewhere
+    double unreadyAt = 0.7; // share of the bound after which new connections should go elsewhere; above a quiet feed's wait
 };
 
 class DeploymentTable
@@ -147,8 +147,8 @@
     DeploymentRef current() const; // nullptr: none yet
     // False: an older version or the same one, which changes nothing.
     bool install(const DeploymentRef &deployment);
-    // A call that began at `callBegan` has shown the version in force to be the newest one.
-    void confirm(TimePoint callBegan);
+    // The version in force was the newest one at that moment (suspend-aware clock).
+    void confirm(TimePoint asOf);
     bool keysTrusted(TimePoint now) const;
     bool ready(TimePoint now) const;
     Duration proofAge(TimePoint now) const;
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -18,13 +18,13 @@
     m_listener = std::move(listener);
 }
 
-void DeploymentListener::snapshot(const StoredRows &rows, TimePoint callBegan, bool afterTrouble)
+void DeploymentListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterTrouble)
 {
     m_readable = false;
-    changes(rows, callBegan, afterTrouble);
+    changes(rows, asOf, afterTrouble);
 }
 
-void DeploymentListener::changes(const StoredRows &rows, TimePoint callBegan, bool /*afterTrouble*/)
+void DeploymentListener::changes(const StoredRows &rows, TimePoint asOf, bool /*afterTrouble*/)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.key != platform::ConfigurationKey || row.removed) {
@@ -45,7 +45,7 @@
         }
     }
     if (m_readable) {
-        m_table.confirm(callBegan);
+        m_table.confirm(asOf);
     }
 }
 
@@ -70,7 +70,7 @@
     return std::move(*spec);
 }
 
-void InstanceListener::snapshot(const StoredRows &rows, TimePoint /*callBegan*/, bool afterTrouble)
+void InstanceListener::snapshot(const StoredRows &rows, TimePoint /*asOf*/, bool afterTrouble)
 {
     std::vector<InstanceSpec> all;
     for (const StoredRow &row : rows.rows) {
@@ -82,7 +82,7 @@
     m_table.synchronise(all, afterTrouble);
 }
 
-void InstanceListener::changes(const StoredRows &rows, TimePoint /*callBegan*/, bool afterTrouble)
+void InstanceListener::changes(const StoredRows &rows, TimePoint /*asOf*/, bool afterTrouble)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.removed) {
@@ -107,12 +107,12 @@
 {
 }
 
-void MemberListener::snapshot(const StoredRows &rows, TimePoint callBegan, bool afterTrouble)
+void MemberListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterTrouble)
 {
-    changes(rows, callBegan, afterTrouble);
+    changes(rows, asOf, afterTrouble);
 }
 
-void MemberListener::changes(const StoredRows &rows, TimePoint /*callBegan*/, bool /*afterTrouble*/)
+void MemberListener::changes(const StoredRows &rows, TimePoint /*asOf*/, bool /*afterTrouble*/)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.removed) {
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -12,8 +12,9 @@
 constexpr const char *MembersTable = "members";
 constexpr Duration AnnounceLimit = std::chrono::seconds(2); // for one write
 constexpr Duration AnnouncePause = std::chrono::milliseconds(700); // until the next try
-constexpr std::chrono::milliseconds ServersWait{2000}; // of the feed of servers: entries come at once, this only bounds silence
-constexpr std::chrono::milliseconds MembersWait{20000}; // members change rarely, and a dead one is found by asking it
+constexpr std::chrono::milliseconds LongWait{20000}; // of feeds whose silence proves nothing; keep-alive probes find a dead connection
+constexpr std::chrono::milliseconds ServersRest{60}; // a release replaces many servers at once
+constexpr std::chrono::milliseconds MembersRest{1500}; // all nodes start together, and a dead one is found by asking it
 constexpr Duration BalancerNotices = std::chrono::milliseconds(2300); // two questions a second apart, and their answers
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // before the platform kills the process
 constexpr Duration StopStep = std::chrono::milliseconds(50); // between two looks at what still runs
@@ -23,7 +24,7 @@
     if (name == "each_node") {
         return StageSharing::EachNode;
     }
-    return name == "owners_by_data_centre" ? StageSharing::OwnersByDataCentre : StageSharing::Owners;
+    return name == "owner_groups" ? StageSharing::OwnerGroups : StageSharing::Owners;
 }
 
 std::unique_ptr<ChoicePolicy> engineChoiceOf(const std::string &name)
@@ -40,6 +41,7 @@
     self.name = settings.node;
     self.dataCentre = settings.dataCentre;
     self.peerAddress = settings.peerAddress;
+    self.cores = settings.cores;
     // Restarts of one node are told apart by it; no order between nodes depends on the time of day.
     self.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     return self;
@@ -68,10 +70,11 @@
     return allowance;
 }
 
-WatchSettings watching(std::chrono::milliseconds wait)
+WatchSettings watching(std::chrono::milliseconds wait, std::chrono::milliseconds rest)
 {
     WatchSettings settings;
     settings.wait = wait;
+    settings.rest = rest;
     return settings;
 }
 } // namespace
@@ -105,8 +108,8 @@
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(m_members)
     , m_deploymentWatch(*m_store, platform::OperatorTable, m_deploymentListener, WatchSettings{}, m_metrics)
-    , m_instanceWatch(*m_store, platform::ServersTable, m_instanceListener, watching(ServersWait), m_metrics)
-    , m_memberWatch(*m_store, MembersTable, m_memberListener, watching(MembersWait), m_metrics)
+    , m_instanceWatch(*m_store, platform::ServersTable, m_instanceListener, watching(LongWait, ServersRest), m_metrics)
+    , m_memberWatch(*m_store, MembersTable, m_memberListener, watching(LongWait, MembersRest), m_metrics)
     , m_callersHandler(m_service, m_deployments)
     , m_readinessHandler(m_deployments, m_leaving)
     , m_peerHandler(m_scheduler, m_metrics)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -207,6 +207,7 @@
     std::uint64_t version = 0; // raised by the member itself
     MemberState state = MemberState::Alive;
     Revision revision = 0; // configuration in force there
+    double cores = 1; // processor that the VM has
 };
 
 struct MembershipSettings {
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::string_view OrderPath = "/v1/stage-orders";
 constexpr std::string_view ReleasePath = "/v1/stage-releases";
+constexpr std::string_view AlivePath = "/v1/alive";
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr std::size_t ReplyLimit = 256 * 1024; // bytes
 constexpr Duration ReplyTime = std::chrono::seconds(1); // for writing an answer
@@ -28,6 +29,7 @@
     json["stage"] = order.stage;
     json["service"] = order.service;
     json["pieces"] = order.pieces;
+    json["lanes"] = {order.lanes.index, order.lanes.count};
     if (order.inputs.empty()) {
         json["key"] = order.key;
     } else {
@@ -51,6 +53,8 @@
         order.stage = json.at("stage").get<std::size_t>();
         order.service = json.at("service").get<std::string>();
         order.pieces = json.at("pieces").get<unsigned>();
+        order.lanes.index = json.at("lanes").at(0).get<std::size_t>();
+        order.lanes.count = std::max<std::size_t>(1, json.at("lanes").at(1).get<std::size_t>());
         order.key = json.value("key", std::string());
         order.inputs = json.value("inputs", std::vector<std::string>());
         order.movedBytes = json.at("moved_bytes").get<std::size_t>();
@@ -100,6 +104,14 @@
         return reply ? Result<void>() : fail(ErrorCode::PeerUnavailable);
     }
 
+    bool answers(const std::string &peerAddress, TimePoint until) override
+    {
+        NoCaller nobody;
+        return post(peerAddress, AlivePath, "{}", until, until, nobody, [] {
+                   return false;
+               }).has_value();
+    }
+
 private:
     // The reply's head is awaited until `first`, then for as long again while `alive` says so, but not beyond `last`.
     tl::expected<std::string, UpstreamFailure> post(const std::string &address, std::string_view path, const std::string &body, TimePoint first,
@@ -155,6 +167,8 @@
         serveOrder(exchange);
     } else if (exchange.path() == ReleasePath && exchange.head().method == "POST") {
         serveRelease(exchange);
+    } else if (exchange.path() == AlivePath) {
+        (void)exchange.reply(200, headers, "{}", until);
     } else if (exchange.path() == MetricsPath && exchange.head().method == "GET") {
         headers.add("Content-Type", "text/plain; version=0.0.4");
         (void)exchange.reply(200, headers, m_metrics.renderText(), until);
@@ -210,7 +224,7 @@
 
 std::string encodeMember(const MemberRecord &member)
 {
-    return Json{{"data_centre", member.dataCentre}, {"peer_address", member.peerAddress}, {"incarnation", member.incarnation}}.dump();
+    return Json{{"data_centre", member.dataCentre}, {"peer_address", member.peerAddress}, {"incarnation", member.incarnation}, {"cores", member.cores}}.dump();
 }
 
 Result<MemberRecord> decodeMember(const std::string &name, const std::string &json)
@@ -221,6 +235,7 @@
         member.name = name;
         member.dataCentre = document.at("data_centre").get<std::string>();
         member.peerAddress = document.at("peer_address").get<std::string>();
+        member.cores = document.value("cores", member.cores);
         member.incarnation = document.at("incarnation").get<std::uint64_t>();
         return member;
     } catch (const Json::exception &exception) {
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -1,5 +1,6 @@
 #include "stages/stages.h"
 
+#include <cmath>
 #include <poll.h>
 
 namespace vanillanotch
@@ -46,40 +47,62 @@
 {
 }
 
-std::optional<MemberRecord> OwnedStages::ownerOf(const std::string &service, const std::string &dataCentre) const
+LaneGroup OwnedStages::groupFor(const std::string &service, const std::string &dataCentre) const
 {
-    const MemberRecord self = m_members.self();
-    std::string duty = "stages/" + service;
-    if (m_sharing == StageSharing::OwnersByDataCentre) {
-        duty += "/" + dataCentre;
-    }
-    std::optional<MemberRecord> best;
-    std::uint64_t bestRank = 0;
-    const TimePoint now = m_parts.clock.now();
+    if (m_sharing != StageSharing::OwnerGroups) {
+        return LaneGroup{};
+    }
+    const std::vector<InstanceSpec> instances = m_parts.instances.ready(service);
+    std::set<std::string> dataCentres;
+    for (const InstanceSpec &instance : instances) {
+        dataCentres.insert(instance.dataCentre);
+    }
+    LaneGroup lanes;
+    lanes.count = std::clamp<std::size_t>(instances.size() / m_settings.lanesForOwner, 1, std::max<std::size_t>(1, dataCentres.size()));
+    lanes.index = laneGroupOf(instances, dataCentre, lanes.count);
+    return lanes;
+}
+
+// Rendezvous hashing, in which a VM's chance grows with its processor.
+std::optional<MemberRecord> OwnedStages::ownerOf(const std::string &service, const LaneGroup &lanes) const
+{
+    const std::string duty = "stages/" + service + "/" + std::to_string(lanes.index) + "/" + std::to_string(lanes.count) + "/";
     const std::vector<MemberRecord> members = m_members.all();
+    const std::string &self = members.front().name; // all() begins with this node
+    const TimePoint now = m_parts.clock.now();
+    std::optional<MemberRecord> best;
+    double bestRank = 0;
     const Lock lock(m_mutex);
     for (const MemberRecord &member : members) {
         const auto paused = m_pausedUntil.find(member.name);
         const bool asked = paused == m_pausedUntil.end() || now >= paused->second;
-        const bool usable = member.name == self.name || (asked && member.state == MemberState::Alive);
-        const std::uint64_t rank = stableHash(duty + "/" + member.name);
+        const bool usable = member.name == self || (asked && member.state == MemberState::Alive);
+        const double drawn = (static_cast<double>(stableHash(duty + member.name)) + 1) / 0x1p64; // 0 to 1
+        const double rank = member.cores * member.cores / -std::log(std::min(drawn, 1 - 1e-12));
         if (usable && (!best || rank > bestRank)) {
             best = member;
             bestRank = rank;
         }
     }
-    return best && best->name != self.name ? best : std::nullopt;
+    return best && best->name != self ? best : std::nullopt;
 }
 
 void OwnedStages::submit(const Ref<StageRun> &run)
 {
-    const auto owner = m_sharing == StageSharing::EachNode ? std::nullopt : ownerOf(run->order().service, run->order().dataCentre);
+    run->assign(groupFor(run->order().service, run->order().dataCentre));
+    handOver(run, m_settings.owners);
+}
+
+void OwnedStages::handOver(const Ref<StageRun> &run, unsigned owners)
+{
+    const bool alone = m_sharing == StageSharing::EachNode || owners == 0;
+    const auto owner = alone ? std::nullopt : ownerOf(run->order().service, run->order().lanes);
     if (!owner) {
         m_local.submit(run);
         return;
     }
-    m_parts.pool.post([this, run, owner = *owner] {
-        runAtPeer(run, owner);
+    m_parts.pool.post([this, run, owner = *owner, owners] {
+        runAtPeer(run, owner, owners - 1);
     });
 }
 
@@ -89,19 +112,28 @@
     m_heardAt[member] = m_parts.clock.now();
 }
 
-bool OwnedStages::silent(const std::string &member) const
+bool OwnedStages::alive(const MemberRecord &member)
 {
-    const Lock lock(m_mutex);
-    const auto found = m_heardAt.find(member);
-    return found == m_heardAt.end() || m_parts.clock.now() - found->second > m_settings.peerSilence;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_heardAt.find(member.name);
+        if (found != m_heardAt.end() && m_parts.clock.now() - found->second < m_settings.peerSilence) {
+            return true;
+        }
+    }
+    const bool answers = m_peers.answers(member.peerAddress, m_parts.clock.now() + m_settings.peerCheck);
+    if (answers) {
+        heard(member.name);
+    }
+    return answers;
 }
 
-void OwnedStages::runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner)
+void OwnedStages::runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner, unsigned owners)
 {
     RunCanceller canceller(*run);
     const TimePoint now = m_parts.clock.now();
     const auto handles = m_peers.run(owner.peerAddress, run->order(), now, m_settings.peerSilence, canceller, [this, &owner] {
-        return !silent(owner.name);
+        return alive(owner);
     });
     if (handles) {
         heard(owner.name);
@@ -131,7 +163,7 @@
     m_parts.metrics.counter("vanillanotch_stage_owner_failures_total").add();
     logEvent(LogLevel::Warning, "stage.owner_failed",
              {{"request", run->order().request}, {"owner", owner.name}, {"error", code}, {"waited_ms", m_parts.clock.now() - now}});
-    m_local.submit(run);
+    handOver(run, owners);
 }
 
 void OwnedStages::add(const std::vector<std::string> &handles)
@@ -165,7 +197,7 @@
     std::map<std::string, std::pair<std::string, std::vector<std::string>>> byPeer; // address and handles by name
     for (std::string &handle : unused) {
         const auto maker = m_parts.instances.at(addressOfHandle(handle));
-        const auto owner = maker && m_sharing != StageSharing::EachNode ? ownerOf(maker->service, maker->dataCentre) : std::nullopt;
+        const auto owner = maker && m_sharing != StageSharing::EachNode ? ownerOf(maker->service, groupFor(maker->service, maker->dataCentre)) : std::nullopt;
         if (owner) {
             byPeer[owner->name].first = owner->peerAddress;
             byPeer[owner->name].second.push_back(std::move(handle));
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -98,6 +98,16 @@
     return ++m_attempts.at(piece);
 }
 
+std::size_t laneGroupOf(const std::vector<InstanceSpec> &instances, const std::string &dataCentre, std::size_t groups)
+{
+    std::set<std::string> dataCentres;
+    for (const InstanceSpec &instance : instances) {
+        dataCentres.insert(instance.dataCentre);
+    }
+    const auto position = static_cast<std::size_t>(std::distance(dataCentres.begin(), dataCentres.lower_bound(dataCentre)));
+    return position % std::max<std::size_t>(1, std::min(groups, dataCentres.size()));
+}
+
 //-----------------------------------------------------------------------------
 // Batches
 //-----------------------------------------------------------------------------
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -41,17 +41,17 @@
     }
     {
         const Lock lock(m_mutex);
-        m_queues[order.service].work.push_back(std::move(work));
+        m_queues[keyOf(order)].work.push_back(std::move(work));
     }
     m_parts.allowance.countFirst(order.service);
-    dispatch(order.service);
+    dispatch(keyOf(order));
 }
 
 std::size_t StageScheduler::waiting() const
 {
     const Lock lock(m_mutex);
     std::size_t pieces = 0;
-    for (const auto &[service, queue] : m_queues) {
+    for (const auto &[key, queue] : m_queues) {
         for (const WaitingWork &work : queue.work) {
             pieces += work.pieces.size();
         }
@@ -61,32 +61,37 @@
 
 void StageScheduler::instancesChanged()
 {
-    std::vector<std::string> services;
+    std::vector<QueueKey> keys;
     {
         const Lock lock(m_mutex);
-        for (const auto &[service, queue] : m_queues) {
+        for (const auto &[key, queue] : m_queues) {
             if (!queue.work.empty()) {
-                services.push_back(service);
+                keys.push_back(key);
             }
         }
     }
-    for (const std::string &service : services) {
-        dispatch(service);
+    for (const QueueKey &key : keys) {
+        dispatch(key);
     }
 }
 
-void StageScheduler::holdLocked(const std::string &service, const std::string &instance, const std::string &handle, std::size_t bytes, Duration life)
+StageScheduler::QueueKey StageScheduler::keyOf(const StageOrder &order)
 {
-    Lane &lane = m_queues[service].lanes[instance];
+    return {order.service, order.lanes.index, order.lanes.count};
+}
+
+void StageScheduler::holdLocked(const std::string &instance, const std::string &handle, std::size_t bytes, Duration life)
+{
+    Lane &lane = m_lanes[instance];
     lane.heldBytes += bytes;
     lane.held.emplace_back(m_parts.clock.now() + life, handle);
-    m_held[handle] = HeldResult{service, instance, bytes};
+    m_held[handle] = HeldResult{instance, bytes};
 }
 
 void StageScheduler::freeLocked(const std::string &handle)
 {
     if (const auto found = m_held.find(handle); found != m_held.end()) {
-        Lane &lane = m_queues[found->second.service].lanes[found->second.instance];
+        Lane &lane = m_lanes[found->second.instance];
         lane.heldBytes -= std::min(lane.heldBytes, found->second.bytes);
         m_held.erase(found);
     }
@@ -122,12 +127,18 @@
     return 1.0 + (lane.slowness - 1.0) * std::exp2(-halves);
 }
 
-std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const std::string &service, ServiceQueue &queue, const StageCapacity &capacity)
+std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const QueueKey &key, LaneQueue &queue, const StageCapacity &capacity)
 {
     const TimePoint now = m_parts.clock.now();
     std::vector<std::pair<double, InstanceSpec>> free; // fastest first
-    for (InstanceSpec &instance : m_parts.instances.ready(service)) {
-        Lane &lane = queue.lanes[instance.id];
+    const auto &[service, group, groups] = key;
+    std::vector<InstanceSpec> instances = m_parts.instances.ready(service);
+    const std::vector<InstanceSpec> all = instances;
+    for (InstanceSpec &instance : instances) {
+        if (laneGroupOf(all, instance.dataCentre, groups) != group) {
+            continue;
+        }
+        Lane &lane = m_lanes[instance.id];
         forgetExpiredLocked(lane, now);
         if (lane.calls < capacity.slots && now >= lane.blockedUntil && !m_parts.instances.suspected(instance.id)) {
             free.emplace_back(slownessOf(lane, now), std::move(instance));
@@ -138,7 +149,7 @@
     });
     std::vector<Dispatch> dispatches;
     for (auto &[slowness, instance] : free) {
-        Lane &lane = queue.lanes[instance.id];
+        Lane &lane = m_lanes[instance.id];
         LaneView view{instance.dataCentre, slowness, 0};
         if (capacity.roomBytes > 0) {
             const std::size_t used = lane.heldBytes + lane.promisedBytes;
@@ -157,9 +168,9 @@
     return dispatches;
 }
 
-void StageScheduler::dispatch(const std::string &service)
+void StageScheduler::dispatch(const QueueKey &key)
 {
-    const auto capacity = capacityOf(service);
+    const auto capacity = capacityOf(std::get<0>(key));
     if (!capacity) {
         return; // the service is no longer in force; runs end at their deadline
     }
@@ -167,28 +178,28 @@
     bool recheck = false;
     {
         const Lock lock(m_mutex);
-        ServiceQueue &queue = m_queues[service];
-        dispatches = planLocked(service, queue, *capacity);
+        LaneQueue &queue = m_queues[key];
+        dispatches = planLocked(key, queue, *capacity);
         recheck = !queue.work.empty() && !queue.recheckDue;
         queue.recheckDue = queue.recheckDue || recheck;
     }
     for (Dispatch &dispatched : dispatches) {
-        m_parts.pool.post([this, service, dispatched = std::move(dispatched)] {
-            runBatch(service, dispatched);
+        m_parts.pool.post([this, key, dispatched = std::move(dispatched)] {
+            runBatch(key, dispatched);
         });
     }
     if (recheck) {
-        m_parts.timers.after(m_settings.recheck, [this, service] {
+        m_parts.timers.after(m_settings.recheck, [this, key] {
             {
                 const Lock lock(m_mutex);
-                m_queues[service].recheckDue = false;
+                m_queues[key].recheckDue = false;
             }
-            dispatch(service);
+            dispatch(key);
         });
     }
 }
 
-void StageScheduler::runBatch(const std::string &service, const Dispatch &dispatched)
+void StageScheduler::runBatch(const QueueKey &key, const Dispatch &dispatched)
 {
     std::vector<PieceCall> calls;
     calls.reserve(dispatched.batch.size());
@@ -205,13 +216,13 @@
     const bool worked = reply.has_value();
     {
         const Lock lock(m_mutex);
-        Lane &lane = m_queues[service].lanes[dispatched.instance.id];
+        Lane &lane = m_lanes[dispatched.instance.id];
         lane.calls -= lane.calls > 0 ? 1 : 0;
         for (std::size_t i = 0; i < dispatched.batch.size(); ++i) {
             const std::size_t bytes = dispatched.batch[i].run->order().resultBytes;
             lane.promisedBytes -= std::min(lane.promisedBytes, bytes);
             if (worked && reply->outcomes.at(i).fault == PieceFault::None) {
-                holdLocked(service, dispatched.instance.id, reply->outcomes[i].handle, bytes, dispatched.capacity.resultLife);
+                holdLocked(dispatched.instance.id, reply->outcomes[i].handle, bytes, dispatched.capacity.resultLife);
             }
         }
         if (worked || reply.error().code == ErrorCode::ServerTimeout) {
@@ -221,7 +232,7 @@
         }
     }
     logEvent(LogLevel::Info, "stage.call",
-             {{"service", service},
+             {{"service", dispatched.instance.service},
               {"instance", dispatched.instance.id},
               {"first_request", calls.front().order->request},
               {"pieces", static_cast<std::uint64_t>(calls.size())},
@@ -231,14 +242,14 @@
     m_parts.metrics.histogram("vanillanotch_stage_call_seconds").record(ended - began);
     m_parts.metrics.counter("vanillanotch_stage_pieces_total").add(calls.size());
     if (worked) {
-        settle(service, dispatched, *reply);
+        settle(key, dispatched, *reply);
     } else {
-        recover(service, dispatched, reply.error());
+        recover(key, dispatched, reply.error());
     }
-    dispatch(service);
+    dispatch(key);
 }
 
-void StageScheduler::settle(const std::string &service, const Dispatch &dispatched, const BatchReply &reply)
+void StageScheduler::settle(const QueueKey &key, const Dispatch &dispatched, const BatchReply &reply)
 {
     m_parts.instances.report(dispatched.instance.id, InstanceVerdict::Succeeded, Duration::zero(), reply.load);
     std::vector<BatchPick> again;
@@ -271,33 +282,33 @@
     release(unused);
     if (noRoom) {
         const Lock lock(m_mutex);
-        m_queues[service].lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + m_settings.fullPause;
+        m_lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + m_settings.fullPause;
     }
-    requeue(service, again, !noRoom);
+    requeue(key, again, !noRoom);
 }
 
-void StageScheduler::recover(const std::string &service, const Dispatch &dispatched, const UpstreamFailure &failure)
+void StageScheduler::recover(const QueueKey &key, const Dispatch &dispatched, const UpstreamFailure &failure)
 {
     const bool full = failure.code == ErrorCode::ServerBusy;
     const bool moved = failure.code == ErrorCode::WrongInstance;
     const Duration pause = full ? m_settings.fullPause : m_settings.failedPause;
     {
         const Lock lock(m_mutex);
-        m_queues[service].lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + pause;
+        m_lanes[dispatched.instance.id].blockedUntil = m_parts.clock.now() + pause;
     }
     if (!full && !moved) {
         m_parts.instances.report(dispatched.instance.id, InstanceVerdict::Unreachable, Duration::zero(), std::nullopt);
     }
-    requeue(service, dispatched.batch, failure.sent);
+    requeue(key, dispatched.batch, failure.sent);
 }
 
 // `counts`: the pieces have reached an instance, so that another call is charged.
-void StageScheduler::requeue(const std::string &service, const std::vector<BatchPick> &picks, bool counts)
+void StageScheduler::requeue(const QueueKey &key, const std::vector<BatchPick> &picks, bool counts)
 {
     if (picks.empty()) {
         return;
     }
-    if (counts && !m_parts.allowance.take(service)) {
+    if (counts && !m_parts.allowance.take(std::get<0>(key))) {
         for (const BatchPick &pick : picks) {
             pick.run->fail(ErrorCode::Overloaded);
         }
@@ -316,7 +327,7 @@
     }
     const Lock lock(m_mutex);
     for (auto &[run, work] : works) {
-        m_queues[service].work.push_back(std::move(work));
+        m_queues[key].work.push_back(std::move(work));
     }
 }
 
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -20,6 +20,8 @@
 #include "instances/instances.h"
 #include "transport/transport.h"
 
+#include <tuple>
+
 namespace vanillanotch
 {
 
@@ -27,11 +29,18 @@
 // [ORDERS]
 //-----------------------------------------------------------------------------
 
+// The instances that one node schedules: those in the data centres whose position, by name, falls into the group.
+struct LaneGroup {
+    std::size_t index = 0;
+    std::size_t count = 1;
+};
+
 struct StageOrder {
     std::string request; // the caller's attempt
     std::size_t stage = 0; // position in the route
     std::string service;
     unsigned pieces = 0;
+    LaneGroup lanes;
     std::string key; // what the pieces are made from; for a stage that needs no other
     std::vector<std::string> inputs; // results of the stages before; empty: made from the key
     std::string dataCentre; // where its inputs lie or its results are wanted; empty: anywhere
@@ -51,6 +60,10 @@
     {
         return m_order;
     }
+    void assign(const LaneGroup &lanes) // before the run is handed to other threads
+    {
+        m_order.lanes = lanes;
+    }
     void cancel(); // no piece is sent any more; `cancelSignal` is raised
     bool cancelled() const;
     // Raised by cancel(): lets a thread that waits on a socket for this run stop.
@@ -65,7 +78,7 @@
     unsigned countAttempt(unsigned piece); // returns how often the piece has been sent
 
 private:
-    const StageOrder m_order;
+    StageOrder m_order;
     const Ref<Signal> m_progress;
     mutable RankedMutex m_mutex{LockRank::Leaf};
     std::vector<std::string> m_handles; // empty: not done
@@ -76,6 +89,9 @@
     Ref<Signal> m_cancelSignal;
 };
 
+// The group of a data centre among those that hold instances of a service.
+std::size_t laneGroupOf(const std::vector<InstanceSpec> &instances, const std::string &dataCentre, std::size_t groups);
+
 class StageExecutor
 {
 public:
@@ -123,6 +139,7 @@
                                                  CallerWatch &canceller, const std::function<bool()> &alive)
         = 0;
     virtual Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) = 0;
+    virtual bool answers(const std::string &peerAddress, TimePoint until) = 0; // asks for a sign of life
 };
 
 //-----------------------------------------------------------------------------
@@ -270,36 +287,37 @@
         std::deque<std::pair<TimePoint, std::string>> held; // by the end of their life; freed ones included
     };
     struct HeldResult {
-        std::string service;
         std::string instance;
         std::size_t bytes = 0;
     };
-    struct ServiceQueue {
+    struct LaneQueue {
         std::vector<WaitingWork> work;
-        std::map<std::string, Lane> lanes; // by instance
         bool recheckDue = false;
     };
+    using QueueKey = std::tuple<std::string, std::size_t, std::size_t>; // service, lane group
     struct Dispatch {
         InstanceSpec instance;
         std::vector<BatchPick> batch;
         StageCapacity capacity;
     };
     double slownessOf(const Lane &lane, TimePoint now) const;
-    void holdLocked(const std::string &service, const std::string &instance, const std::string &handle, std::size_t bytes, Duration life);
+    void holdLocked(const std::string &instance, const std::string &handle, std::size_t bytes, Duration life);
     void freeLocked(const std::string &handle);
     void forgetExpiredLocked(Lane &lane, TimePoint now);
-    std::vector<Dispatch> planLocked(const std::string &service, ServiceQueue &queue, const StageCapacity &capacity);
-    void dispatch(const std::string &service);
-    void runBatch(const std::string &service, const Dispatch &dispatch);
-    void settle(const std::string &service, const Dispatch &dispatch, const BatchReply &reply);
-    void recover(const std::string &service, const Dispatch &dispatch, const UpstreamFailure &failure);
-    void requeue(const std::string &service, const std::vector<BatchPick> &picks, bool counts);
+    static QueueKey keyOf(const StageOrder &order);
+    std::vector<Dispatch> planLocked(const QueueKey &key, LaneQueue &queue, const StageCapacity &capacity);
+    void dispatch(const QueueKey &key);
+    void runBatch(const QueueKey &key, const Dispatch &dispatch);
+    void settle(const QueueKey &key, const Dispatch &dispatch, const BatchReply &reply);
+    void recover(const QueueKey &key, const Dispatch &dispatch, const UpstreamFailure &failure);
+    void requeue(const QueueKey &key, const std::vector<BatchPick> &picks, bool counts);
     std::optional<StageCapacity> capacityOf(const std::string &service) const;
 
     StageParts m_parts;
     const SchedulerSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::Stages};
-    std::map<std::string, ServiceQueue> m_queues;
+    std::map<QueueKey, LaneQueue> m_queues;
+    std::map<std::string, Lane> m_lanes; // by instance
     std::unordered_map<std::string, HeldResult> m_held; // by handle
 };
 
@@ -308,18 +326,20 @@
 //-----------------------------------------------------------------------------
 
 struct OwnerSettings {
-    std::size_t lanesForOwner = 6; // instances that one node schedules at most; more are split among several
+    std::size_t lanesForOwner = 6; // instances that one node schedules, about; more are split among several
+    unsigned owners = 3; // that an order is handed to, one after the other, before this node does it
     std::chrono::milliseconds peerPause{2000}; // a peer that failed isn't asked again for this long
     std::chrono::milliseconds releaseInterval{10}; // results of this long are given up together
     std::chrono::milliseconds releaseLimit{500}; // for telling an owner; results end by themselves some time later
-    std::chrono::milliseconds peerSilence{700}; // an owner that answers nothing for this long is taken for gone; calls take a third
+    std::chrono::milliseconds peerSilence{700}; // an owner that has answered nothing for this long is asked for a sign of life; calls take a third
+    std::chrono::milliseconds peerCheck{400}; // for that answer; without it the owner is taken for gone
 };
 
 // How orders are spread over the nodes.
 enum class StageSharing {
     EachNode, // every node calls the instances for itself
     Owners, // a service's orders go to its owner by rendezvous hashing
-    OwnersByDataCentre, // as Owners, split by the data centre where results are wanted
+    OwnerGroups, // as Owners, with several owners where a service has many instances
 };
 
 // Orders go to the owners of their services, and so do results that are given up: the owners keep count of the room for them.
@@ -331,11 +351,13 @@
     void add(const std::vector<std::string> &handles) override;
 
 private:
-    std::optional<MemberRecord> ownerOf(const std::string &service, const std::string &dataCentre) const; // nullopt: this node
+    LaneGroup groupFor(const std::string &service, const std::string &dataCentre) const;
+    std::optional<MemberRecord> ownerOf(const std::string &service, const LaneGroup &lanes) const; // nullopt: this node
+    void handOver(const Ref<StageRun> &run, unsigned owners);
     void flush();
-    void runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner);
+    void runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner, unsigned owners);
     void heard(const std::string &member);
-    bool silent(const std::string &member) const;
+    bool alive(const MemberRecord &member);
 
     StageParts m_parts;
     StageScheduler &m_local;
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -45,8 +45,9 @@
     for (;;) {
         if (step()) {
             m_nextPause = m_settings.firstPause;
+            pause(m_settings.rest);
         } else {
-            pause();
+            pause(backOff());
         }
         const Lock lock(m_mutex);
         if (m_stopping) {
@@ -55,16 +56,34 @@
     }
 }
 
-void TableWatch::pause()
+Duration TableWatch::backOff()
 {
     // A random part keeps nodes apart that lost the store at the same moment.
     const double part = std::uniform_real_distribution<double>(0.5, 1.0)(m_generator);
     const auto duration = std::chrono::duration_cast<Duration>(m_nextPause * part);
     m_nextPause = std::min<Duration>(m_settings.longestPause, m_nextPause * 2);
-    Lock lock(m_mutex);
-    m_wake.wait_for(lock, duration, [this] {
-        return m_stopping;
-    });
+    return duration;
+}
+
+void TableWatch::pause(Duration duration)
+{
+    if (duration > Duration::zero()) {
+        Lock lock(m_mutex);
+        m_wake.wait_for(lock, duration, [this] {
+            return m_stopping;
+        });
+    }
+}
+
+TimePoint StoreClock::answeredAfter(Duration storeClock, TimePoint asked, TimePoint received)
+{
+    if (storeClock < m_lastSeen) {
+        m_least.reset(); // another clock: what was learnt doesn't hold for it
+    }
+    m_lastSeen = storeClock;
+    const Duration least = asked.time_since_epoch() - storeClock;
+    m_least = std::max(m_least.value_or(least), least);
+    return std::clamp(TimePoint(storeClock + *m_least), asked, received);
 }
 
 bool TableWatch::step()
@@ -92,11 +111,12 @@
         logEvent(LogLevel::Info, "store.regained", {{"table", m_table}, {"version", rows->version}});
         m_lost = false;
     }
+    const TimePoint asOf = m_clock.answeredAfter(rows->storeClock, began, suspendAwareNow());
     const bool afterTrouble = m_lastFailure != TimePoint{} && suspendAwareNow() - m_lastFailure < m_settings.troubleMemory;
     if (whole) {
-        m_listener.snapshot(*rows, began, afterTrouble);
+        m_listener.snapshot(*rows, asOf, afterTrouble);
     } else {
-        m_listener.changes(*rows, began, afterTrouble);
+        m_listener.changes(*rows, asOf, afterTrouble);
     }
     m_version = std::max(m_version.value_or(0), rows->version);
     return true;
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -23,6 +23,7 @@
 struct StoredRows {
     std::vector<StoredRow> rows;
     std::uint64_t version = 0; // the store's newest
+    Duration storeClock{}; // the store's steady clock when it answered
 };
 
 // The platform's store as far as a node watches it.
@@ -42,20 +43,34 @@
 {
 public:
     virtual ~TableListener() = default;
-    // `callBegan` (suspend-aware clock): the store was asked then, so the rows are at least as new.
+    // `asOf` (suspend-aware clock): the rows are at least as new as that moment.
     // `afterTrouble`: the store was out of reach until a moment ago.
-    virtual void snapshot(const StoredRows &rows, TimePoint callBegan, bool afterTrouble) = 0;
-    virtual void changes(const StoredRows &rows, TimePoint callBegan, bool afterTrouble) = 0;
+    virtual void snapshot(const StoredRows &rows, TimePoint asOf, bool afterTrouble) = 0;
+    virtual void changes(const StoredRows &rows, TimePoint asOf, bool afterTrouble) = 0;
 };
 
 struct WatchSettings {
-    std::chrono::milliseconds wait{1500}; // longest time between two answers of an idle feed
+    std::chrono::milliseconds wait{2200}; // longest time between two answers of an idle feed
+    std::chrono::milliseconds rest{0}; // after an answer; changes of this time come together
     std::chrono::milliseconds answerLimit{1200}; // for an answer besides the wait; a slow store takes a quarter second
     std::chrono::milliseconds firstPause{150}; // after a failure; grows to `longestPause`
     std::chrono::milliseconds longestPause{700}; // a returned store is seen within this time
     std::chrono::milliseconds troubleMemory{2500}; // lapsed entries are back within two seconds of the store's return
 };
 
+// Bounds from below when the store gave an answer, on this node's clock. A long poll's answer is far younger than its
+// question; the store's clock says how much, once quick calls have shown how the two clocks stand to each other.
+class StoreClock
+{
+public:
+    // The call that brought `storeClock` was made between the two moments. Returns a moment at or before the answer was given.
+    TimePoint answeredAfter(Duration storeClock, TimePoint asked, TimePoint received);
+
+private:
+    std::optional<Duration> m_least; // least possible (this clock - the store's)
+    Duration m_lastSeen{};
+};
+
 // Follows one table on a thread of its own.
 class TableWatch
 {
@@ -68,7 +83,8 @@
 private:
     void run();
     bool step(); // false: the store didn't answer
-    void pause();
+    void pause(Duration duration);
+    Duration backOff();
 
     StateStore &m_store;
     const std::string m_table;
@@ -76,6 +92,7 @@
     const WatchSettings m_settings;
     Counter &m_calls;
     Counter &m_failures;
+    StoreClock m_clock;
     std::optional<std::uint64_t> m_version; // nullopt: the table must be read
     Duration m_nextPause{};
     TimePoint m_lastFailure{};
--- a/src/wire/entry_yaml.cpp
+++ b/src/wire/entry_yaml.cpp
@@ -35,12 +35,13 @@
     document.read("readiness_address", settings.readinessAddress, true);
     document.read("peer_address", settings.peerAddress, true);
     document.read("store_address", settings.storeAddress, true);
+    document.read("cores", settings.cores, 0.01, 1024);
     document.read("revocation_bound_ms", settings.revocationBound, milliseconds(100), milliseconds(600000));
     document.read("stop_limit_ms", settings.stopLimit, milliseconds(100), milliseconds(600000));
     document.read("retry_window_ms", settings.retryWindow, milliseconds(100), milliseconds(600000));
     document.read("retry_ratio", settings.retryRatio, 0, 10);
     document.read("retry_extra", settings.retryExtra, 0, 1e9);
-    readOneOf(document, "stage_sharing", settings.stageSharing, {"each_node", "owners", "owners_by_data_centre"});
+    readOneOf(document, "stage_sharing", settings.stageSharing, {"each_node", "owners", "owner_groups"});
     readOneOf(document, "engine_choice", settings.engineChoice, {"prompt_home", "shortest_time", "least_outstanding"});
     settings.logLevel = readLogLevel(document);
     document.finish();
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -78,12 +78,13 @@
     std::string peerAddress; // IP:port, other nodes and metrics; no default
     std::string storeAddress; // IP:port, the platform's store; no default
     LogLevel logLevel = LogLevel::Info;
+    double cores = 1; // processor that the VM has
     std::chrono::milliseconds revocationBound{5000}; // a key that was taken away is refused after this long
     std::chrono::milliseconds stopLimit{8000}; // from SIGTERM until the platform kills the process
     std::chrono::milliseconds retryWindow{10000}; // of the retry budget
     double retryRatio = 0.2; // repeated calls / requests, by service and window
     double retryExtra = 0; // repeated calls besides, at all nodes together
-    std::string stageSharing = "owners"; // each_node, owners or owners_by_data_centre
+    std::string stageSharing = "owner_groups"; // each_node, owners or owner_groups
     std::string engineChoice = "prompt_home"; // prompt_home, shortest_time or least_outstanding
 };
 tl::expected<EntrySettings, std::vector<FileProblem>> parseEntrySettingsYaml(const std::string &text, const std::string &file);
