--- a/src/base/base.h
+++ b/src/base/base.h
@@ -268,8 +268,9 @@
 {
 public:
     explicit GrowingPool(std::size_t limit);
-    ~GrowingPool(); // runs what is queued, then joins
+    ~GrowingPool();
     void post(std::function<void()> task); // beyond the limit it waits for a thread
+    void stop(); // runs what is queued, then joins; call it before what the tasks use is gone
     std::size_t threads() const;
 
 private:
--- a/src/base/workers.cpp
+++ b/src/base/workers.cpp
@@ -66,12 +66,19 @@
 
 GrowingPool::~GrowingPool()
 {
+    stop();
+}
+
+void GrowingPool::stop()
+{
+    std::vector<std::thread> threads;
     {
         const Lock lock(m_mutex);
         m_stopping = true;
+        threads.swap(m_threads);
     }
     m_wake.notify_all();
-    for (std::thread &thread : m_threads) {
+    for (std::thread &thread : threads) {
         thread.join();
     }
 }
@@ -80,7 +87,7 @@
 {
     const Lock lock(m_mutex);
     m_tasks.push_back(std::move(task));
-    if (m_tasks.size() > m_idle && m_threads.size() < m_limit) {
+    if (!m_stopping && m_tasks.size() > m_idle && m_threads.size() < m_limit) {
         m_threads.emplace_back([this] {
             run();
         });
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -65,19 +65,21 @@
 {
     const sigset_t signals = blockSignals();
     ::mallopt(M_ARENA_MAX, HeapArenas);
-    const BufferedLog log(settings.logLevel, settings.node);
-    EntryNode node(settings);
-    if (const auto started = node.start(); !started) {
+    auto log = std::make_unique<BufferedLog>(settings.logLevel, settings.node);
+    const auto node = std::make_unique<EntryNode>(settings);
+    if (const auto started = node->start(); !started) {
         logEvent(LogLevel::Error, "node.start_failed", {{"code", started.error().code}, {"detail", started.error().detail}});
-        return ExitFailure;
+        log.reset();
+        std::_Exit(ExitFailure);
     }
     logEvent(LogLevel::Info, "node.started", {{"data_centre", settings.dataCentre}, {"callers", settings.callerAddress}});
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
         reload(path);
     }
-    node.stop();
-    return 0;
+    node->stop();
+    log.reset(); // writes what is left
+    std::_Exit(0); // without waiting for requests that have outlived the limit
 }
 } // namespace
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -13,7 +13,7 @@
 constexpr Duration AnnounceLimit = std::chrono::seconds(2); // for one write
 constexpr Duration AnnouncePause = std::chrono::milliseconds(700); // until the next try
 constexpr std::chrono::milliseconds LongWait{20000}; // of feeds whose silence proves nothing; keep-alive probes find a dead connection
-constexpr std::chrono::milliseconds ServersRest{60}; // a release replaces many servers at once
+constexpr std::chrono::milliseconds ServersRest{300}; // servers come and leave in groups; far below the time that a leaving one serves on
 constexpr std::chrono::milliseconds MembersRest{1500}; // all nodes start together, and a dead one is found by asking it
 constexpr Duration BalancerNotices = std::chrono::milliseconds(2300); // two questions a second apart, and their answers
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // before the platform kills the process
@@ -134,6 +134,7 @@
 EntryNode::~EntryNode()
 {
     m_timers.stop();
+    m_pool.stop();
 }
 
 Result<void> EntryNode::start()
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -50,7 +50,7 @@
 };
 
 struct WatchSettings {
-    std::chrono::milliseconds wait{2200}; // longest time between two answers of an idle feed
+    std::chrono::milliseconds wait{2800}; // longest time between two answers of an idle feed
     std::chrono::milliseconds rest{0}; // after an answer; changes of this time come together
     std::chrono::milliseconds answerLimit{1200}; // for an answer besides the wait; a slow store takes a quarter second
     std::chrono::milliseconds firstPause{150}; // after a failure; grows to `longestPause`
--- /dev/null
+++ b/tests/unit/deployment_test.cpp
@@ -0,0 +1,323 @@
+// What is in force: routes, keys and their age, instances, watches of the store.
+#include "deployment/deployment.h"
+#include "forwarding/forwarding.h"
+#include "instances/instances.h"
+#include "watch/watch.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillanotch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+RouteSpec route(const std::string &prefix)
+{
+    RouteSpec spec;
+    spec.name = prefix;
+    spec.host = "h";
+    spec.prefix = prefix;
+    spec.services.push_back(WeightedService{"s", 1});
+    return spec;
+}
+
+DeploymentRef deployment(std::uint64_t version)
+{
+    TenantSpec tenant;
+    tenant.name = "t";
+    tenant.apiKeys = {"key"};
+    return makeRef<Deployment>(version, std::vector<RouteSpec>{route("/a/"), route("/a/b/")}, std::vector<ServiceSpec>{}, std::vector<TenantSpec>{tenant},
+                               FrontLimits{});
+}
+
+InstanceSpec instance(const std::string &id, std::int64_t born = 0)
+{
+    InstanceSpec spec;
+    spec.id = id;
+    spec.service = "s";
+    spec.address = "127.0.0.1:1";
+    spec.dataCentre = "dc1";
+    spec.born = born;
+    return spec;
+}
+
+// Answers from a list, one entry a call.
+class ScriptedStore final : public StateStore
+{
+public:
+    std::vector<Result<StoredRows>> answers;
+    std::vector<std::string> calls;
+    Latch done{1};
+
+    Result<StoredRows> readTable(const std::string & /*table*/, Duration /*limit*/) override
+    {
+        return next("read");
+    }
+    Result<StoredRows> awaitChanges(const std::string & /*table*/, std::uint64_t after, milliseconds /*wait*/, Duration /*limit*/) override
+    {
+        return next("after " + std::to_string(after));
+    }
+    Result<void> writeRow(const std::string & /*table*/, const std::string & /*key*/, const std::string & /*value*/, Duration /*limit*/) override
+    {
+        return {};
+    }
+    Result<void> removeRow(const std::string & /*table*/, const std::string & /*key*/, Duration /*limit*/) override
+    {
+        return {};
+    }
+
+private:
+    Result<StoredRows> next(const std::string &call)
+    {
+        if (m_next < answers.size()) {
+            calls.push_back(call);
+            return answers[m_next++];
+        }
+        done.countDown();
+        return fail(ErrorCode::PlatformUnavailable);
+    }
+    std::size_t m_next = 0;
+};
+
+class RecordingListener final : public TableListener
+{
+public:
+    std::vector<std::string> seen;
+    void snapshot(const StoredRows &rows, TimePoint /*asOf*/, bool afterTrouble) override
+    {
+        seen.push_back("snapshot " + std::to_string(rows.version) + (afterTrouble ? " after trouble" : ""));
+    }
+    void changes(const StoredRows &rows, TimePoint /*asOf*/, bool afterTrouble) override
+    {
+        seen.push_back("changes " + std::to_string(rows.version) + (afterTrouble ? " after trouble" : ""));
+    }
+};
+
+StoredRows rowsAt(std::uint64_t version)
+{
+    StoredRows rows;
+    rows.version = version;
+    return rows;
+}
+} // namespace
+
+TEST_GROUP(Deployment){};
+
+TEST(Deployment, TheLongestPrefixOfAHostWins)
+{
+    const DeploymentRef current = deployment(1);
+    STRCMP_EQUAL("/a/b/", current->route("h", "/a/b/c")->name.c_str());
+    STRCMP_EQUAL("/a/", current->route("h:80", "/a/bc")->name.c_str());
+    CHECK(current->route("h", "/b/") == nullptr);
+    CHECK(current->route("i", "/a/") == nullptr);
+}
+
+TEST(Deployment, AnOlderVersionIsNeverInstalled)
+{
+    DeploymentTable table{TrustSettings{}};
+    CHECK(table.install(deployment(5)));
+    CHECK_FALSE(table.install(deployment(4)));
+    CHECK_FALSE(table.install(deployment(5)));
+    LONGS_EQUAL(5, static_cast<long>(table.current()->version()));
+}
+
+TEST(Deployment, KeysAreTrustedOnlyWhileTheProofIsYoung)
+{
+    TrustSettings settings;
+    settings.revocationBound = seconds(5);
+    DeploymentTable table(settings);
+    const TimePoint start = TimePoint(seconds(1000));
+    CHECK_FALSE(table.keysTrusted(start));
+    (void)table.install(deployment(1));
+    table.confirm(start);
+    CHECK(table.ready(start + seconds(3)));
+    CHECK_FALSE(table.ready(start + seconds(4)));
+    CHECK(table.keysTrusted(start + seconds(4)));
+    CHECK_FALSE(table.keysTrusted(start + milliseconds(4500)));
+    table.confirm(start - seconds(1)); // an older proof takes nothing back
+    CHECK(table.ready(start + seconds(3)));
+}
+
+TEST(Deployment, TheStoresClockBoundsAnAnswersAgeFromBelow)
+{
+    StoreClock clock;
+    const auto at = [](milliseconds time) {
+        return TimePoint(seconds(100) + time);
+    };
+    // A quick call: asked at 0, received at 10; the store's clock says 50,000 ms.
+    CHECK(clock.answeredAfter(milliseconds(50000), at(milliseconds(0)), at(milliseconds(10))) == at(milliseconds(0)));
+    // A long poll, answered 2 s later by the store's clock and held up for 3 s on its way.
+    CHECK(clock.answeredAfter(milliseconds(52000), at(milliseconds(20)), at(milliseconds(5000))) == at(milliseconds(2000)));
+    // Another clock, which begins anew, says nothing about the former one.
+    CHECK(clock.answeredAfter(milliseconds(10), at(milliseconds(6000)), at(milliseconds(8000))) == at(milliseconds(6000)));
+    // Never before the question, never after the answer.
+    CHECK(clock.answeredAfter(milliseconds(90000), at(milliseconds(9000)), at(milliseconds(9100))) == at(milliseconds(9100)));
+}
+
+TEST_GROUP(Instances)
+{
+    ManualClock clock;
+    InstanceSettings settings;
+    std::unique_ptr<InstanceTable> table;
+    std::unique_ptr<ChoicePolicy> policy = makeShortestTimeChoice();
+    ChoiceInput input;
+
+    void setup() override
+    {
+        settings.dataCentre = "dc1";
+        table = std::make_unique<InstanceTable>(clock, settings);
+        input.service = "s";
+    }
+    void teardown() override
+    {
+        table.reset();
+        policy.reset();
+    }
+};
+
+TEST(Instances, ADrainingOrRemovedInstanceGetsNothing)
+{
+    InstanceSpec spec = instance("i");
+    table->upsert(spec);
+    CHECK(table->acquire(input, *policy).has_value());
+    spec.draining = true;
+    table->upsert(spec);
+    CHECK(table->acquire(input, *policy).error().code == ErrorCode::NoFitServer);
+    table->upsert(instance("i"));
+    table->remove("i", false);
+    CHECK(table->acquire(input, *policy).error().code == ErrorCode::NoFitServer);
+}
+
+TEST(Instances, AnEntryThatLapsedWithTheRegistryIsKeptForItsReturn)
+{
+    table->upsert(instance("i"));
+    table->remove("i", true);
+    CHECK(table->usable("i"));
+    clock.advance(settings.lapseGrace + milliseconds(1));
+    CHECK_FALSE(table->usable("i")); // still missing: gone
+    table->upsert(instance("i"));
+    CHECK(table->usable("i"));
+    InstanceSpec leaving = instance("i");
+    leaving.draining = true;
+    table->upsert(leaving);
+    table->remove("i", true); // it had said that it leaves
+    LONGS_EQUAL(0, static_cast<long>(table->size()));
+}
+
+TEST(Instances, ALateEntryOfAnEarlierRunIsIgnored)
+{
+    InstanceSpec now = instance("i", 200);
+    now.address = "127.0.0.1:2";
+    table->upsert(now);
+    table->upsert(instance("i", 100));
+    STRCMP_EQUAL("127.0.0.1:2", table->ready("s").front().address.c_str());
+}
+
+TEST(Instances, AnUnreachableOneIsAvoidedButNeverMostOfAService)
+{
+    for (const char *id : {"a", "b", "c"}) {
+        table->upsert(instance(id));
+    }
+    table->report("a", InstanceVerdict::Unreachable, Duration::zero(), std::nullopt);
+    for (int i = 0; i < 50; ++i) {
+        CHECK(table->acquire(input, *policy)->instance().id != "a");
+    }
+    clock.advance(settings.suspectFor);
+    CHECK_FALSE(table->suspected("a"));
+    for (const char *id : {"a", "b", "c"}) {
+        table->report(id, InstanceVerdict::Unreachable, Duration::zero(), std::nullopt);
+    }
+    CHECK(table->acquire(input, *policy).has_value()); // all fail: the fault is likely this node's
+}
+
+TEST(Instances, APromptHasTheSameHomeOnEveryNodeUntilItFails)
+{
+    std::unique_ptr<ChoicePolicy> home = makePromptHomeChoice();
+    InstanceTable other(clock, settings);
+    for (int i = 0; i < 8; ++i) {
+        table->upsert(instance("i" + std::to_string(i)));
+        other.upsert(instance("i" + std::to_string(i)));
+    }
+    input.affinity = 4711;
+    const std::string chosen = table->preview(input, *home)->id;
+    STRCMP_EQUAL(chosen.c_str(), other.preview(input, *home)->id.c_str());
+    table->report(chosen, InstanceVerdict::Unreachable, Duration::zero(), std::nullopt);
+    CHECK(table->preview(input, *home)->id != chosen);
+    input.avoid.insert(chosen);
+    CHECK(other.preview(input, *home)->id != chosen);
+}
+
+TEST(Instances, GivenBackPlacesAreFree)
+{
+    table->upsert(instance("a"));
+    table->upsert(instance("b"));
+    const std::unique_ptr<ChoicePolicy> least = makeLeastOutstandingChoice();
+    auto first = table->acquire(input, *least);
+    const auto second = table->acquire(input, *least);
+    CHECK(first->instance().id != second->instance().id);
+    const std::string freed = first->instance().id;
+    first->finish(InstanceVerdict::Succeeded, milliseconds(5), std::nullopt);
+    STRCMP_EQUAL(freed.c_str(), table->acquire(input, *least)->instance().id.c_str());
+}
+
+TEST_GROUP(Watch){};
+
+TEST(Watch, AGapIsReadAnewAndTheVersionNeverFalls)
+{
+    ScriptedStore store;
+    store.answers = {rowsAt(7), rowsAt(9), rowsAt(8), tl::unexpected(Error{ErrorCode::StoreHistoryGone, {}}), rowsAt(12)};
+    RecordingListener listener;
+    MetricsRegistry metrics;
+    WatchSettings settings;
+    settings.firstPause = milliseconds(1);
+    TableWatch watch(store, "t", listener, settings, metrics);
+    watch.start();
+    CHECK(store.done.wait(seconds(20)));
+    watch.stop();
+    const std::vector<std::string> calls = {"read", "after 7", "after 9", "after 9", "read"};
+    CHECK(store.calls == calls);
+    const std::vector<std::string> seen = {"snapshot 7", "changes 9", "changes 8", "snapshot 12"};
+    CHECK(listener.seen == seen);
+}
+
+TEST(Watch, TheFirstAnswerAfterTroubleSaysSo)
+{
+    ScriptedStore store;
+    store.answers = {rowsAt(1), tl::unexpected(Error{ErrorCode::StoreRefused, {}}), rowsAt(2)};
+    RecordingListener listener;
+    MetricsRegistry metrics;
+    WatchSettings settings;
+    settings.firstPause = milliseconds(1);
+    TableWatch watch(store, "t", listener, settings, metrics);
+    watch.start();
+    CHECK(store.done.wait(seconds(20)));
+    watch.stop();
+    const std::vector<std::string> seen = {"snapshot 1", "changes 2 after trouble"};
+    CHECK(listener.seen == seen);
+}
+
+TEST_GROUP(Allowance){};
+
+TEST(Allowance, RepeatsStayWithinTheNodesPart)
+{
+    ManualClock clock;
+    AllowanceSettings settings;
+    settings.ratio = 0.2;
+    settings.extra = 54;
+    settings.margin = 1;
+    ServiceAllowance allowance(clock, settings, [] {
+        return std::size_t{6};
+    });
+    for (int i = 0; i < 100; ++i) {
+        allowance.countFirst("s");
+    }
+    int taken = 0;
+    while (allowance.take("s")) {
+        ++taken;
+    }
+    LONGS_EQUAL(29, taken); // 0.2 x 100 + 54 / 6
+    CHECK(allowance.take("other")); // services count apart
+    clock.advance(settings.window + milliseconds(1));
+    CHECK(allowance.take("s"));
+}
