Wait for a lane nearby only while one is soon free

Cause: work whose inputs lie in another data centre waited up to 250 ms for a lane there, even when none was about to be free.

--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -124,14 +124,25 @@
 
 namespace
 {
-Duration patienceFor(const StageOrder &order, TimePoint since, const BatchSettings &settings)
+// Whether the work is better off with a lane in its own data centre, which will soon be free.
+bool waitsForNearby(const WaitingWork &work, const LaneView &lane, const NearbyLanes &nearby, TimePoint now, const BatchSettings &settings)
 {
-    const auto slack = std::chrono::duration_cast<Duration>((order.target - since) * settings.dataCentreSlack);
-    return std::min<Duration>(settings.dataCentrePatience, slack);
+    const StageOrder &order = work.run->order();
+    if (order.dataCentre.empty() || order.dataCentre == lane.dataCentre || order.movedBytes < settings.largeMove) {
+        return false;
+    }
+    const auto found = nearby.find(order.dataCentre);
+    const Duration wait = settings.nearbyWait + settings.nearbyWaitPerRank * std::max(0, order.priority);
+    if (found == nearby.end() || found->second - now > wait) {
+        return false;
+    }
+    const auto slack = std::chrono::duration_cast<Duration>((order.target - work.since) * settings.dataCentreSlack);
+    return now - work.since < std::min<Duration>(settings.dataCentrePatience, slack);
 }
 } // namespace
 
-std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings)
+std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, const NearbyLanes &nearby, std::size_t batch, TimePoint now,
+                                 const BatchSettings &settings)
 {
     queue.erase(std::remove_if(queue.begin(), queue.end(),
                                [](const WaitingWork &work) {
@@ -141,9 +152,7 @@
     std::vector<WaitingWork *> eligible;
     bool waitedLong = false;
     for (WaitingWork &work : queue) {
-        const StageOrder &order = work.run->order();
-        const bool elsewhere = !order.dataCentre.empty() && order.dataCentre != lane.dataCentre && order.movedBytes >= settings.largeMove;
-        if (elsewhere && now - work.since < patienceFor(order, work.since, settings)) {
+        if (waitsForNearby(work, lane, nearby, now, settings)) {
             continue;
         }
         waitedLong = waitedLong || now - work.since >= settings.slowPatience;
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -131,6 +131,7 @@
 {
     const TimePoint now = m_parts.clock.now();
     std::vector<std::pair<double, InstanceSpec>> free; // fastest first
+    NearbyLanes nearby;
     const auto &[service, group, groups] = key;
     std::vector<InstanceSpec> instances = m_parts.instances.ready(service);
     const std::vector<InstanceSpec> all = instances;
@@ -140,6 +141,11 @@
         }
         Lane &lane = m_lanes[instance.id];
         forgetExpiredLocked(lane, now);
+        const TimePoint freeAt = std::max({now, lane.blockedUntil, lane.calls < capacity.slots ? now : lane.freeAt});
+        const auto [soonest, first] = nearby.emplace(instance.dataCentre, freeAt);
+        if (!first) {
+            soonest->second = std::min(soonest->second, freeAt);
+        }
         if (lane.calls < capacity.slots && now >= lane.blockedUntil && !m_parts.instances.suspected(instance.id)) {
             free.emplace_back(slownessOf(lane, now), std::move(instance));
         }
@@ -156,9 +162,10 @@
             const auto usable = static_cast<std::size_t>(static_cast<double>(capacity.roomBytes) * m_settings.roomMargin);
             view.roomBytes = usable > used ? usable - used : 1;
         }
-        std::vector<BatchPick> batch = planBatch(queue.work, view, capacity.batch, now, m_settings.batches);
+        std::vector<BatchPick> batch = planBatch(queue.work, view, nearby, capacity.batch, now, m_settings.batches);
         if (!batch.empty()) {
             ++lane.calls;
+            lane.freeAt = now + std::chrono::duration_cast<Duration>(declaredTime(capacity, batch.size()) * slowness);
             for (const BatchPick &pick : batch) {
                 lane.promisedBytes += pick.run->order().resultBytes;
             }
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -148,6 +148,8 @@
 
 struct BatchSettings {
     std::chrono::milliseconds dataCentrePatience{250}; // work waits at most this long for a lane in its data centre
+    std::chrono::milliseconds nearbyWait{90}; // and only while one will be free within this time,
+    std::chrono::milliseconds nearbyWaitPerRank{60}; // longer by this for each rank of priority: moving costs the same for all
     double dataCentreSlack = 0.25; // and at most this share of the time to its target
     std::size_t largeMove = 500'000; // bytes; moving more between data centres costs more than a short wait
     double slowLane = 2.0; // times the declared time: beyond it a lane is taken only when others keep work waiting
@@ -170,6 +172,9 @@
     std::size_t roomBytes = 0; // for results; 0: not stated
 };
 
+// When a lane of a data centre is expected to be free; absent: it has none.
+using NearbyLanes = std::map<std::string, TimePoint>;
+
 struct BatchPick {
     Ref<StageRun> run;
     unsigned piece = 0;
@@ -180,7 +185,8 @@
 
 // Takes at most `batch` pieces out of `queue`, the most urgent first; work is split only
 // while another whole batch waits. Cancelled work is dropped.
-std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, std::size_t batch, TimePoint now, const BatchSettings &settings);
+std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, const NearbyLanes &nearby, std::size_t batch, TimePoint now,
+                                 const BatchSettings &settings);
 
 //-----------------------------------------------------------------------------
 // [RESULTS]
@@ -279,6 +285,7 @@
 private:
     struct Lane {
         unsigned calls = 0;
+        TimePoint freeAt{}; // expected end of the running call
         TimePoint blockedUntil{};
         double slowness = 1;
         TimePoint measuredAt{};
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -49,6 +49,7 @@
 {
     BatchSettings settings;
     LaneView lane{"dc1", 1, 0};
+    NearbyLanes nearby;
     std::vector<WaitingWork> queue;
 
     void teardown() override
@@ -57,7 +58,7 @@
     }
     std::string plan(std::size_t batch, TimePoint now = Now)
     {
-        return requestsOf(planBatch(queue, lane, batch, now, settings));
+        return requestsOf(planBatch(queue, lane, nearby, batch, now, settings));
     }
 };
 
@@ -114,8 +115,16 @@
     far.dataCentre = "dc2";
     far.movedBytes = settings.largeMove;
     queue = {workOf(far)};
+    nearby["dc2"] = Now + settings.nearbyWait;
     STRCMP_EQUAL("", plan(4).c_str());
+    nearby["dc2"] = Now + settings.nearbyWait + milliseconds(1); // too far off
+    STRCMP_EQUAL("far0 ", plan(4).c_str());
+    queue = {workOf(far)};
+    nearby["dc2"] = Now + settings.dataCentrePatience + settings.nearbyWait; // it has waited long enough by then
     STRCMP_EQUAL("far0 ", plan(4, Now + settings.dataCentrePatience).c_str());
+    queue = {workOf(far)};
+    nearby.clear();
+    STRCMP_EQUAL("far0 ", plan(4).c_str());
 }
 
 TEST(Batches, ASlowLaneTakesOnlyWhatHasWaited)
