--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -155,7 +155,7 @@
     double slowLane = 2.0; // times the declared time: beyond it a lane is taken only when others keep work waiting
     std::chrono::milliseconds slowPatience{250}; // work that has waited this long goes to a slow lane as well
     std::chrono::milliseconds priorityStep{250}; // of later target for each rank of priority
-    std::chrono::milliseconds latePenalty{1000}; // what can't meet its target any more waits for what still can
+    std::chrono::milliseconds latePenalty{2500}; // what can't meet its target any more waits for what still can
     unsigned attempts = 3; // calls that one piece may be part of
 };
 
