--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -176,7 +176,7 @@
     const auto take = [&](WaitingWork &work) {
         const std::size_t bytes = work.run->order().resultBytes;
         while (!work.pieces.empty() && picks.size() < batch && bytes <= room) {
-            picks.push_back(BatchPick{work.run, work.pieces.back()});
+            picks.push_back(BatchPick{work.run, work.pieces.back(), work.since});
             work.pieces.pop_back();
             room -= bytes;
         }
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -211,7 +211,9 @@
     std::vector<PieceCall> calls;
     calls.reserve(dispatched.batch.size());
     TimePoint latest{};
+    TimePoint oldest = TimePoint::max();
     for (const BatchPick &pick : dispatched.batch) {
+        oldest = std::min(oldest, pick.since);
         calls.push_back(PieceCall{&pick.run->order(), pick.piece});
         latest = std::max(latest, pick.run->order().deadline);
     }
@@ -244,6 +246,7 @@
               {"first_request", calls.front().order->request},
               {"pieces", static_cast<std::uint64_t>(calls.size())},
               {"error", worked ? 0 : static_cast<int>(reply.error().code)},
+              {"waited_ms", began - oldest},
               {"declared_ms", declared},
               {"took_ms", ended - began}});
     m_parts.metrics.histogram("vanillanotch_stage_call_seconds").record(ended - began);
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -178,6 +178,7 @@
 struct BatchPick {
     Ref<StageRun> run;
     unsigned piece = 0;
+    TimePoint since{}; // it waited from then on
 };
 
 // Orders work: what can still meet its target by target and priority, then the rest.
