--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -20,7 +20,7 @@
 private:
     DeploymentTable &m_table;
     Counter &m_invalid;
-    bool m_readable = false; // the newest row could be read
+    bool m_seen = false; // the store holds a configuration, and the newest one was read or tried
     std::function<void()> m_listener;
 };
 
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -20,7 +20,7 @@
 
 void DeploymentListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterTrouble)
 {
-    m_readable = false;
+    m_seen = false;
     changes(rows, asOf, afterTrouble);
 }
 
@@ -31,9 +31,9 @@
             continue;
         }
         const auto deployment = platform::decodeDeployment(row.value);
-        m_readable = deployment.has_value();
+        m_seen = true;
         if (!deployment) {
-            // The one in force stays; it is no longer confirmed as the newest.
+            // The one in force stays, with its keys: refusing all of them would turn one bad document into an outage.
             m_invalid.add();
             logEvent(LogLevel::Error, "configuration.invalid", {{"code", deployment.error().code}, {"row_version", row.version}, {"detail", deployment.error().detail}});
         } else if (m_table.install(*deployment)) {
@@ -44,7 +44,7 @@
             }
         }
     }
-    if (m_readable) {
+    if (m_seen) {
         m_table.confirm(asOf);
     }
 }
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,317 @@
+// Fault soak: nodes, backend servers and the store as processes, random callers, random faults from outside, by seed.
+//
+//   soak [--seconds=N] [--nodes=N] [--callers=N] SEED...
+//
+// Checks, from what callers and backend servers see: a request that may not be repeated runs once; one that was refused as not
+// run has not run and does not run later; every success is the whole answer to its own request; no result reaches another
+// request; a key is refused after it was taken away; a planned stop ends in time; after the faults everything is served again.
+#include "deployment.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+
+DEFINE_int32(seconds, 20, "time under faults for each seed");
+DEFINE_int32(nodes, 3, "nodes");
+DEFINE_int32(callers, 8, "callers at the same time");
+DEFINE_int32(workers, 1, "times the usual backend servers");
+
+namespace
+{
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration RevocationBound = seconds(5); // as the platform states it
+constexpr Duration StopBound = seconds(8); // from SIGTERM to the end of the process
+constexpr Duration RecoveryBound = seconds(12); // until requests are served again
+constexpr std::size_t RefusalsChecked = 3; // seconds after the end in which a refused request could still run
+
+struct Sent {
+    EntryCall call;
+    EntryAnswer answer;
+    TimePoint at{};
+};
+
+class Soak
+{
+public:
+    explicit Soak(std::uint64_t seed)
+        : m_seed(seed)
+        , m_random(seed)
+        , m_deployment("soak-" + std::to_string(seed))
+    {
+    }
+
+    std::vector<std::string> run()
+    {
+        for (int i = 0; i < FLAGS_workers; ++i) {
+            m_deployment.addUsualWorkers();
+        }
+        m_deployment.writeConfiguration({"key-1", "key-2"});
+        for (int i = 0; i < FLAGS_nodes; ++i) {
+            m_deployment.addNode(i % 2 == 0 ? "dc1" : "dc2");
+        }
+        if (!m_deployment.awaitReady()) {
+            return {"not ready at the start"};
+        }
+        std::vector<std::thread> callers;
+        for (int i = 0; i < FLAGS_callers; ++i) {
+            callers.emplace_back([this, i] {
+                callAway(m_seed * 1000 + static_cast<std::uint64_t>(i));
+            });
+        }
+        const TimePoint end = std::chrono::steady_clock::now() + seconds(FLAGS_seconds);
+        while (std::chrono::steady_clock::now() < end) {
+            injectFault();
+            pause(milliseconds(m_random() % 900));
+        }
+        heal();
+        checkRecovery();
+        m_stop = true;
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        pause(seconds(RefusalsChecked));
+        judge();
+        std::cout << "seed=" << m_seed << " sent=" << m_sent.size() << " served=" << m_served << " faults=" << m_faults << " findings=" << m_findings.size()
+                  << std::endl;
+        return m_findings;
+    }
+
+private:
+    static void pause(Duration duration)
+    {
+        std::this_thread::sleep_for(duration);
+    }
+
+    void found(const std::string &text)
+    {
+        const std::unique_lock<std::mutex> lock(m_mutex);
+        m_findings.push_back(text);
+    }
+
+    //-------------------------------------------------------------------------
+    // Callers
+    //-------------------------------------------------------------------------
+
+    void callAway(std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        unsigned number = 0;
+        while (!m_stop) {
+            Sent sent;
+            sent.call.kind = static_cast<CallKind>(random() % 4);
+            sent.call.attempt = "s" + std::to_string(seed) + "-" + std::to_string(++number);
+            sent.call.apiKey = random() % 2 == 0 ? "key-1" : "key-2";
+            const std::size_t node = random() % m_deployment.nodes();
+            sent.at = std::chrono::steady_clock::now();
+            sent.answer = callEntry(m_deployment.callers(node), sent.call);
+            {
+                const std::unique_lock<std::mutex> lock(m_mutex);
+                m_sent.push_back(sent);
+            }
+            pause(milliseconds(random() % 20));
+        }
+    }
+
+    //-------------------------------------------------------------------------
+    // Faults
+    //-------------------------------------------------------------------------
+
+    std::size_t anyNode()
+    {
+        return m_random() % m_deployment.nodes();
+    }
+    std::size_t anyWorker()
+    {
+        return m_random() % m_deployment.workers();
+    }
+
+    void injectFault()
+    {
+        ++m_faults;
+        switch (m_random() % 12) {
+        case 0:
+            m_deployment.restartNode(anyNode());
+            break;
+        case 1: {
+            const std::size_t node = anyNode();
+            m_deployment.node(node).signal(SIGSTOP);
+            pause(milliseconds(m_random() % 2500));
+            m_deployment.node(node).signal(SIGCONT);
+            break;
+        }
+        case 2:
+            stopPlanned(anyNode());
+            break;
+        case 3:
+            m_deployment.node(anyNode()).signal(SIGHUP);
+            break;
+        case 4:
+            m_deployment.restartWorker(anyWorker());
+            break;
+        case 5: {
+            const std::size_t worker = anyWorker();
+            m_deployment.worker(worker).signal(SIGSTOP);
+            pause(milliseconds(m_random() % 1500));
+            m_deployment.worker(worker).signal(SIGCONT);
+            break;
+        }
+        case 6:
+            m_deployment.controlWorker(anyWorker(), m_random() % 2 == 0 ? "fail=40" : "slow=5");
+            break;
+        case 7: {
+            const std::vector<std::string> modes = {"busy", "many", "silent", "lost", "ok"};
+            m_deployment.controlStore("mode=" + modes[m_random() % modes.size()]);
+            break;
+        }
+        case 8:
+            m_deployment.controlStore("mode=ok&compact=1");
+            break;
+        case 9: {
+            const std::vector<std::string> modes = {"blackhole", "cut", "silence", "swallow", "pass&delay_ms=150"};
+            m_deployment.linkToStore(anyNode(), modes[m_random() % modes.size()]);
+            break;
+        }
+        case 10:
+            healLinks();
+            break;
+        default:
+            m_deployment.controlStore("mode=ok");
+            revokeOrRestore();
+        }
+    }
+
+    // A planned stop must end by itself in time; the node is started again.
+    void stopPlanned(std::size_t node)
+    {
+        const TimePoint began = std::chrono::steady_clock::now();
+        m_deployment.node(node).signal(SIGTERM);
+        const int code = m_deployment.node(node).wait();
+        if (code != 0 || std::chrono::steady_clock::now() - began > StopBound) {
+            found("a planned stop ended with " + std::to_string(code));
+        }
+        m_deployment.restartNode(node);
+    }
+
+    void revokeOrRestore()
+    {
+        if (m_revokedAt) {
+            m_deployment.writeConfiguration({"key-1", "key-2"});
+            const std::unique_lock<std::mutex> lock(m_mutex);
+            m_revocations.emplace_back(*m_revokedAt, std::chrono::steady_clock::now());
+            m_revokedAt.reset();
+        } else {
+            m_deployment.writeConfiguration({"key-1"});
+            m_revokedAt = std::chrono::steady_clock::now(); // acknowledged by now
+        }
+    }
+
+    void healLinks()
+    {
+        for (std::size_t node = 0; node < m_deployment.nodes(); ++node) {
+            m_deployment.linkToStore(node, "pass");
+        }
+    }
+
+    void heal()
+    {
+        m_deployment.controlStore("mode=ok");
+        healLinks();
+        for (std::size_t worker = 0; worker < m_deployment.workers(); ++worker) {
+            m_deployment.controlWorker(worker, "fail=0&slow=1");
+        }
+        if (m_revokedAt) {
+            revokeOrRestore();
+        }
+    }
+
+    void checkRecovery()
+    {
+        if (!m_deployment.awaitReady(RecoveryBound)) {
+            found("not served again within the bound after the faults");
+        }
+    }
+
+    //-------------------------------------------------------------------------
+    // Verdicts
+    //-------------------------------------------------------------------------
+
+    void judge()
+    {
+        std::map<std::string, unsigned> runs;
+        for (const Run &run : m_deployment.runs()) {
+            ++runs[run.attempt];
+        }
+        for (const std::string &line : m_deployment.wrongs()) {
+            found(line);
+        }
+        for (const Sent &sent : m_sent) {
+            const unsigned ran = runs.count(sent.call.attempt) > 0 ? runs[sent.call.attempt] : 0;
+            const bool once = sent.call.kind == CallKind::Pay || sent.call.kind == CallKind::Draft;
+            if (once && ran > 1) {
+                found(sent.call.attempt + " ran " + std::to_string(ran) + " times");
+            }
+            const int status = sent.answer.status;
+            const bool promised = status == 503 || status == 429 || status == 408;
+            if (once && promised && ran > 0) {
+                found(sent.call.attempt + " was refused with " + std::to_string(status) + " and ran");
+            }
+            if (promised && !sent.answer.retryAfter) {
+                found(sent.call.attempt + " was refused without a time to come back");
+            }
+            if (const std::string fault = faultOf(sent.call, sent.answer); !fault.empty()) {
+                found(sent.call.attempt + ": " + fault);
+            }
+            if (sent.call.apiKey == "key-2" && ran > 0 && wasRevoked(sent.at)) {
+                found(sent.call.attempt + " ran with a key that had been taken away");
+            }
+            m_served += status == 200 && sent.answer.complete ? 1 : 0;
+        }
+        if (m_served * 4 < m_sent.size()) {
+            found("less than a quarter was served");
+        }
+    }
+
+    bool wasRevoked(TimePoint at) const
+    {
+        return std::any_of(m_revocations.begin(), m_revocations.end(), [at](const auto &span) {
+            return at > span.first + RevocationBound && at < span.second - seconds(1);
+        });
+    }
+
+    const std::uint64_t m_seed;
+    std::mt19937_64 m_random;
+    Deployment m_deployment;
+    std::atomic<bool> m_stop{false};
+    std::mutex m_mutex;
+    std::vector<Sent> m_sent;
+    std::vector<std::string> m_findings;
+    std::optional<TimePoint> m_revokedAt;
+    std::vector<std::pair<TimePoint, TimePoint>> m_revocations;
+    std::size_t m_served = 0;
+    unsigned m_faults = 0;
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    initLog(LogLevel::Error, "soak");
+    int failed = 0;
+    for (int i = 1; i < argc; ++i) {
+        const std::uint64_t seed = std::stoull(argv[i]);
+        for (const std::string &finding : Soak(seed).run()) {
+            std::cout << "seed=" << seed << " finding: " << finding << std::endl;
+            ++failed;
+        }
+    }
+    std::cout << (failed == 0 ? "clean" : "findings: " + std::to_string(failed)) << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/standins/store_standin.cpp
@@ -0,0 +1,197 @@
+// Stands in for the users' platform's store: tables with a change feed, conditional transactions, and faults on request.
+//
+//   POST /control?mode=MODE   ok | busy (503) | many (429) | silent (no answer) | lost (writes are done and not answered)
+//   POST /control?compact=1   the feed forgets its history
+#include "standin.h"
+
+#include <nlohmann/json.hpp>
+
+DEFINE_int32(port, 0, "port on the loopback address; 0: any");
+
+namespace
+{
+using namespace vanillanotch;
+using Json = nlohmann::json;
+
+constexpr std::int64_t LongestWait = 30000; // ms that a feed may wait
+constexpr auto SilenceLength = std::chrono::seconds(5); // that a silent answer takes to end
+
+struct Key {
+    std::string table;
+    std::string part;
+    std::string key;
+    bool operator<(const Key &other) const
+    {
+        return std::tie(table, part, key) < std::tie(other.table, other.part, other.key);
+    }
+};
+
+struct Value {
+    std::string text; // base64, as it came
+    std::uint64_t version = 0;
+    bool removed = false;
+};
+
+class Store
+{
+public:
+    void handle(HttpExchange &exchange)
+    {
+        const std::string path = exchange.path();
+        if (path == "/control") {
+            control(exchange);
+            return;
+        }
+        const std::string mode = currentMode();
+        const bool write = path == "/api/rows-tx";
+        if (mode == "busy" || mode == "many") {
+            reply(exchange, mode == "busy" ? 503 : 429, Json::object());
+        } else if (mode == "silent") {
+            standin::pauseFor(SilenceLength);
+        } else if (write) {
+            transact(exchange, mode == "lost");
+        } else if (path == "/api/rows-get") {
+            get(exchange);
+        } else if (path == "/api/rows-feed") {
+            feed(exchange);
+        } else {
+            reply(exchange, 404, Json::object());
+        }
+    }
+
+private:
+    std::string currentMode()
+    {
+        const std::unique_lock<std::mutex> lock(m_mutex);
+        return m_mode;
+    }
+
+    void control(HttpExchange &exchange)
+    {
+        {
+            const std::unique_lock<std::mutex> lock(m_mutex);
+            if (const std::string mode = exchange.query("mode"); !mode.empty()) {
+                m_mode = mode;
+            }
+            if (!exchange.query("compact").empty()) {
+                m_oldest = m_version;
+            }
+        }
+        m_changed.notify_all();
+        reply(exchange, 200, Json::object());
+    }
+
+    void reply(HttpExchange &exchange, int status, Json body)
+    {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch() / std::chrono::milliseconds(1);
+        body["NowMs"] = now;
+        exchange.reply(status, "application/json", body.dump());
+    }
+
+    static Json rowOf(const Key &key, const Value &value)
+    {
+        Json row{{"Table", key.table}, {"part", key.part}, {"Key", key.key}, {"Ver", value.version}};
+        if (value.removed) {
+            row["Removed"] = true;
+        } else {
+            row["Value"] = value.text;
+        }
+        return row;
+    }
+
+    void get(HttpExchange &exchange)
+    {
+        Json body{{"Rows", Json::array()}, {"HasMore", false}};
+        {
+            const std::unique_lock<std::mutex> lock(m_mutex);
+            for (const auto &[key, value] : m_rows) {
+                if (key.table == exchange.query("Table") && key.part == exchange.query("part") && key.key >= exchange.query("From") && !value.removed) {
+                    body["Rows"].push_back(rowOf(key, value));
+                }
+            }
+            body["Ver"] = m_version;
+        }
+        reply(exchange, 200, body);
+    }
+
+    void feed(HttpExchange &exchange)
+    {
+        const std::uint64_t after = std::stoull(exchange.query("After"));
+        const auto wait = std::chrono::milliseconds(std::min<std::int64_t>(LongestWait, std::stoll(exchange.query("WaitMs"))));
+        Json body{{"Rows", Json::array()}};
+        int status = 200;
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            const auto changed = [&] {
+                body["Rows"] = Json::array();
+                for (const auto &[key, value] : m_rows) {
+                    if (key.table == exchange.query("Table") && value.version > after) {
+                        body["Rows"].push_back(rowOf(key, value));
+                    }
+                }
+                return after < m_oldest || !body["Rows"].empty() || m_mode != "ok";
+            };
+            m_changed.wait_for(lock, wait, changed);
+            status = after < m_oldest ? 410 : m_mode != "ok" ? 503 : 200;
+            body["Ver"] = m_version;
+        }
+        reply(exchange, status, body);
+    }
+
+    void transact(HttpExchange &exchange, bool loseAnswer)
+    {
+        const auto text = exchange.readBody();
+        const Json json = Json::parse(*text);
+        int status = 200;
+        {
+            const std::unique_lock<std::mutex> lock(m_mutex);
+            for (const Json &row : json.value("Precondition", Json::array())) {
+                const auto found = m_rows.find(keyOf(row));
+                const std::uint64_t version = found == m_rows.end() || found->second.removed ? 0 : found->second.version;
+                status = version == row.at("Ver").get<std::uint64_t>() ? status : 412;
+            }
+            if (status == 200) {
+                ++m_version;
+                for (const Json &row : json.value("Writes", Json::array())) {
+                    m_rows[keyOf(row)] = Value{row.at("Value").get<std::string>(), m_version, false};
+                }
+                for (const Json &row : json.value("Remove", Json::array())) {
+                    m_rows[keyOf(row)] = Value{{}, m_version, true};
+                }
+            }
+        }
+        m_changed.notify_all();
+        if (loseAnswer) {
+            standin::pauseFor(SilenceLength);
+            return;
+        }
+        reply(exchange, status, Json{{"Ver", m_version}});
+    }
+
+    static Key keyOf(const Json &row)
+    {
+        return Key{row.at("Table").get<std::string>(), row.value("part", std::string()), row.at("Key").get<std::string>()};
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<Key, Value> m_rows;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_oldest = 0; // the feed goes back to here
+    std::string m_mode = "ok";
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const sigset_t signals = standin::blockSignals();
+    initLog(LogLevel::Warning, "store");
+    Store store;
+    const standin::Server server("store", 256, [&store](HttpExchange &exchange) {
+        store.handle(exchange);
+    });
+    std::cout << "listening address=" << server.address() << std::endl;
+    standin::awaitSignal(signals);
+    std::_Exit(0);
+}
--- /dev/null
+++ b/tests/support/deployment.cpp
@@ -0,0 +1,320 @@
+#include "deployment.h"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace vanillanotch::test
+{
+
+namespace
+{
+constexpr unsigned Events = 8; // of the engine stand-in's streams
+constexpr unsigned StagePieces = 3;
+
+std::string binary(const std::string &path)
+{
+    return std::string(VANILLANOTCH_BINARIES) + "/" + path;
+}
+
+std::string freeAddress()
+{
+    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress("127.0.0.1:0")};
+    return socket.address().toString();
+}
+
+std::string base64(const std::string &text)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return out.str();
+}
+
+bool isStream(CallKind kind)
+{
+    return kind == CallKind::Draft || kind == CallKind::Explain;
+}
+
+std::string encodeRequest(const EntryCall &call)
+{
+    static const std::map<CallKind, std::string> Lines = {{CallKind::Read, "GET /read/1"},
+                                                          {CallKind::Pay, "POST /pay/1"},
+                                                          {CallKind::Draft, "POST /draft/1"},
+                                                          {CallKind::Explain, "POST /explain/1"}};
+    std::string text = Lines.at(call.kind) + " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + call.attempt
+        + "\r\nX-Deadline-Ms: " + std::to_string(call.deadline.count()) + "\r\nAuthorization: Bearer " + call.apiKey + "\r\n";
+    if (isStream(call.kind)) {
+        const std::string pieces = std::to_string(StagePieces);
+        text += "X-Model: m\r\nX-Token-Count: 100,8\r\nX-Prompt-Prefix: aa:80,bb:20\r\nX-Pieces: " + pieces + "," + pieces + "\r\nX-Piece-Key: abc\r\n";
+    }
+    return text + (call.kind == CallKind::Read ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
+}
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [CALLS]
+//-----------------------------------------------------------------------------
+
+EntryAnswer callEntry(const std::string &address, const EntryCall &call)
+{
+    EntryAnswer answer;
+    NoCaller nobody;
+    UpstreamSettings settings;
+    settings.connectTimeout = std::chrono::seconds(1);
+    UpstreamCall upstream(settings);
+    const TimePoint until = std::chrono::steady_clock::now() + call.deadline + std::chrono::seconds(1);
+    if (!upstream.open(address, until, nobody)) {
+        return answer;
+    }
+    const auto head = upstream.exchange(encodeRequest(call), until, nobody);
+    if (!head) {
+        return answer;
+    }
+    answer.status = head->status;
+    answer.sealed = head->headers.find("X-Server-Seal") != nullptr;
+    if (const std::string *seconds = head->headers.find("Retry-After")) {
+        answer.retryAfter = std::stod(*seconds);
+    }
+    for (;;) {
+        const auto complete = upstream.readBody(answer.body, until, nobody);
+        if (!complete || *complete) {
+            answer.complete = complete.has_value();
+            return answer;
+        }
+    }
+}
+
+std::string faultOf(const EntryCall &call, const EntryAnswer &answer)
+{
+    if (answer.status != 200) {
+        return std::string();
+    }
+    if (!answer.sealed) {
+        return "a success without a seal";
+    }
+    std::string expected = "answer to " + call.attempt;
+    if (isStream(call.kind)) {
+        expected.clear();
+        for (unsigned id = 1; id <= Events; ++id) {
+            expected += "id: " + std::to_string(id) + "\ndata: " + call.attempt + "." + std::to_string(id) + "\n\n";
+        }
+    }
+    if (answer.complete && answer.body != expected) {
+        return "another body: " + answer.body.substr(0, 200);
+    }
+    if (!answer.complete && expected.compare(0, answer.body.size(), answer.body) != 0) {
+        return "a broken stream with wrong events: " + answer.body.substr(0, 200);
+    }
+    return std::string();
+}
+
+//-----------------------------------------------------------------------------
+// [DEPLOYMENT]
+//-----------------------------------------------------------------------------
+
+Deployment::Deployment(const std::string &name)
+    : m_folder((std::filesystem::temp_directory_path() / ("vanillanotch-" + name + "-" + std::to_string(::getpid()))).string())
+{
+    std::filesystem::remove_all(m_folder);
+    std::filesystem::create_directories(m_folder);
+    std::ofstream(m_folder + "/ledger");
+    m_store = std::make_unique<Process>(binary("tests/store_standin"), std::vector<std::string>{}, m_folder + "/store.log");
+    m_proxy = std::make_unique<Process>(binary("tests/fault_proxy"), std::vector<std::string>{}, m_folder + "/proxy.log");
+}
+
+Deployment::~Deployment()
+{
+    m_nodes.clear();
+    m_workers.clear();
+}
+
+void Deployment::startWorker(WorkerEntry &worker)
+{
+    worker.id = worker.service + "-" + std::to_string(++m_started);
+    std::vector<std::string> arguments = worker.arguments;
+    arguments.insert(arguments.end(),
+                     {"--name=" + worker.id, "--service=" + worker.service, "--store=" + m_store->address("address"), "--ledger=" + m_folder + "/ledger"});
+    worker.process = std::make_unique<Process>(binary("tests/worker_standin"), arguments, m_folder + "/" + worker.id + ".log");
+}
+
+void Deployment::addWorker(const std::string &service, const std::string &kind, const std::vector<std::string> &arguments)
+{
+    WorkerEntry worker;
+    worker.service = service;
+    worker.arguments = arguments;
+    worker.arguments.push_back("--kind=" + kind);
+    startWorker(worker);
+    m_workers.push_back(std::move(worker));
+}
+
+void Deployment::addUsualWorkers()
+{
+    for (int i = 0; i < 2; ++i) {
+        addWorker("plain", "plain");
+        addWorker("engine", "engine");
+        addWorker("first", "stage");
+        addWorker("second", "stage");
+    }
+}
+
+void Deployment::restartWorker(std::size_t worker)
+{
+    WorkerEntry &entry = m_workers.at(worker);
+    entry.process->kill();
+    forgetWorker(worker);
+    startWorker(entry);
+}
+
+void Deployment::forgetWorker(std::size_t worker)
+{
+    const Json row{{"Table", "servers"}, {"part", ""}, {"Key", m_workers.at(worker).id}};
+    transact(Json{{"Remove", Json::array({row})}}.dump());
+}
+
+void Deployment::startNode(NodeEntry &node) const
+{
+    node.process = std::make_unique<Process>(Process::Quiet{}, binary("src/vanillanotch-entryd"), std::vector<std::string>{"--settings=" + node.settings},
+                                             m_folder + "/" + node.name + ".log");
+}
+
+void Deployment::addNode(const std::string &dataCentre)
+{
+    NodeEntry node;
+    node.name = "entry-" + std::to_string(m_nodes.size() + 1);
+    node.settings = m_folder + "/" + node.name + ".yaml";
+    node.callers = freeAddress();
+    node.readiness = freeAddress();
+    const Json link = Json::parse(send(m_proxy->address("address"), "POST", "/links?target=" + m_store->address("address")).body);
+    node.link = link.at("id").get<std::size_t>();
+    std::ofstream(node.settings) << "node: " << node.name << "\ndata_centre: " << dataCentre << "\ncaller_address: " << node.callers
+                                 << "\nreadiness_address: " << node.readiness << "\npeer_address: " << freeAddress()
+                                 << "\nstore_address: " << link.at("address").get<std::string>() << "\nretry_extra: 50\n";
+    startNode(node);
+    m_nodes.push_back(std::move(node));
+}
+
+void Deployment::restartNode(std::size_t node)
+{
+    m_nodes.at(node).process->kill();
+    startNode(m_nodes.at(node));
+}
+
+void Deployment::transact(const std::string &body) const
+{
+    (void)eventually([&] {
+        return send(m_store->address("address"), "POST", "/api/rows-tx", body).status == 200;
+    });
+}
+
+void Deployment::writeConfiguration(const std::vector<std::string> &apiKeys)
+{
+    const auto route = [](const std::string &name, const std::string &kind, const std::string &service) {
+        return Json{{"Name", name},       {"Host", "shop.example"}, {"Prefix", "/" + name + "/"}, {"Kind", kind},     {"Service", service},
+                    {"TimeoutMs", 4000}, {"TargetLatencyMs", 500}, {"Priority", 1},              {"MaxAttempts", 2}, {"AllowAnonymous", false}};
+    };
+    Json draft = route("draft", "streaming", "engine");
+    draft["Stages"] = {Json{{"Service", "first"}, {"After", Json::array()}, {"Bytes", 1000}}, Json{{"Service", "second"}, {"After", {0}}, {"Bytes", 1000}}};
+    Json explain = draft;
+    explain["Name"] = "explain";
+    explain["Prefix"] = "/explain/";
+    explain["StreamResume"] = true;
+    const Json pieces{{"Slots", 1}, {"Queue", 2}, {"Batch", 8}, {"CallMs", 15}, {"ItemMs", 0}, {"RoomMb", 10}, {"HandleS", 4}};
+    Json configuration{{"Version", ++m_version},
+                       {"Routes", {route("read", "idempotent", "plain"), route("pay", "non_idempotent", "plain"), draft, explain}},
+                       {"Services",
+                        {Json{{"Name", "plain"}}, Json{{"Name", "engine"}, {"Engine", {{"Slots", 8}}}}, Json{{"Name", "first"}, {"Pieces", pieces}},
+                         Json{{"Name", "second"}, {"Pieces", pieces}}}},
+                       {"Tenants", {Json{{"Name", "tenant"}, {"ApiKeys", apiKeys}}}},
+                       {"Limits", {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 65536}, {"HeaderTimeoutMs", 2000}, {"IdleTimeoutMs", 15000}}}};
+    putConfiguration(configuration.dump());
+}
+
+void Deployment::writeUnreadableConfiguration()
+{
+    ++m_version;
+    putConfiguration("{\"Version\": \"none\", \"Routes\": 7");
+}
+
+void Deployment::putConfiguration(const std::string &document) const
+{
+    const Json row{{"Table", "op"}, {"part", ""}, {"Key", "config"}, {"Value", base64(document)}};
+    transact(Json{{"Writes", Json::array({row})}}.dump());
+}
+
+bool Deployment::ready(std::size_t node) const
+{
+    return send(m_nodes.at(node).readiness, "GET", "/api/readiness").status == 200;
+}
+
+bool Deployment::awaitReady(Duration limit)
+{
+    unsigned calls = 0;
+    return eventually(
+        [&] {
+            for (std::size_t node = 0; node < nodes(); ++node) {
+                EntryCall call;
+                call.kind = CallKind::Draft;
+                call.attempt = "warm-" + std::to_string(node) + "-" + std::to_string(calls++);
+                if (!ready(node) || callEntry(callers(node), call).status != 200) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        limit);
+}
+
+void Deployment::controlStore(const std::string &query) const
+{
+    (void)send(m_store->address("address"), "POST", "/control?" + query);
+}
+
+void Deployment::controlWorker(std::size_t worker, const std::string &query) const
+{
+    (void)send(m_workers.at(worker).process->address("address"), "POST", "/control?" + query);
+}
+
+void Deployment::linkToStore(std::size_t node, const std::string &mode) const
+{
+    (void)send(m_proxy->address("address"), "POST", "/links/" + std::to_string(m_nodes.at(node).link) + "?mode=" + mode);
+}
+
+std::vector<Run> Deployment::runs() const
+{
+    std::vector<Run> runs;
+    std::ifstream file(m_folder + "/ledger");
+    std::string line;
+    while (std::getline(file, line)) {
+        std::istringstream words(line);
+        std::string event;
+        Run run;
+        std::string rest;
+        words >> event >> run.instance >> run.attempt >> rest;
+        run.resumed = !rest.empty() && rest.find('=') == std::string::npos;
+        if (event == "run") {
+            runs.push_back(run);
+        }
+    }
+    return runs;
+}
+
+std::vector<std::string> Deployment::wrongs() const
+{
+    std::vector<std::string> lines;
+    std::ifstream file(m_folder + "/ledger");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.rfind("wrong ", 0) == 0) {
+            lines.push_back(line);
+        }
+    }
+    return lines;
+}
+
+} // namespace vanillanotch::test
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -83,6 +83,24 @@
     }
 }
 
+Process::Process(Quiet /*quiet*/, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
+{
+    std::vector<char *> argv{const_cast<char *>(program.c_str())};
+    for (const std::string &argument : arguments) {
+        argv.push_back(const_cast<char *>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    m_pid = ::fork();
+    if (m_pid == 0) {
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+        ::execv(program.c_str(), argv.data());
+        ::_exit(127);
+    }
+    ::close(log);
+}
+
 Process::~Process()
 {
     kill();
--- a/tests/support/harness.h
+++ b/tests/support/harness.h
@@ -29,7 +29,12 @@
 class Process
 {
 public:
+    // Waits for the first line of its output, which tells its addresses. Standard error goes to the log.
     Process(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
+    struct Quiet {
+    };
+    // Doesn't wait: all of its output goes to the log.
+    Process(Quiet quiet, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
     ~Process(); // SIGKILL when it still runs
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
