--- a/src/base/base.h
+++ b/src/base/base.h
@@ -209,6 +209,7 @@
     Duties = 67, // Duty
     Journal = 70, // JournalWriter: rows waiting for a group commit
     Costs = 75, // CostTable
+    TableCaches = 76, // TableCache: rows that other nodes follow through this one
     Results = 78, // ResultReleaser: results of stages to be freed
     Connections = 80, // idle connections, socket watchdog
     PlatformMemory = 85, // MemoryPlatform
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -89,6 +89,7 @@
 
 private:
     void announce(); // tells the other nodes through the store; tries again until it is known to have worked
+    RelayedStore::Choice chooseRelay() const;
     void waitUntil(TimePoint time, const std::function<bool()> &done);
 
     const EntrySettings m_settings;
@@ -103,6 +104,11 @@
     MemberTable m_members;
     ServiceAllowance m_allowance;
     std::unique_ptr<StateStore> m_store;
+    std::unique_ptr<RelayChannel> m_relays;
+    RelayedStore m_relayedStore;
+    TableCache m_deploymentCache;
+    TableCache m_instanceCache;
+    TableCache m_memberCache;
     std::unique_ptr<RequestCodec> m_codec;
     std::unique_ptr<StageChannel> m_stageChannel;
     std::unique_ptr<StagePeerChannel> m_stagePeers;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t PoolLimit = 600; // threads: running requests, calls of stages and orders to peers
 constexpr std::size_t BackgroundWorkers = 1; // timers' short tasks
 constexpr const char *MembersTable = "members";
+constexpr std::size_t RelayFollowers = 8; // nodes of a data centre that follow the store through one of them; fewer ask it themselves
 constexpr Duration AnnounceLimit = std::chrono::seconds(2); // for one write
 constexpr Duration AnnouncePause = std::chrono::milliseconds(700); // until the next try
 constexpr std::chrono::milliseconds LongWait{20000}; // of feeds whose silence proves nothing; keep-alive probes find a dead connection
@@ -92,6 +93,11 @@
                       return m_members.aliveCount();
                   })
     , m_store(platform::makeStore(settings.storeAddress, m_upstream))
+    , m_relays(makeRelayChannel(m_upstream))
+    , m_relayedStore(*m_store, *m_relays,
+                     [this] {
+                         return chooseRelay();
+                     })
     , m_codec(platform::makeRequestCodec())
     , m_stageChannel(platform::makeStageChannel(m_upstream))
     , m_stagePeers(makeStagePeerChannel(m_upstream))
@@ -107,12 +113,17 @@
     , m_deploymentListener(m_deployments, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(m_members)
-    , m_deploymentWatch(*m_store, platform::OperatorTable, m_deploymentListener, WatchSettings{}, m_metrics)
-    , m_instanceWatch(*m_store, platform::ServersTable, m_instanceListener, watching(LongWait, ServersRest), m_metrics)
-    , m_memberWatch(*m_store, MembersTable, m_memberListener, watching(LongWait, MembersRest), m_metrics)
+    , m_deploymentWatch(m_relayedStore, platform::OperatorTable, m_deploymentListener, &m_deploymentCache, WatchSettings{}, m_metrics)
+    , m_instanceWatch(m_relayedStore, platform::ServersTable, m_instanceListener, &m_instanceCache, watching(LongWait, ServersRest), m_metrics)
+    , m_memberWatch(m_relayedStore, MembersTable, m_memberListener, &m_memberCache, watching(LongWait, MembersRest), m_metrics)
     , m_callersHandler(m_service, m_deployments)
     , m_readinessHandler(m_deployments, m_leaving)
-    , m_peerHandler(m_scheduler, m_metrics)
+    , m_peerHandler(m_scheduler,
+                    RelayedTables{{{platform::OperatorTable, &m_deploymentCache},
+                                   {platform::ServersTable, &m_instanceCache},
+                                   {MembersTable, &m_memberCache}},
+                                  &m_deploymentCache},
+                    m_metrics)
 {
     m_instances.onChange([this] {
         m_scheduler.instancesChanged();
@@ -171,6 +182,12 @@
     }
 }
 
+RelayedStore::Choice EntryNode::chooseRelay() const
+{
+    const DutyLead lead = dutyLeadOf(m_members.all(), m_members.self(), "relay", RelayFollowers);
+    return RelayedStore::Choice{lead.leader ? std::optional(lead.leader->peerAddress) : std::nullopt, lead.leads};
+}
+
 void EntryNode::waitUntil(TimePoint time, const std::function<bool()> &done)
 {
     RankedMutex mutex(LockRank::Leaf);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -264,6 +264,17 @@
 // connections stay warm; and any two members are a logarithmic number of exchanges apart.
 std::vector<MemberRecord> exchangePartners(const std::vector<MemberRecord> &membersByName, const std::string &self);
 
+// Rendezvous hashing in which a VM's chance grows with its processor: higher is better. The square keeps duties off small VMs.
+double dutyRank(const MemberRecord &member, std::string_view duty);
+
+// The member that `self` follows for a duty which one of `followers` does for the others of its data centre. nullopt: none, since
+// it does the duty itself or there are too few members.
+struct DutyLead {
+    std::optional<MemberRecord> leader;
+    bool leads = false;
+};
+DutyLead dutyLeadOf(const std::vector<MemberRecord> &members, const MemberRecord &self, std::string_view duty, std::size_t followers);
+
 // True when the member is one of the `count` that do a duty for the data centre: highest hash of (duty, name) first.
 bool holdsDuty(const std::vector<MemberRecord> &members, const std::string &self, std::string_view duty, std::size_t count);
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillanotch
 {
@@ -261,4 +262,32 @@
     return present && higher < count;
 }
 
+double dutyRank(const MemberRecord &member, std::string_view duty)
+{
+    const double drawn = (static_cast<double>(stableHash(std::string(duty) + "/" + member.name)) + 1) / 0x1p64; // 0 to 1
+    return member.cores * member.cores / -std::log(std::min(drawn, 1 - 1e-12));
+}
+
+DutyLead dutyLeadOf(const std::vector<MemberRecord> &members, const MemberRecord &self, std::string_view duty, std::size_t followers)
+{
+    std::vector<std::pair<double, const MemberRecord *>> ranked;
+    for (const MemberRecord &member : members) {
+        if (member.dataCentre == self.dataCentre && member.state == MemberState::Alive) {
+            ranked.emplace_back(dutyRank(member, duty), &member);
+        }
+    }
+    const std::size_t leaders = ranked.size() / followers;
+    if (leaders == 0) {
+        return DutyLead{};
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    ranked.resize(leaders);
+    for (const auto &[rank, member] : ranked) {
+        if (member->name == self.name) {
+            return DutyLead{std::nullopt, true};
+        }
+    }
+    return DutyLead{*ranked[stableHash(self.name) % leaders].second, false};
+}
+
 } // namespace vanillanotch
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -1,4 +1,4 @@
-#include "peering/peering.h"
+#include "peering/call.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,8 +13,7 @@
 constexpr std::string_view ReleasePath = "/v1/stage-releases";
 constexpr std::string_view AlivePath = "/v1/alive";
 constexpr std::string_view MetricsPath = "/metrics";
-constexpr std::size_t ReplyLimit = 256 * 1024; // bytes
-constexpr Duration ReplyTime = std::chrono::seconds(1); // for writing an answer
+constexpr std::size_t ReplyLimit = 4 * 1024 * 1024; // bytes; the largest is a table
 
 // Times travel as what is left, since clocks of two nodes differ.
 std::int64_t leftMs(TimePoint until, TimePoint now)
@@ -69,6 +68,11 @@
     }
 }
 
+bool never()
+{
+    return false;
+}
+
 class HttpStagePeer final : public StagePeerChannel
 {
 public:
@@ -80,7 +84,7 @@
     Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, Duration patience,
                                          CallerWatch &canceller, const std::function<bool()> &alive) override
     {
-        const auto reply = post(peerAddress, OrderPath, encodeOrder(order, now), now + patience, order.deadline, canceller, alive);
+        const auto reply = callPeer(m_settings, PeerCall{peerAddress, OrderPath, encodeOrder(order, now), now + patience, order.deadline}, canceller, alive);
         if (!reply) {
             return fail(reply.error().code == ErrorCode::CallerGone ? ErrorCode::CallerGone : ErrorCode::PeerUnavailable);
         }
@@ -98,53 +102,49 @@
     Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) override
     {
         NoCaller nobody;
-        const auto reply = post(peerAddress, ReleasePath, Json{{"handles", handles}}.dump(), until, until, nobody, [] {
-            return false;
-        });
+        const auto reply = callPeer(m_settings, PeerCall{peerAddress, ReleasePath, Json{{"handles", handles}}.dump(), until, until}, nobody, never);
         return reply ? Result<void>() : fail(ErrorCode::PeerUnavailable);
     }
 
     bool answers(const std::string &peerAddress, TimePoint until) override
     {
         NoCaller nobody;
-        return post(peerAddress, AlivePath, "{}", until, until, nobody, [] {
-                   return false;
-               }).has_value();
+        return callPeer(m_settings, PeerCall{peerAddress, AlivePath, "{}", until, until}, nobody, never).has_value();
     }
 
 private:
-    // The reply's head is awaited until `first`, then for as long again while `alive` says so, but not beyond `last`.
-    tl::expected<std::string, UpstreamFailure> post(const std::string &address, std::string_view path, const std::string &body, TimePoint first,
-                                                    TimePoint last, CallerWatch &canceller, const std::function<bool()> &alive) const
-    {
-        const Duration patience = first - std::chrono::steady_clock::now();
-        UpstreamCall call(m_settings);
-        if (const auto opened = call.open(address, first, canceller); !opened) {
-            return tl::unexpected(opened.error());
-        }
-        std::string request = "POST " + std::string(path) + " HTTP/1.1\r\nHost: " + address
-            + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        auto head = call.exchange(std::move(request), first, canceller);
-        while (!head && head.error().code == ErrorCode::ServerTimeout && std::chrono::steady_clock::now() < last && alive()) {
-            head = call.awaitHead(std::min(last, std::chrono::steady_clock::now() + patience), canceller);
-        }
-        if (!head) {
-            return tl::unexpected(head.error());
-        }
-        return call.readAll(ReplyLimit, last, canceller);
-    }
-
     const UpstreamSettings m_settings;
 };
 } // namespace
 
+tl::expected<std::string, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peer, CallerWatch &canceller,
+                                                    const std::function<bool()> &alive)
+{
+    const Duration patience = peer.first - std::chrono::steady_clock::now();
+    UpstreamCall call(settings);
+    if (const auto opened = call.open(peer.address, peer.first, canceller); !opened) {
+        return tl::unexpected(opened.error());
+    }
+    std::string request = "POST " + std::string(peer.path) + " HTTP/1.1\r\nHost: " + peer.address
+        + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(peer.body.size()) + "\r\n\r\n" + peer.body;
+    auto head = call.exchange(std::move(request), peer.first, canceller);
+    while (!head && head.error().code == ErrorCode::ServerTimeout && std::chrono::steady_clock::now() < peer.last && alive()) {
+        head = call.awaitHead(std::min(peer.last, std::chrono::steady_clock::now() + patience), canceller);
+    }
+    if (!head) {
+        return tl::unexpected(head.error());
+    }
+    return call.readAll(ReplyLimit, peer.last, canceller);
+}
+
 std::unique_ptr<StagePeerChannel> makeStagePeerChannel(const UpstreamSettings &settings)
 {
     return std::make_unique<HttpStagePeer>(settings);
 }
 
-PeerHandler::PeerHandler(StageScheduler &stages, MetricsRegistry &metrics)
+PeerHandler::PeerHandler(StageScheduler &stages, RelayedTables relayed, MetricsRegistry &metrics)
     : m_stages(stages)
+    , m_relayed(std::move(relayed))
     , m_metrics(metrics)
 {
 }
@@ -161,12 +161,14 @@
 
 void PeerHandler::serve(FrontExchange &exchange)
 {
-    const TimePoint until = std::chrono::steady_clock::now() + ReplyTime;
+    const TimePoint until = std::chrono::steady_clock::now() + PeerReplyTime;
     Headers headers;
     if (exchange.path() == OrderPath && exchange.head().method == "POST") {
         serveOrder(exchange);
     } else if (exchange.path() == ReleasePath && exchange.head().method == "POST") {
         serveRelease(exchange);
+    } else if (exchange.path() == TablePath && exchange.head().method == "POST") {
+        serveTable(exchange);
     } else if (exchange.path() == AlivePath) {
         (void)exchange.reply(200, headers, "{}", until);
     } else if (exchange.path() == MetricsPath && exchange.head().method == "GET") {
@@ -185,7 +187,7 @@
     auto order = decodeOrder(exchange.body(), exchange.arrived());
     if (!order) {
         logEvent(LogLevel::Warning, "peer.order_unreadable", {{"error", order.error().code}});
-        (void)exchange.reply(400, headers, describeError(order.error().code), std::chrono::steady_clock::now() + ReplyTime);
+        (void)exchange.reply(400, headers, describeError(order.error().code), std::chrono::steady_clock::now() + PeerReplyTime);
         return;
     }
     const TimePoint deadline = order->deadline;
@@ -202,7 +204,7 @@
         }
     }
     const std::string body = *outcome ? Json{{"handles", **outcome}}.dump() : describeError(outcome->error().code);
-    const bool delivered = exchange.reply(200, headers, body, std::chrono::steady_clock::now() + ReplyTime);
+    const bool delivered = exchange.reply(200, headers, body, std::chrono::steady_clock::now() + PeerReplyTime);
     if (!delivered && *outcome) {
         m_stages.release(**outcome);
     }
@@ -212,7 +214,7 @@
 {
     Headers headers;
     headers.add("Content-Type", "application/json");
-    const TimePoint until = std::chrono::steady_clock::now() + ReplyTime;
+    const TimePoint until = std::chrono::steady_clock::now() + PeerReplyTime;
     try {
         m_stages.release(Json::parse(exchange.body()).at("handles").get<std::vector<std::string>>());
         (void)exchange.reply(200, headers, "{}", until);
--- a/src/peering/peering.h
+++ b/src/peering/peering.h
@@ -1,21 +1,30 @@
-// vanillanotch peering library: orders for stages that one node hands to another.
+// vanillanotch peering library: what nodes ask of each other: orders for stages, and the platform's tables.
 //
 // HTTP/1.1 with JSON bodies on a connection for each order, not gRPC: closing the connection is how an order is withdrawn,
 // and a node that idles runs no thread for it.
 #pragma once
 
 #include "stages/stages.h"
+#include "watch/watch.h"
 
 namespace vanillanotch
 {
 
 std::unique_ptr<StagePeerChannel> makeStagePeerChannel(const UpstreamSettings &settings);
 
-// Answers other nodes' orders, and GET /metrics.
+std::unique_ptr<RelayChannel> makeRelayChannel(const UpstreamSettings &settings);
+
+// The tables that this node passes on. `proof` is the one whose news tells how well it reaches the store.
+struct RelayedTables {
+    std::map<std::string, TableCache *> tables;
+    const TableCache *proof = nullptr;
+};
+
+// Answers other nodes, and GET /metrics.
 class PeerHandler final : public FrontHandler
 {
 public:
-    PeerHandler(StageScheduler &stages, MetricsRegistry &metrics);
+    PeerHandler(StageScheduler &stages, RelayedTables relayed, MetricsRegistry &metrics);
     void serve(FrontExchange &exchange) override;
     std::string describeError(ErrorCode code) override;
     FrontLimits limits() override;
@@ -23,8 +32,10 @@
 private:
     void serveOrder(FrontExchange &exchange);
     void serveRelease(FrontExchange &exchange);
+    void serveTable(FrontExchange &exchange);
 
     StageScheduler &m_stages;
+    const RelayedTables m_relayed;
     MetricsRegistry &m_metrics;
 };
 
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -1,6 +1,5 @@
 #include "stages/stages.h"
 
-#include <cmath>
 #include <poll.h>
 
 namespace vanillanotch
@@ -63,10 +62,9 @@
     return lanes;
 }
 
-// Rendezvous hashing, in which a VM's chance grows with its processor.
 std::optional<MemberRecord> OwnedStages::ownerOf(const std::string &service, const LaneGroup &lanes) const
 {
-    const std::string duty = "stages/" + service + "/" + std::to_string(lanes.index) + "/" + std::to_string(lanes.count) + "/";
+    const std::string duty = "stages/" + service + "/" + std::to_string(lanes.index) + "/" + std::to_string(lanes.count);
     const std::vector<MemberRecord> members = m_members.all();
     const std::string &self = members.front().name; // all() begins with this node
     const TimePoint now = m_parts.clock.now();
@@ -77,8 +75,7 @@
         const auto paused = m_pausedUntil.find(member.name);
         const bool asked = paused == m_pausedUntil.end() || now >= paused->second;
         const bool usable = member.name == self || (asked && member.state == MemberState::Alive);
-        const double drawn = (static_cast<double>(stableHash(duty + member.name)) + 1) / 0x1p64; // 0 to 1
-        const double rank = member.cores * member.cores / -std::log(std::min(drawn, 1 - 1e-12));
+        const double rank = dutyRank(member, duty);
         if (usable && (!best || rank > bestRank)) {
             best = member;
             bestRank = rank;
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -5,10 +5,11 @@
 namespace vanillanotch
 {
 
-TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, WatchSettings settings, MetricsRegistry &metrics)
+TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, WatchSettings settings, MetricsRegistry &metrics)
     : m_store(store)
     , m_table(std::move(table))
     , m_listener(listener)
+    , m_cache(cache)
     , m_settings(settings)
     , m_calls(metrics.counter("vanillanotch_store_calls_total", "table=\"" + m_table + "\""))
     , m_failures(metrics.counter("vanillanotch_store_failures_total", "table=\"" + m_table + "\""))
@@ -111,7 +112,10 @@
         logEvent(LogLevel::Info, "store.regained", {{"table", m_table}, {"version", rows->version}});
         m_lost = false;
     }
-    const TimePoint asOf = m_clock.answeredAfter(rows->storeClock, began, suspendAwareNow());
+    const TimePoint asOf = rows->asOf ? *rows->asOf : m_clock.answeredAfter(rows->storeClock, began, suspendAwareNow());
+    if (m_cache != nullptr) {
+        m_cache->apply(*rows, whole, asOf);
+    }
     const bool afterTrouble = m_lastFailure != TimePoint{} && suspendAwareNow() - m_lastFailure < m_settings.troubleMemory;
     if (whole) {
         m_listener.snapshot(*rows, asOf, afterTrouble);
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -1,5 +1,10 @@
 // vanillanotch watch library: keeps this node's view of the platform's tables up to date.
 //
+// Index of sections:
+//   [STORE]  StateStore: the platform's store as far as a node watches it
+//   [WATCH]  TableWatch, StoreClock: follow one table
+//   [RELAY]  TableCache, RelayedStore: nodes of a data centre follow a table through a few of them
+//
 // Rules this aggregate enforces:
 //   - the version of a table that was seen never falls;
 //   - after a gap in the change feed the table is read anew;
@@ -13,6 +18,10 @@
 namespace vanillanotch
 {
 
+//-----------------------------------------------------------------------------
+// [STORE]
+//-----------------------------------------------------------------------------
+
 struct StoredRow {
     std::string key;
     std::string value;
@@ -24,6 +33,7 @@
     std::vector<StoredRow> rows;
     std::uint64_t version = 0; // the store's newest
     Duration storeClock{}; // the store's steady clock when it answered
+    std::optional<TimePoint> asOf; // at least as new as that moment (suspend-aware clock); nullopt: to be told by the store's clock
 };
 
 // The platform's store as far as a node watches it.
@@ -39,6 +49,10 @@
     virtual Result<void> removeRow(const std::string &table, const std::string &key, Duration limit) = 0;
 };
 
+//-----------------------------------------------------------------------------
+// [WATCH]
+//-----------------------------------------------------------------------------
+
 class TableListener
 {
 public:
@@ -71,11 +85,14 @@
     Duration m_lastSeen{};
 };
 
+class TableCache;
+
 // Follows one table on a thread of its own.
 class TableWatch
 {
 public:
-    TableWatch(StateStore &store, std::string table, TableListener &listener, WatchSettings settings, MetricsRegistry &metrics);
+    // `cache` may be null.
+    TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, WatchSettings settings, MetricsRegistry &metrics);
     ~TableWatch();
     void start();
     void stop();
@@ -89,6 +106,7 @@
     StateStore &m_store;
     const std::string m_table;
     TableListener &m_listener;
+    TableCache *m_cache;
     const WatchSettings m_settings;
     Counter &m_calls;
     Counter &m_failures;
@@ -104,4 +122,71 @@
     std::thread m_thread;
 };
 
+//-----------------------------------------------------------------------------
+// [RELAY]
+//-----------------------------------------------------------------------------
+
+// What this node has seen of a table, removed rows included, for nodes that follow it through this one.
+class TableCache
+{
+public:
+    void apply(const StoredRows &rows, bool whole, TimePoint asOf);
+    // Waits for a change after that version. StoreHistoryGone: this node has not followed the table from there.
+    Result<StoredRows> changesAfter(std::uint64_t version, std::chrono::milliseconds wait);
+    TimePoint asOf() const;
+
+private:
+    mutable RankedMutex m_mutex{LockRank::TableCaches};
+    std::condition_variable_any m_changed;
+    std::map<std::string, StoredRow> m_rows;
+    std::uint64_t m_first = 0; // version of the first whole reading; 0: none yet
+    std::uint64_t m_version = 0;
+    TimePoint m_asOf{};
+};
+
+// Asks another node for a table.
+class RelayChannel
+{
+public:
+    virtual ~RelayChannel() = default;
+    virtual Result<StoredRows> follow(const std::string &peerAddress, const std::string &table, std::uint64_t after, std::chrono::milliseconds wait,
+                                      Duration limit)
+        = 0;
+};
+
+struct RelaySettings {
+    std::chrono::milliseconds wait{1000}; // of a question to the relay: bounds how long its silence is unnoticed
+    std::chrono::milliseconds limit{500}; // for the answer besides
+    std::chrono::milliseconds oldest{2200}; // a relay whose own news is older is itself cut off
+    std::chrono::milliseconds directFor{4000}; // after the relay failed, the store is asked
+    std::chrono::milliseconds storeWait{1400}; // of a relay's own questions: its followers' news is older than its own
+};
+
+// Asks the relay that is in charge of this node, and the store when there is none or it fails.
+class RelayedStore final : public StateStore
+{
+public:
+    // `relay`: address of the node to follow; nullopt: this node asks the store, and `serves` others.
+    struct Choice {
+        std::optional<std::string> relay;
+        bool serves = false;
+    };
+    RelayedStore(StateStore &store, RelayChannel &channel, std::function<Choice()> choose, RelaySettings settings = {});
+    Result<StoredRows> readTable(const std::string &table, Duration limit) override;
+    Result<StoredRows> awaitChanges(const std::string &table, std::uint64_t after, std::chrono::milliseconds wait, Duration limit) override;
+    Result<void> writeRow(const std::string &table, const std::string &key, const std::string &value, Duration limit) override;
+    Result<void> removeRow(const std::string &table, const std::string &key, Duration limit) override;
+
+private:
+    bool direct() const;
+    void goDirect();
+
+    StateStore &m_store;
+    RelayChannel &m_channel;
+    const std::function<Choice()> m_choose;
+    const RelaySettings m_settings;
+    mutable RankedMutex m_mutex{LockRank::TableCaches};
+    TimePoint m_directUntil{};
+};
+
 } // namespace vanillanotch
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -1,5 +1,6 @@
 // What is in force: routes, keys and their age, instances, watches of the store.
 #include "deployment/deployment.h"
+#include "fleet/fleet.h"
 #include "forwarding/forwarding.h"
 #include "instances/instances.h"
 #include "watch/watch.h"
@@ -271,7 +272,7 @@
     MetricsRegistry metrics;
     WatchSettings settings;
     settings.firstPause = milliseconds(1);
-    TableWatch watch(store, "t", listener, settings, metrics);
+    TableWatch watch(store, "t", listener, nullptr, settings, metrics);
     watch.start();
     CHECK(store.done.wait(seconds(20)));
     watch.stop();
@@ -289,7 +290,7 @@
     MetricsRegistry metrics;
     WatchSettings settings;
     settings.firstPause = milliseconds(1);
-    TableWatch watch(store, "t", listener, settings, metrics);
+    TableWatch watch(store, "t", listener, nullptr, settings, metrics);
     watch.start();
     CHECK(store.done.wait(seconds(20)));
     watch.stop();
@@ -321,3 +322,117 @@
     clock.advance(settings.window + milliseconds(1));
     CHECK(allowance.take("s"));
 }
+
+TEST_GROUP(Relay){};
+
+TEST(Relay, FollowersGetChangesRemovalsAndTheAgeOfExactlyTheseRows)
+{
+    TableCache cache;
+    CHECK(cache.changesAfter(1, milliseconds(0)).error().code == ErrorCode::PlatformUnavailable); // nothing read yet
+    StoredRows rows = rowsAt(10);
+    rows.rows = {StoredRow{"a", "1", 4, false}};
+    cache.apply(rows, true, TimePoint(seconds(100)));
+    CHECK(cache.changesAfter(9, milliseconds(0)).error().code == ErrorCode::StoreHistoryGone);
+    rows = rowsAt(12);
+    rows.rows = {StoredRow{"a", "", 11, true}, StoredRow{"b", "2", 12, false}};
+    cache.apply(rows, false, TimePoint(seconds(101)));
+    const auto changes = cache.changesAfter(10, milliseconds(0));
+    LONGS_EQUAL(2, static_cast<long>(changes->rows.size()));
+    CHECK(changes->rows.front().removed);
+    LONGS_EQUAL(12, static_cast<long>(changes->version));
+    CHECK(*changes->asOf == TimePoint(seconds(101)));
+    CHECK(cache.changesAfter(12, milliseconds(0))->rows.empty());
+}
+
+namespace
+{
+class ScriptedRelay final : public RelayChannel
+{
+public:
+    Result<StoredRows> answer = fail(ErrorCode::PeerUnavailable);
+    int asked = 0;
+    Result<StoredRows> follow(const std::string & /*peer*/, const std::string & /*table*/, std::uint64_t /*after*/, milliseconds /*wait*/,
+                              Duration /*limit*/) override
+    {
+        ++asked;
+        return answer;
+    }
+};
+} // namespace
+
+TEST(Relay, ARelayThatFailsOrIsCutOffItselfIsPassedBy)
+{
+    for (const bool stale : {false, true}) {
+        ScriptedStore store;
+        store.answers = {rowsAt(5), rowsAt(6)};
+        ScriptedRelay relay;
+        if (stale) {
+            StoredRows old = rowsAt(4);
+            old.asOf = suspendAwareNow() - seconds(3);
+            relay.answer = old;
+        }
+        RelayedStore relayed(store, relay, [] {
+            return RelayedStore::Choice{"peer:1", false};
+        });
+        LONGS_EQUAL(5, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
+        LONGS_EQUAL(6, static_cast<long>(relayed.awaitChanges("t", 5, milliseconds(10), milliseconds(20))->version));
+        LONGS_EQUAL(1, relay.asked); // not asked again for a while
+    }
+}
+
+TEST(Relay, AGapThatTheRelayCannotBridgeIsTheStoresForThisCallOnly)
+{
+    ScriptedStore store;
+    store.answers = {rowsAt(5)};
+    ScriptedRelay relay;
+    relay.answer = fail(ErrorCode::StoreHistoryGone);
+    RelayedStore relayed(store, relay, [] {
+        return RelayedStore::Choice{"peer:1", false};
+    });
+    LONGS_EQUAL(5, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
+    StoredRows fresh = rowsAt(6);
+    fresh.asOf = suspendAwareNow();
+    relay.answer = fresh;
+    LONGS_EQUAL(6, static_cast<long>(relayed.awaitChanges("t", 5, milliseconds(10), milliseconds(20))->version));
+    LONGS_EQUAL(2, relay.asked);
+}
+
+TEST(Relay, AFreshRelaySparesTheStore)
+{
+    ScriptedStore store;
+    ScriptedRelay relay;
+    StoredRows fresh = rowsAt(4);
+    fresh.asOf = suspendAwareNow() - milliseconds(500);
+    relay.answer = fresh;
+    RelayedStore relayed(store, relay, [] {
+        return RelayedStore::Choice{"peer:1", false};
+    });
+    LONGS_EQUAL(4, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
+    CHECK(store.calls.empty());
+}
+
+TEST(Relay, EveryMemberButTheLeadersFollowsALeaderOfItsDataCentre)
+{
+    std::vector<MemberRecord> members;
+    for (int i = 0; i < 20; ++i) {
+        MemberRecord member;
+        member.name = "n" + std::to_string(i);
+        member.dataCentre = "dc1";
+        member.cores = i < 2 ? 0.5 : 0.12;
+        members.push_back(member);
+    }
+    std::set<std::string> leaders;
+    std::size_t leading = 0;
+    for (const MemberRecord &self : members) {
+        const DutyLead lead = dutyLeadOf(members, self, "relay", 8);
+        leading += lead.leads ? 1 : 0;
+        CHECK(lead.leads != lead.leader.has_value());
+        if (lead.leader) {
+            leaders.insert(lead.leader->name);
+        }
+    }
+    LONGS_EQUAL(2, static_cast<long>(leading));
+    LONGS_EQUAL(2, static_cast<long>(leaders.size()));
+    members.resize(7);
+    CHECK_FALSE(dutyLeadOf(members, members.front(), "relay", 8).leader.has_value()); // too few to need one
+}
