--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -106,6 +106,7 @@
     std::unique_ptr<StateStore> m_store;
     std::unique_ptr<RelayChannel> m_relays;
     RelayedStore m_relayedStore;
+    StoreTrouble m_trouble;
     TableCache m_deploymentCache;
     TableCache m_instanceCache;
     TableCache m_memberCache;
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -35,10 +35,12 @@
         if (!deployment) {
             // The one in force stays, with its keys: refusing all of them would turn one bad document into an outage.
             m_invalid.add();
-            logEvent(LogLevel::Error, "configuration.invalid", {{"code", deployment.error().code}, {"row_version", row.version}, {"detail", deployment.error().detail}});
+            logEvent(LogLevel::Error, "configuration.invalid",
+                     {{"code", deployment.error().code}, {"row_version", row.version}, {"detail", deployment.error().detail}});
         } else if (m_table.install(*deployment)) {
-            logEvent(LogLevel::Info, "configuration.installed",
-                     {{"version", (*deployment)->version()}, {"row_version", row.version}, {"routes", static_cast<std::uint64_t>((*deployment)->routeCount())}});
+            logEvent(
+                LogLevel::Info, "configuration.installed",
+                {{"version", (*deployment)->version()}, {"row_version", row.version}, {"routes", static_cast<std::uint64_t>((*deployment)->routeCount())}});
             if (m_listener) {
                 m_listener();
             }
@@ -90,7 +92,11 @@
             m_table.remove(row.key, afterTrouble);
         } else if (auto spec = decode(row)) {
             logEvent(LogLevel::Info, "server.entry",
-                     {{"instance", row.key}, {"service", spec->service}, {"address", spec->address}, {"draining", spec->draining ? 1 : 0}, {"row_version", row.version}});
+                     {{"instance", row.key},
+                      {"service", spec->service},
+                      {"address", spec->address},
+                      {"draining", spec->draining ? 1 : 0},
+                      {"row_version", row.version}});
             m_table.upsert(*spec);
         } else {
             m_table.remove(row.key, false); // an entry that can't be read names no server
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -107,21 +107,19 @@
     , m_scheduler(StageParts{m_clock, m_deployments, m_instances, *m_stageChannel, m_allowance, m_releaser, m_pool, m_timers, m_metrics})
     , m_stages(StageParts{m_clock, m_deployments, m_instances, *m_stageChannel, m_allowance, m_releaser, m_pool, m_timers, m_metrics}, m_scheduler,
                *m_stagePeers, m_members, sharingOf(settings.stageSharing))
-    , m_service(ForwardParts{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_allowance, *m_serverChoice, *m_engineChoice, m_upstream,
-                             m_metrics},
-                ForwardSettings{})
+    , m_service(
+          ForwardParts{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_allowance, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
+          ForwardSettings{})
     , m_deploymentListener(m_deployments, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(m_members)
-    , m_deploymentWatch(m_relayedStore, platform::OperatorTable, m_deploymentListener, &m_deploymentCache, WatchSettings{}, m_metrics)
-    , m_instanceWatch(m_relayedStore, platform::ServersTable, m_instanceListener, &m_instanceCache, watching(LongWait, ServersRest), m_metrics)
-    , m_memberWatch(m_relayedStore, MembersTable, m_memberListener, &m_memberCache, watching(LongWait, MembersRest), m_metrics)
+    , m_deploymentWatch(m_relayedStore, platform::OperatorTable, m_deploymentListener, &m_deploymentCache, m_trouble, WatchSettings{}, m_metrics)
+    , m_instanceWatch(m_relayedStore, platform::ServersTable, m_instanceListener, &m_instanceCache, m_trouble, watching(LongWait, ServersRest), m_metrics)
+    , m_memberWatch(m_relayedStore, MembersTable, m_memberListener, &m_memberCache, m_trouble, watching(LongWait, MembersRest), m_metrics)
     , m_callersHandler(m_service, m_deployments)
     , m_readinessHandler(m_deployments, m_leaving)
     , m_peerHandler(m_scheduler,
-                    RelayedTables{{{platform::OperatorTable, &m_deploymentCache},
-                                   {platform::ServersTable, &m_instanceCache},
-                                   {MembersTable, &m_memberCache}},
+                    RelayedTables{{{platform::OperatorTable, &m_deploymentCache}, {platform::ServersTable, &m_instanceCache}, {MembersTable, &m_memberCache}},
                                   &m_deploymentCache},
                     m_metrics)
 {
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -81,8 +81,8 @@
     {
     }
 
-    Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, Duration patience,
-                                         CallerWatch &canceller, const std::function<bool()> &alive) override
+    Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, Duration patience, CallerWatch &canceller,
+                                         const std::function<bool()> &alive) override
     {
         const auto reply = callPeer(m_settings, PeerCall{peerAddress, OrderPath, encodeOrder(order, now), now + patience, order.deadline}, canceller, alive);
         if (!reply) {
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -125,7 +125,8 @@
 public:
     virtual ~StageChannel() = default;
     // Errors: ConnectFailed, ConnectionLost, ServerTimeout, InvalidReply, ServerBusy, WrongInstance.
-    virtual tl::expected<BatchReply, UpstreamFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint now, TimePoint until) = 0;
+    virtual tl::expected<BatchReply, UpstreamFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint now,
+                                                          TimePoint until) = 0;
     virtual Result<void> release(const std::string &address, const std::vector<std::string> &handles, TimePoint until) = 0;
 };
 
@@ -136,8 +137,7 @@
     virtual ~StagePeerChannel() = default;
     // `alive` is asked each time when nothing has come for `patience`; false ends the call with PeerUnavailable.
     virtual Result<std::vector<std::string>> run(const std::string &peerAddress, const StageOrder &order, TimePoint now, Duration patience,
-                                                 CallerWatch &canceller, const std::function<bool()> &alive)
-        = 0;
+                                                 CallerWatch &canceller, const std::function<bool()> &alive) = 0;
     virtual Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) = 0;
     virtual bool answers(const std::string &peerAddress, TimePoint until) = 0; // asks for a sign of life
 };
--- a/src/steward/steward.h
+++ b/src/steward/steward.h
@@ -21,8 +21,8 @@
 #include "base/base.h"
 #include "configuration/configuration.h"
 #include "fleet/fleet.h"
-#include "storage/storage.h"
 #include "request/request.h"
+#include "storage/storage.h"
 
 namespace vanillanotch
 {
--- a/src/transport/messages.cpp
+++ b/src/transport/messages.cpp
@@ -1,8 +1,8 @@
 #include "transport/transport.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 
 namespace vanillanotch
 {
@@ -148,7 +148,7 @@
 
 bool concernsOneConnection(std::string_view headerName)
 {
-    static constexpr std::array<std::string_view, 9> Names = {"Connection", "Keep-Alive",        "Proxy-Connection", "Transfer-Encoding", "TE",
+    static constexpr std::array<std::string_view, 9> Names = {"Connection", "Keep-Alive",         "Proxy-Connection", "Transfer-Encoding", "TE",
                                                               "Trailer",    "Proxy-Authenticate", "Upgrade",          "Content-Length"};
     return std::any_of(Names.begin(), Names.end(), [&](std::string_view name) {
         return equalIgnoringCase(name, headerName);
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -5,11 +5,13 @@
 namespace vanillanotch
 {
 
-TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, WatchSettings settings, MetricsRegistry &metrics)
+TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, StoreTrouble &trouble, WatchSettings settings,
+                       MetricsRegistry &metrics)
     : m_store(store)
     , m_table(std::move(table))
     , m_listener(listener)
     , m_cache(cache)
+    , m_trouble(trouble)
     , m_settings(settings)
     , m_calls(metrics.counter("vanillanotch_store_calls_total", "table=\"" + m_table + "\""))
     , m_failures(metrics.counter("vanillanotch_store_failures_total", "table=\"" + m_table + "\""))
@@ -76,6 +78,18 @@
     }
 }
 
+void StoreTrouble::note()
+{
+    const Lock lock(m_mutex);
+    m_lastFailure = suspendAwareNow();
+}
+
+bool StoreTrouble::within(Duration span) const
+{
+    const Lock lock(m_mutex);
+    return m_lastFailure != TimePoint{} && suspendAwareNow() - m_lastFailure < span;
+}
+
 TimePoint StoreClock::answeredAfter(Duration storeClock, TimePoint asked, TimePoint received)
 {
     if (storeClock < m_lastSeen) {
@@ -101,7 +115,7 @@
             return true;
         }
         m_failures.add();
-        m_lastFailure = suspendAwareNow();
+        m_trouble.note();
         if (!m_lost) {
             logEvent(LogLevel::Warning, "store.lost", {{"table", m_table}, {"error", rows.error().code}, {"detail", rows.error().detail}});
         }
@@ -116,7 +130,7 @@
     if (m_cache != nullptr) {
         m_cache->apply(*rows, whole, asOf);
     }
-    const bool afterTrouble = m_lastFailure != TimePoint{} && suspendAwareNow() - m_lastFailure < m_settings.troubleMemory;
+    const bool afterTrouble = m_trouble.within(m_settings.troubleMemory);
     if (whole) {
         m_listener.snapshot(*rows, asOf, afterTrouble);
     } else {
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -85,6 +85,18 @@
     Duration m_lastSeen{};
 };
 
+// When this node last failed to reach the store, by any of its watches: a feed that hangs through an outage fails by none.
+class StoreTrouble
+{
+public:
+    void note();
+    bool within(Duration span) const; // a failure is no older than that
+
+private:
+    mutable RankedMutex m_mutex{LockRank::Leaf};
+    TimePoint m_lastFailure{};
+};
+
 class TableCache;
 
 // Follows one table on a thread of its own.
@@ -92,7 +104,8 @@
 {
 public:
     // `cache` may be null.
-    TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, WatchSettings settings, MetricsRegistry &metrics);
+    TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, StoreTrouble &trouble, WatchSettings settings,
+               MetricsRegistry &metrics);
     ~TableWatch();
     void start();
     void stop();
@@ -107,13 +120,13 @@
     const std::string m_table;
     TableListener &m_listener;
     TableCache *m_cache;
+    StoreTrouble &m_trouble;
     const WatchSettings m_settings;
     Counter &m_calls;
     Counter &m_failures;
     StoreClock m_clock;
     std::optional<std::uint64_t> m_version; // nullopt: the table must be read
     Duration m_nextPause{};
-    TimePoint m_lastFailure{};
     bool m_lost = false;
     std::mt19937_64 m_generator{std::random_device{}()};
     RankedMutex m_mutex{LockRank::Leaf};
@@ -150,8 +163,7 @@
 public:
     virtual ~RelayChannel() = default;
     virtual Result<StoredRows> follow(const std::string &peerAddress, const std::string &table, std::uint64_t after, std::chrono::milliseconds wait,
-                                      Duration limit)
-        = 0;
+                                      Duration limit) = 0;
 };
 
 struct RelaySettings {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -11,9 +11,9 @@
 #include "configuration/configuration.h"
 #include "fleet/fleet.h"
 #include "journal/journal.h"
-#include "storage/storage.h"
 #include "request/request.h"
 #include "steward/steward.h"
+#include "storage/storage.h"
 
 namespace vanillanotch
 {
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -4,8 +4,8 @@
 //     down       connections are closed without an answer, nothing takes effect
 //     lose_next  so many writes take effect and then lose their answer
 //   PUT  /v1/vms (JSON list document), GET /counts (reads and writes served)
-#include "storage/storage.h"
 #include "standin.h"
+#include "storage/storage.h"
 
 #include <nlohmann/json.hpp>
 
