--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -15,12 +15,6 @@
 constexpr int InterimFrom = 100;
 constexpr int InterimTo = 200;
 
-int pollTimeout(TimePoint until)
-{
-    const auto left = until - std::chrono::steady_clock::now();
-    return left <= Duration::zero() ? 0 : static_cast<int>(toMilliseconds(left).count()) + 1;
-}
-
 void setOption(int descriptor, int level, int name, int value)
 {
     if (::setsockopt(descriptor, level, name, &value, sizeof value) != 0) {
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -20,11 +20,6 @@
 constexpr Duration SweepInterval = std::chrono::seconds(1); // looks for connections that idle too long
 constexpr std::size_t EventsAtOnce = 64;
 
-int pollTimeout(TimePoint until)
-{
-    const auto left = until - std::chrono::steady_clock::now();
-    return left <= Duration::zero() ? 0 : static_cast<int>(toMilliseconds(left).count()) + 1;
-}
 } // namespace
 
 // A caller's connection. Its worker owns it while a request is served, the watching thread between two.
--- a/src/transport/sockets.cpp
+++ b/src/transport/sockets.cpp
@@ -101,6 +101,12 @@
     entry.fd = -1;
 }
 
+int pollTimeout(TimePoint until)
+{
+    const auto left = until - std::chrono::steady_clock::now();
+    return left <= Duration::zero() ? 0 : static_cast<int>(toMilliseconds(left).count()) + 1;
+}
+
 Result<void> awaitSignal(Signal &signal, CallerWatch &caller, TimePoint until)
 {
     assertNoLockHeld("awaitSignal");
@@ -113,7 +119,7 @@
         entries[0].fd = signal.descriptor();
         entries[0].events = POLLIN;
         caller.prepare(entries[1]);
-        (void)::poll(entries.data(), entries.size(), static_cast<int>(toMilliseconds(left).count()) + 1);
+        (void)::poll(entries.data(), entries.size(), pollTimeout(until));
         caller.examine(entries[1]);
         if (caller.gone()) {
             return fail(ErrorCode::CallerGone);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -179,6 +179,8 @@
     }
 };
 
+int pollTimeout(TimePoint until); // for poll() and epoll_wait(): milliseconds, rounded up; 0 when it has passed
+
 // Waits for the signal. Errors: CallerGone, DeadlineExceeded.
 Result<void> awaitSignal(Signal &signal, CallerWatch &caller, TimePoint until);
 
