--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -177,7 +177,7 @@
     , m_epoll(::epoll_create1(EPOLL_CLOEXEC))
     , m_stop(makeRef<Signal>())
 {
-    m_listener.bind(Poco::Net::SocketAddress(address), true);
+    m_listener.bind(Poco::Net::SocketAddress(address), true, false); // a shared port would split callers between two daemons
     m_listener.listen(ListenBacklog);
     m_listener.setBlocking(false);
     for (const int descriptor : {static_cast<int>(m_listener.impl()->sockfd()), m_stop->descriptor()}) {
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -75,10 +75,13 @@
             calls.push_back(call);
             return answers[m_next++];
         }
-        done.countDown();
+        if (!std::exchange(m_ended, true)) {
+            done.countDown(); // once: the watch goes on asking
+        }
         return fail(ErrorCode::PlatformUnavailable);
     }
     std::size_t m_next = 0;
+    bool m_ended = false;
 };
 
 class RecordingListener final : public TableListener
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -79,6 +79,7 @@
     void teardown() override
     {
         server->stop();
+        pool.stop(); // its workers may still be busy with the server's connections
         server.reset();
     }
     std::string ask(std::string_view bytes, std::size_t replies = 1)
@@ -242,3 +243,8 @@
     const auto opened = call.open(address, std::chrono::steady_clock::now() + TestLimit, nobody);
     CHECK(!opened && opened.error().code == ErrorCode::ConnectFailed && !opened.error().sent && opened.error().refused);
 }
+
+TEST(Transport, ASecondServerOnAnAddressIsRefused)
+{
+    CHECK_THROWS(Poco::Exception, FrontServer("second", server->address(), handler, pool));
+}
