Don't share ports in the product's server, its stand-ins and the tests' free addresses

Cause of mix_test's and answers_test's failures beside another suite: POCO's two-argument bind and its ServerSocket constructors set SO_REUSEPORT, and Linux hands out a port of another such socket of the same user. Two runs on one machine then got each other's callers, operators and proxies. Test ASecondServerOnAnAddressIsRefused failed before and passes now. Ruled out: a node that hangs.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -352,7 +352,7 @@
     params->setMaxQueued(m_settings.queuedConnections);
     params->setThreadIdleTime(Poco::Timespan(1, 0)); // a stop waits for idle workers as long as this
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(m_settings.address), true);
+    socket.bind(Poco::Net::SocketAddress(m_settings.address), true, false); // a shared port would split callers between two daemons
     socket.listen(Backlog);
     m_server = std::make_unique<Poco::Net::TCPServer>(new ServerConnectionFactory(*this), *m_pool, socket, params);
     m_server->start();
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -8,8 +8,38 @@
 using namespace vanillanotch;
 using namespace vanillanotch::test;
 
+namespace
+{
+class SilentHandler final : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange) override
+    {
+        exchange.reply(200, "text/plain", "");
+    }
+    std::string describeError(ErrorCode code) override
+    {
+        return std::string(errorName(code));
+    }
+};
+} // namespace
+
 TEST_GROUP(Path){};
 
+// Two daemons that share a port get each other's callers and operators.
+TEST(Path, ASecondServerOnAnAddressIsRefused)
+{
+    WorkerPool workers(1);
+    TimerQueue timers(workers);
+    SocketWatchdog watchdog(timers);
+    SilentHandler handler;
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:0";
+    const HttpServer first(settings, handler, watchdog);
+    settings.address = first.address();
+    CHECK_THROWS(Poco::Exception, HttpServer(settings, handler, watchdog));
+}
+
 TEST(Path, ARequestGoesThroughAllStagesToItsWholeAnswer)
 {
     Cluster cluster("path");
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -36,8 +36,9 @@
 public:
     explicit Link(const std::string &target)
         : m_target(target)
-        , m_listener(Poco::Net::SocketAddress("127.0.0.1:0"))
     {
+        m_listener.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true, false); // POCO's constructor would share the port
+        m_listener.listen();
         std::thread([self = Ref<Link>(this)] {
             self->acceptAll();
         }).detach(); // lives as long as the process
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -22,7 +22,8 @@
 
 std::string freeAddress()
 {
-    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress("127.0.0.1:0")};
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true, false); // POCO's constructor would share the port of another run
     return socket.address().toString();
 }
 
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -20,7 +20,6 @@
 
 namespace
 {
-constexpr Duration CallLimit = std::chrono::seconds(60);
 constexpr Duration PollInterval = std::chrono::milliseconds(10);
 constexpr const char *OperatorKey = "operator-key";
 constexpr const char *PeerSecret = "peer-secret-of-the-tests";
@@ -224,17 +223,17 @@
 }
 
 HttpReply send(const std::string &address, const std::string &method, const std::string &path, const std::string &body,
-               const std::map<std::string, std::string> &headers)
+               const std::map<std::string, std::string> &headers, Duration limit)
 {
     HttpRequestOut request;
     request.method = method;
     request.path = path;
     request.body = body;
     request.headers = headers;
-    request.receiveTimeout = CallLimit;
+    request.receiveTimeout = limit;
     request.freshConnection = true;
     HttpClient client;
-    auto reply = client.call(address, request, std::chrono::steady_clock::now() + CallLimit, CallLimit);
+    auto reply = client.call(address, request, std::chrono::steady_clock::now() + limit, limit);
     return reply ? *reply : HttpReply{};
 }
 
@@ -465,14 +464,20 @@
 
 bool Cluster::awaitRevision(std::uint64_t wanted, const std::vector<std::string> &nodes)
 {
-    return eventually([&] {
+    std::string behind;
+    const bool reached = eventually([&] {
         for (const std::string &name : nodes) {
-            if (revision(name) < wanted) {
+            if (const std::uint64_t at = revision(name); at < wanted) {
+                behind = name + " at " + std::to_string(at);
                 return false;
             }
         }
         return true;
     });
+    if (!reached) {
+        std::fprintf(stderr, "revision %llu wanted, last seen: %s\n", static_cast<unsigned long long>(wanted), behind.c_str());
+    }
+    return reached;
 }
 
 void Cluster::controlServer(const std::string &name, const std::string &modes)
--- a/tests/support/harness.h
+++ b/tests/support/harness.h
@@ -80,9 +80,10 @@
 CallResult callPipeline(const std::string &address, const std::string &pipeline, const std::string &input, const CallOptions &options = {});
 // The same over a client whose connections are kept, as a balancer does.
 CallResult callPipeline(HttpClient &client, const std::string &address, const std::string &pipeline, const std::string &input, const CallOptions &options = {});
-// Raw HTTP to any stand-in or node; status 0 when no answer came.
+constexpr Duration CallLimit = std::chrono::seconds(60); // generous: a slow machine gives the same verdict
+// Raw HTTP to any stand-in or node; status 0 when no answer came within the limit.
 HttpReply send(const std::string &address, const std::string &method, const std::string &path, const std::string &body = {},
-               const std::map<std::string, std::string> &headers = {});
+               const std::map<std::string, std::string> &headers = {}, Duration limit = CallLimit);
 std::string expectedText(const std::string &input, unsigned tokens); // what the model stand-in generates
 
 //-----------------------------------------------------------------------------
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -8,7 +8,13 @@
 namespace
 {
 constexpr Duration HealthInterval = std::chrono::milliseconds(50);
+constexpr Duration HealthLimit = std::chrono::seconds(2); // a node that is paused must not hold up the look at the others
+
+bool isReady(const std::string &operators)
+{
+    return send(operators, "GET", "/readyz", {}, {}, HealthLimit).status == 200;
 }
+} // namespace
 
 Balancer::Balancer(Cluster &cluster)
     : m_cluster(cluster)
@@ -39,7 +45,7 @@
         }
     }
     for (Target &target : targets) {
-        target.ready = send(target.operators, "GET", "/readyz").status == 200;
+        target.ready = isReady(target.operators);
     }
     const Lock lock(m_mutex);
     m_targets = std::move(targets);
@@ -65,7 +71,7 @@
         lock.unlock();
         std::map<std::string, bool> ready;
         for (const Target &target : targets) {
-            ready[target.callers] = send(target.operators, "GET", "/readyz").status == 200;
+            ready[target.callers] = isReady(target.operators);
         }
         lock.lock();
         for (Target &target : m_targets) {
