--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -8,7 +8,7 @@
 
 namespace
 {
-constexpr std::chrono::milliseconds EngineTime{150}; // of an idle engine until its first event
+constexpr std::chrono::milliseconds EngineTime{400}; // of an idle engine until its first event
 constexpr std::size_t LargeResult = 500'000; // bytes of one piece; a server has room for a few dozen of these
 } // namespace
 
@@ -101,7 +101,7 @@
         const unsigned pieces = next < m_request.pieces.size() ? m_request.pieces[next] : 0;
         Duration own{};
         if (service != nullptr && service->stage && pieces > 0) {
-            own = service->stage->callTime + service->stage->pieceTime * pieces;
+            own = service->stage->callTime + service->stage->pieceTime * std::max<std::size_t>(pieces, service->stage->batch);
         }
         longest = std::max(longest, own + timeAfter(next));
     }
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -169,7 +169,11 @@
             for (const BatchPick &pick : batch) {
                 lane.promisedBytes += pick.run->order().resultBytes;
             }
-            dispatches.push_back(Dispatch{std::move(instance), std::move(batch), capacity});
+            std::size_t left = 0;
+            for (const WaitingWork &work : queue.work) {
+                left += work.pieces.size();
+            }
+            dispatches.push_back(Dispatch{std::move(instance), std::move(batch), capacity, view.roomBytes, left});
         }
     }
     return dispatches;
@@ -246,6 +250,8 @@
               {"first_request", calls.front().order->request},
               {"pieces", static_cast<std::uint64_t>(calls.size())},
               {"error", worked ? 0 : static_cast<int>(reply.error().code)},
+              {"room_bytes", static_cast<std::uint64_t>(dispatched.roomBytes)},
+              {"left_waiting", static_cast<std::uint64_t>(dispatched.leftWaiting)},
               {"waited_ms", began - oldest},
               {"declared_ms", declared},
               {"took_ms", ended - began}});
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -307,6 +307,8 @@
         InstanceSpec instance;
         std::vector<BatchPick> batch;
         StageCapacity capacity;
+        std::size_t roomBytes = 0; // before the call; 0: not stated
+        std::size_t leftWaiting = 0; // pieces of the queue
     };
     double slownessOf(const Lane &lane, TimePoint now) const;
     void holdLocked(const std::string &instance, const std::string &handle, std::size_t bytes, Duration life);
