--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -98,7 +98,8 @@
     }
     const TimePoint arrived = m_exchange.arrived();
     m_deadline = arrived + std::min(m_request.timeLeft.value_or(UnstatedDeadline), m_route->timeout) - m_settings.answerMargin;
-    m_target = arrived + m_route->target;
+    const Duration spent = std::max<Duration>(Duration::zero(), m_route->timeout - m_request.timeLeft.value_or(m_route->timeout));
+    m_target = arrived + m_route->target - spent;
     chooseService();
     return {};
 }
@@ -440,7 +441,7 @@
     }
     const bool late = code == ErrorCode::DeadlineExceeded || code == ErrorCode::ServerTimeout;
     m_end.status = !m_mayHaveRun ? 503 : late ? 504 : 502;
-    const auto retryAfter = !m_mayHaveRun ? std::optional(m_settings.retryAfter) : std::nullopt;
+    const auto retryAfter = !m_mayHaveRun ? std::optional(code == ErrorCode::Overloaded ? m_settings.overloadedRetryAfter : m_settings.retryAfter) : std::nullopt;
     (void)m_exchange.reply(m_end.status, m_parts.codec.refusalHeaders(m_request.attempt, retryAfter), describeRefusal(code), until);
     m_parts.metrics.counter("vanillanotch_refusals_total", "code=\"" + std::to_string(static_cast<int>(code)) + "\"").add();
 }
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -141,6 +141,39 @@
 }
 } // namespace
 
+std::vector<Ref<StageRun>> shedLate(std::vector<WaitingWork> &queue, double rate, Duration callTime, TimePoint now, const BatchSettings &settings)
+{
+    std::vector<const WaitingWork *> order;
+    std::size_t onTime = 0;
+    for (const WaitingWork &work : queue) {
+        order.push_back(&work);
+        onTime += work.run->order().target > now ? work.pieces.size() : 0;
+    }
+    std::stable_sort(order.begin(), order.end(), [&](const WaitingWork *a, const WaitingWork *b) {
+        return moreUrgent(a->run->order(), b->run->order(), now, settings);
+    });
+    std::vector<Ref<StageRun>> shed;
+    std::size_t ahead = 0;
+    const auto behindOnTime = std::chrono::duration<double>(static_cast<double>(onTime) / rate);
+    for (const WaitingWork *work : order) {
+        const StageOrder &own = work->run->order();
+        const auto wait = std::chrono::duration<double>(static_cast<double>(ahead) / rate);
+        const Duration untilDone = std::chrono::duration_cast<Duration>(wait) + callTime;
+        const bool late = own.target <= now + untilDone;
+        if (late && (wait > settings.lateWait || (now - own.target > settings.lateLife && behindOnTime > settings.lateWait / 5))) {
+            shed.push_back(work->run);
+        } else {
+            ahead += work->pieces.size();
+        }
+    }
+    queue.erase(std::remove_if(queue.begin(), queue.end(),
+                               [&](const WaitingWork &work) {
+                                   return std::find(shed.begin(), shed.end(), work.run) != shed.end();
+                               }),
+                queue.end());
+    return shed;
+}
+
 std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, const NearbyLanes &nearby, std::size_t batch, TimePoint now,
                                  const BatchSettings &settings)
 {
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -153,6 +153,31 @@
     std::sort(free.begin(), free.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
+    std::size_t laneCount = 0;
+    for (const InstanceSpec &instance : all) {
+        laneCount += laneGroupOf(all, instance.dataCentre, groups) == group ? 1 : 0;
+    }
+    if (laneCount > 0) {
+        const Duration callTime = declaredTime(capacity, capacity.batch);
+        double rate = static_cast<double>(laneCount * capacity.slots * capacity.batch) / std::chrono::duration<double>(callTime).count();
+        while (!queue.started.empty() && queue.started.front().first < now - std::chrono::seconds(1)) {
+            queue.started.pop_front();
+        }
+        if (queue.work.empty()) {
+            queue.backlogSince = now;
+        }
+        if (now - queue.backlogSince > std::chrono::seconds(1)) {
+            std::size_t pieces = 0;
+            for (const auto &[at, count] : queue.started) {
+                pieces += count;
+            }
+            rate = std::max(rate / 4, static_cast<double>(pieces));
+        }
+        for (const Ref<StageRun> &run : shedLate(queue.work, rate, callTime, now, m_settings.batches)) {
+            logEvent(LogLevel::Info, "stage.shed", {{"request", run->order().request}, {"service", service}, {"late_ms", now - run->order().target}});
+            run->fail(ErrorCode::Overloaded);
+        }
+    }
     std::vector<Dispatch> dispatches;
     for (auto &[slowness, instance] : free) {
         Lane &lane = m_lanes[instance.id];
@@ -169,6 +194,7 @@
             for (const BatchPick &pick : batch) {
                 lane.promisedBytes += pick.run->order().resultBytes;
             }
+            queue.started.emplace_back(now, batch.size());
             std::size_t left = 0;
             for (const WaitingWork &work : queue.work) {
                 left += work.pieces.size();
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -156,6 +156,8 @@
     std::chrono::milliseconds slowPatience{250}; // work that has waited this long goes to a slow lane as well
     std::chrono::milliseconds priorityStep{250}; // of later target for each rank of priority
     std::chrono::milliseconds latePenalty{2500}; // what can't meet its target any more waits for what still can
+    std::chrono::milliseconds lateWait{1000}; // late work with more than this before it is given up
+    std::chrono::milliseconds lateLife{1500}; // and work that has been late for this long, while on-time work waits
     unsigned attempts = 3; // calls that one piece may be part of
 };
 
@@ -184,6 +186,9 @@
 // Orders work: what can still meet its target by target and priority, then the rest.
 bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings);
 
+// Takes late work out of the queue that would wait long behind the rest. `rate`: pieces a second that the lanes do together.
+std::vector<Ref<StageRun>> shedLate(std::vector<WaitingWork> &queue, double rate, Duration callTime, TimePoint now, const BatchSettings &settings);
+
 // Takes at most `batch` pieces out of `queue`, the most urgent first; work is split only
 // while another whole batch waits. Cancelled work is dropped.
 std::vector<BatchPick> planBatch(std::vector<WaitingWork> &queue, const LaneView &lane, const NearbyLanes &nearby, std::size_t batch, TimePoint now,
@@ -301,6 +306,8 @@
     struct LaneQueue {
         std::vector<WaitingWork> work;
         bool recheckDue = false;
+        TimePoint backlogSince{};
+        std::deque<std::pair<TimePoint, std::size_t>> started;
     };
     using QueueKey = std::tuple<std::string, std::size_t, std::size_t>; // service, lane group
     struct Dispatch {
