--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -122,6 +122,7 @@
     order.target = m_target - timeAfter(stage) - EngineTime;
     order.deadline = m_deadline;
     order.priority = m_priority;
+    order.finishing = !order.inputs.empty() && !isFollowed(stage);
     if (order.inputs.empty()) {
         order.dataCentre = m_homeDataCentre;
         order.movedBytes = isFollowed(stage) ? 0 : pieces * step.resultBytes;
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -40,6 +40,7 @@
     json["target_ms"] = leftMs(order.target, now);
     json["deadline_ms"] = leftMs(order.deadline, now);
     json["priority"] = order.priority;
+    json["finishing"] = order.finishing;
     return json.dump();
 }
 
@@ -62,6 +63,7 @@
         order.target = now + std::chrono::milliseconds(json.at("target_ms").get<std::int64_t>());
         order.deadline = now + std::chrono::milliseconds(json.at("deadline_ms").get<std::int64_t>());
         order.priority = json.at("priority").get<int>();
+        order.finishing = json.at("finishing").get<bool>();
         return order;
     } catch (const Json::exception &exception) {
         return fail(ErrorCode::MalformedRequest, exception.what());
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -160,7 +160,7 @@
         const auto wait = std::chrono::duration<double>(static_cast<double>(ahead) / rate);
         const Duration untilDone = std::chrono::duration_cast<Duration>(wait) + callTime;
         const bool late = own.target <= now + untilDone;
-        if (late && (wait > settings.lateWait || (now - own.target > settings.lateLife && behindOnTime > settings.lateWait / 5))) {
+        if (late && !own.finishing && (wait > settings.lateWait || (now - own.target > settings.lateLife && behindOnTime > settings.lateWait / 5))) {
             shed.push_back(work->run);
         } else {
             ahead += work->pieces.size();
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -49,6 +49,7 @@
     TimePoint target{}; // done by then, the request can still earn its full credit
     TimePoint deadline{};
     int priority = 0; // 0 is the highest
+    bool finishing = false; // the last of a chain of stages: most of its work is done
 };
 
 class StageRun : public RefCounted<StageRun>
