--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -103,6 +103,8 @@
     InstanceTable m_instances;
     MemberTable m_members;
     ServiceAllowance m_allowance;
+    EngineTimes m_engineTimes;
+    StatedDeadlines m_statedDeadlines;
     std::unique_ptr<StateStore> m_store;
     std::unique_ptr<RelayChannel> m_relays;
     RelayedStore m_relayedStore;
--- /dev/null
+++ b/src/forwarding/estimates.cpp
@@ -0,0 +1,79 @@
+#include "forwarding/forwarding.h"
+
+#include <algorithm>
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// EngineTimes
+//-----------------------------------------------------------------------------
+
+EngineTimes::EngineTimes(EngineTimeSettings settings)
+    : m_settings(settings)
+{
+}
+
+void EngineTimes::record(const std::string &service, unsigned ownTokens, Duration took)
+{
+    const double x = ownTokens;
+    const double y = std::chrono::duration<double>(took).count();
+    const Lock lock(m_mutex);
+    Sums &sums = m_sums[service];
+    for (double *sum : {&sums.weight, &sums.x, &sums.y, &sums.xx, &sums.xy}) {
+        *sum *= m_settings.memory;
+    }
+    sums.weight += 1;
+    sums.x += x;
+    sums.y += y;
+    sums.xx += x * x;
+    sums.xy += x * y;
+}
+
+Duration EngineTimes::expected(const std::string &service, unsigned ownTokens) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_sums.find(service);
+    if (found == m_sums.end() || found->second.weight < m_settings.samplesNeeded) {
+        return m_settings.unknown;
+    }
+    const Sums &sums = found->second;
+    const double meanTokens = sums.x / sums.weight;
+    const double meanTime = sums.y / sums.weight;
+    const double variance = sums.xx / sums.weight - meanTokens * meanTokens;
+    const double covariance = sums.xy / sums.weight - meanTokens * meanTime;
+    const double perToken = variance > 1 ? std::max(0.0, covariance / variance) : 0.0; // more tokens never take less
+    const double seconds = meanTime + perToken * (ownTokens - meanTokens);
+    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)), m_settings.least, m_settings.most);
+}
+
+//-----------------------------------------------------------------------------
+// StatedDeadlines
+//-----------------------------------------------------------------------------
+
+StatedDeadlines::StatedDeadlines(StatedDeadlineSettings settings)
+    : m_settings(settings)
+{
+}
+
+std::chrono::milliseconds StatedDeadlines::spent(const std::string &route, std::chrono::milliseconds stated)
+{
+    const std::chrono::milliseconds rounded = stated / m_settings.step * m_settings.step;
+    const Lock lock(m_mutex);
+    std::deque<std::chrono::milliseconds> &recent = m_recent[route];
+    recent.push_back(rounded);
+    if (recent.size() > m_settings.remembered) {
+        recent.pop_front();
+    }
+    // Callers who were all told to wait as long come back with like deadlines too, so only the longest usual one counts.
+    std::chrono::milliseconds began = rounded;
+    for (const std::chrono::milliseconds value : recent) {
+        const auto times = std::count(recent.begin(), recent.end(), value);
+        if (value > began && static_cast<double>(times) >= m_settings.usualShare * static_cast<double>(recent.size())) {
+            began = value;
+        }
+    }
+    return began - rounded;
+}
+
+} // namespace vanillanotch
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -4,6 +4,7 @@
 //   [TYPES]     CallerRequest, ServerCall, ReplyFacts
 //   [CODEC]     RequestCodec: headers to types and back
 //   [ALLOWANCE] ServiceAllowance: this node's part of the retry budget
+//   [ESTIMATES] EngineTimes, StatedDeadlines: what is known of a request's remaining time before it runs
 //   [SERVICE]   ForwardService: what the front end calls
 //
 // Rules this aggregate enforces:
@@ -114,6 +115,62 @@
     std::map<std::string, Window> m_windows;
 };
 
+//-----------------------------------------------------------------------------
+// [ESTIMATES]
+//-----------------------------------------------------------------------------
+
+struct EngineTimeSettings {
+    std::chrono::milliseconds unknown{400}; // before enough was measured; measured medians lie between 110 and 440 ms
+    std::chrono::milliseconds least{50};
+    std::chrono::milliseconds most{2000};
+    double memory = 0.98; // weight of the past for each new sample: some 50 samples count
+    double samplesNeeded = 8;
+};
+
+// Time from an engine's call to its first event, by the tokens of the prompt's own part: a decayed linear regression for
+// each service. Thread-safe.
+class EngineTimes
+{
+public:
+    explicit EngineTimes(EngineTimeSettings settings = {});
+    void record(const std::string &service, unsigned ownTokens, Duration took);
+    Duration expected(const std::string &service, unsigned ownTokens) const;
+
+private:
+    struct Sums {
+        double weight = 0;
+        double x = 0; // tokens
+        double y = 0; // seconds
+        double xx = 0;
+        double xy = 0;
+    };
+
+    const EngineTimeSettings m_settings;
+    mutable RankedMutex m_mutex{LockRank::Estimates};
+    std::map<std::string, Sums> m_sums; // by service
+};
+
+struct StatedDeadlineSettings {
+    std::chrono::milliseconds step{100}; // deadlines are compared in these
+    std::size_t remembered = 64; // requests of a route
+    double usualShare = 0.1; // of these: callers begin with it
+};
+
+// Tells first tries from later ones: callers of a route begin with like deadlines, and one who comes back states what is
+// left. A caller whose own deadline is shorter is taken for one who comes back: it waits longer, only where work waits. Thread-safe.
+class StatedDeadlines
+{
+public:
+    explicit StatedDeadlines(StatedDeadlineSettings settings = {});
+    // Remembers the deadline and returns the time that the caller has spent before, by the longest usual one of late.
+    std::chrono::milliseconds spent(const std::string &route, std::chrono::milliseconds stated);
+
+private:
+    const StatedDeadlineSettings m_settings;
+    RankedMutex m_mutex{LockRank::Estimates};
+    std::map<std::string, std::deque<std::chrono::milliseconds>> m_recent; // by route
+};
+
 //-----------------------------------------------------------------------------
 // [SERVICE]
 //-----------------------------------------------------------------------------
@@ -126,6 +183,7 @@
     double firstReplyTargets = 1.2; // and this many times the route's target
     std::chrono::milliseconds retryAfter{150}; // for a caller whom another node may serve at once
     std::chrono::milliseconds overloadedRetryAfter{2500}; // when the stages have more than they can do in time
+    std::chrono::milliseconds engineMargin{100}; // over the expected time until an engine's first event
     std::size_t replyLimit = 8 * 1024 * 1024; // bytes of a plain reply
     std::size_t runningLimit = 400; // requests at the same time; each holds a worker
     std::size_t bodyBudget = 48 * 1024 * 1024; // bytes of all requests' bodies
@@ -139,6 +197,8 @@
     StageExecutor &stages;
     ResultSink &results;
     RetryAllowance &allowance;
+    EngineTimes &engineTimes;
+    StatedDeadlines &statedDeadlines;
     ChoicePolicy &serverChoice; // for plain services
     ChoicePolicy &engineChoice; // for model engines
     const UpstreamSettings &upstream;
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -98,7 +98,8 @@
     }
     const TimePoint arrived = m_exchange.arrived();
     m_deadline = arrived + std::min(m_request.timeLeft.value_or(UnstatedDeadline), m_route->timeout) - m_settings.answerMargin;
-    const Duration spent = std::max<Duration>(Duration::zero(), m_route->timeout - m_request.timeLeft.value_or(m_route->timeout));
+    // The target counts from the caller's first try.
+    const auto spent = m_request.timeLeft ? m_parts.statedDeadlines.spent(m_route->name, *m_request.timeLeft) : std::chrono::milliseconds(0);
     m_target = arrived + m_route->target - spent;
     chooseService();
     return {};
@@ -193,6 +194,11 @@
     return m_sent < limit && m_parts.allowance.take(m_service);
 }
 
+unsigned ForwardRun::ownTokens() const
+{
+    return m_request.prompt.empty() ? 0 : m_request.prompt.back().tokens;
+}
+
 ServerCall ForwardRun::prepareCall(const InstanceSpec &instance) const
 {
     ServerCall call;
@@ -320,7 +326,7 @@
 //-----------------------------------------------------------------------------
 
 // Passes whole events on, so that a stream that breaks within one can go on elsewhere. False: the caller has gone.
-bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, bool complete)
+bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, bool complete)
 {
     const std::size_t end = buffer.rfind("\n\n");
     const std::size_t whole = complete ? buffer.size() : end == std::string::npos ? 0 : end + 2;
@@ -341,6 +347,7 @@
     if (!m_started) {
         m_started = true;
         m_firstEvent = m_parts.clock.now();
+        m_parts.engineTimes.record(m_service, ownTokens(), m_firstEvent - began);
         there = m_exchange.beginStream(head.status, m_parts.codec.answerHeaders(head), events, until);
         releaseResults(); // the engine has read its inputs
     } else {
@@ -366,7 +373,7 @@
         if (buffer.size() > PartialEventLimit) {
             return failed(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
         }
-        if (!forwardEvents(buffer, head, *complete)) {
+        if (!forwardEvents(buffer, head, began, *complete)) {
             return failed(UpstreamFailure{ErrorCode::CallerGone, true, false}, lease, began);
         }
         gapLimit = m_parts.clock.now() + m_settings.resumableGap;
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -58,12 +58,13 @@
     void attempts();
     bool mayRepeat(Verdict verdict);
     Verdict attempt();
+    unsigned ownTokens() const; // of the prompt's last part
     ServerCall prepareCall(const InstanceSpec &instance) const;
     TimePoint firstReplyLimit() const;
     Verdict readReply(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     Verdict relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     Verdict relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began);
-    bool forwardEvents(std::string &buffer, const ReplyHead &head, bool complete);
+    bool forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, bool complete);
     Verdict failed(const UpstreamFailure &failure, InstanceLease &lease, TimePoint began);
 
     // [ANSWERS]
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -8,7 +8,6 @@
 
 namespace
 {
-constexpr std::chrono::milliseconds EngineTime{400}; // of an idle engine until its first event
 constexpr std::size_t LargeResult = 500'000; // bytes of one piece; a server has room for a few dozen of these
 } // namespace
 
@@ -119,7 +118,7 @@
     order.inputs = handlesOf(step.after);
     order.key = order.inputs.empty() ? m_request.pieceKey : std::string();
     order.resultBytes = step.resultBytes;
-    order.target = m_target - timeAfter(stage) - EngineTime;
+    order.target = m_target - timeAfter(stage) - m_parts.engineTimes.expected(m_service, ownTokens()) - m_settings.engineMargin;
     order.deadline = m_deadline;
     order.priority = m_priority;
     order.finishing = !order.inputs.empty() && !isFollowed(stage);
