--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -183,7 +183,7 @@
     double firstReplyTargets = 1.2; // and this many times the route's target
     std::chrono::milliseconds retryAfter{150}; // for a caller whom another node may serve at once
     std::chrono::milliseconds overloadedRetryAfter{2500}; // when the stages have more than they can do in time
-    std::chrono::milliseconds engineMargin{100}; // over the expected time until an engine's first event
+    std::chrono::milliseconds engineMargin{250}; // over the expected time until an engine's first event
     std::size_t replyLimit = 8 * 1024 * 1024; // bytes of a plain reply
     std::size_t runningLimit = 400; // requests at the same time; each holds a worker
     std::size_t bodyBudget = 48 * 1024 * 1024; // bytes of all requests' bodies
