Refuse at once what the stages can't do in time

Now the owner of a stage's lanes predicts an order's end from the work before it and the lanes' measured speed. Results of runs that failed halfway are given up.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -107,9 +107,9 @@
     , m_scheduler(StageParts{m_clock, m_deployments, m_instances, *m_stageChannel, m_allowance, m_releaser, m_pool, m_timers, m_metrics})
     , m_stages(StageParts{m_clock, m_deployments, m_instances, *m_stageChannel, m_allowance, m_releaser, m_pool, m_timers, m_metrics}, m_scheduler,
                *m_stagePeers, m_members, sharingOf(settings.stageSharing))
-    , m_service(
-          ForwardParts{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_allowance, m_engineTimes, m_statedDeadlines, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
-          ForwardSettings{})
+    , m_service(ForwardParts{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_allowance, m_engineTimes, m_statedDeadlines, *m_serverChoice,
+                             *m_engineChoice, m_upstream, m_metrics},
+                ForwardSettings{})
     , m_deploymentListener(m_deployments, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(m_members)
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -448,7 +448,8 @@
     }
     const bool late = code == ErrorCode::DeadlineExceeded || code == ErrorCode::ServerTimeout;
     m_end.status = !m_mayHaveRun ? 503 : late ? 504 : 502;
-    const auto retryAfter = !m_mayHaveRun ? std::optional(code == ErrorCode::Overloaded ? m_settings.overloadedRetryAfter : m_settings.retryAfter) : std::nullopt;
+    const auto retryAfter =
+        !m_mayHaveRun ? std::optional(code == ErrorCode::Overloaded ? m_settings.overloadedRetryAfter : m_settings.retryAfter) : std::nullopt;
     (void)m_exchange.reply(m_end.status, m_parts.codec.refusalHeaders(m_request.attempt, retryAfter), describeRefusal(code), until);
     m_parts.metrics.counter("vanillanotch_refusals_total", "code=\"" + std::to_string(static_cast<int>(code)) + "\"").add();
 }
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -98,6 +98,22 @@
     return ++m_attempts.at(piece);
 }
 
+std::vector<std::string> StageRun::takeUnused()
+{
+    std::vector<std::string> unused;
+    const Lock lock(m_mutex);
+    if (!m_error && !m_cancelled) {
+        return unused;
+    }
+    for (std::string &handle : m_handles) {
+        if (!handle.empty()) {
+            unused.push_back(std::move(handle));
+            handle.clear();
+        }
+    }
+    return unused;
+}
+
 std::size_t laneGroupOf(const std::vector<InstanceSpec> &instances, const std::string &dataCentre, std::size_t groups)
 {
     std::set<std::string> dataCentres;
@@ -141,8 +157,37 @@
 }
 } // namespace
 
-std::vector<Ref<StageRun>> shedLate(std::vector<WaitingWork> &queue, double rate, Duration callTime, TimePoint now, const BatchSettings &settings)
+void SpeedMeter::nothingWaited(TimePoint now)
+{
+    m_waitingSince = now;
+}
+
+void SpeedMeter::started(TimePoint now, std::size_t pieces)
 {
+    m_started.emplace_back(now, pieces);
+}
+
+double SpeedMeter::pieces(double declared, TimePoint now)
+{
+    while (!m_started.empty() && m_started.front().first < now - Window) {
+        m_started.pop_front();
+    }
+    if (now - m_waitingSince < Window) {
+        return declared;
+    }
+    std::size_t pieces = 0;
+    for (const auto &[at, count] : m_started) {
+        pieces += count;
+    }
+    const double measured = static_cast<double>(pieces) / std::chrono::duration<double>(Window).count();
+    return std::max(measured, declared * LeastShare);
+}
+
+std::vector<ShedWork> shedLate(std::vector<WaitingWork> &queue, const LaneSpeed &speed, TimePoint now, const BatchSettings &settings)
+{
+    const auto timeFor = [&speed](std::size_t pieces) {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(pieces) / speed.pieces));
+    };
     std::vector<const WaitingWork *> order;
     std::size_t onTime = 0;
     for (const WaitingWork &work : queue) {
@@ -152,23 +197,25 @@
     std::stable_sort(order.begin(), order.end(), [&](const WaitingWork *a, const WaitingWork *b) {
         return moreUrgent(a->run->order(), b->run->order(), now, settings);
     });
-    std::vector<Ref<StageRun>> shed;
+    const bool onTimeWaits = timeFor(onTime) > settings.shed.onTimeWaiting;
+    std::vector<ShedWork> shed;
     std::size_t ahead = 0;
-    const auto behindOnTime = std::chrono::duration<double>(static_cast<double>(onTime) / rate);
     for (const WaitingWork *work : order) {
         const StageOrder &own = work->run->order();
-        const auto wait = std::chrono::duration<double>(static_cast<double>(ahead) / rate);
-        const Duration untilDone = std::chrono::duration_cast<Duration>(wait) + callTime;
-        const bool late = own.target <= now + untilDone;
-        if (late && !own.finishing && (wait > settings.lateWait || (now - own.target > settings.lateLife && behindOnTime > settings.lateWait / 5))) {
-            shed.push_back(work->run);
+        const Duration wait = timeFor(ahead);
+        const bool late = own.target <= now + wait + speed.callTime;
+        const bool tooLate = now - own.target > settings.shed.lateFor && onTimeWaits;
+        if (late && !own.finishing && (wait > settings.shed.behind || tooLate)) {
+            shed.push_back(ShedWork{work->run, wait});
         } else {
             ahead += work->pieces.size();
         }
     }
     queue.erase(std::remove_if(queue.begin(), queue.end(),
-                               [&](const WaitingWork &work) {
-                                   return std::find(shed.begin(), shed.end(), work.run) != shed.end();
+                               [&shed](const WaitingWork &work) {
+                                   return std::any_of(shed.begin(), shed.end(), [&work](const ShedWork &gone) {
+                                       return gone.run.get() == work.run.get();
+                                   });
                                }),
                 queue.end());
     return shed;
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -41,7 +41,7 @@
     }
     {
         const Lock lock(m_mutex);
-        m_queues[keyOf(order)].work.push_back(std::move(work));
+        m_queues[keyOf(order)].add(std::move(work), m_parts.clock.now());
     }
     m_parts.allowance.countFirst(order.service);
     dispatch(keyOf(order));
@@ -127,6 +127,44 @@
     return 1.0 + (lane.slowness - 1.0) * std::exp2(-halves);
 }
 
+void StageScheduler::failRun(const Ref<StageRun> &run, ErrorCode code)
+{
+    run->fail(code);
+    release(run->takeUnused());
+}
+
+void StageScheduler::LaneQueue::add(WaitingWork &&waiting, TimePoint now)
+{
+    if (work.empty()) {
+        speed.nothingWaited(now);
+    }
+    work.push_back(std::move(waiting));
+}
+
+std::vector<Ref<StageRun>> StageScheduler::shedLocked(LaneQueue &queue, const StageCapacity &capacity, std::size_t lanes, TimePoint now)
+{
+    std::vector<Ref<StageRun>> runs;
+    if (lanes == 0) { // none is known: an instance may come back before the deadline
+        return runs;
+    }
+    LaneSpeed speed;
+    speed.callTime = declaredTime(capacity, capacity.batch);
+    const auto atOnce = static_cast<double>(lanes * capacity.slots * capacity.batch);
+    speed.pieces = queue.speed.pieces(atOnce / std::chrono::duration<double>(speed.callTime).count(), now);
+    for (const ShedWork &shed : shedLate(queue.work, speed, now, m_settings.batches)) {
+        const StageOrder &order = shed.run->order();
+        logEvent(LogLevel::Info, "stage.shed",
+                 {{"request", order.request},
+                  {"service", order.service},
+                  {"late_ms", now - order.target},
+                  {"wait_ms", shed.wait},
+                  {"pieces_per_s", static_cast<std::uint64_t>(speed.pieces)}});
+        m_parts.metrics.counter("vanillanotch_stage_shed_total").add();
+        runs.push_back(shed.run);
+    }
+    return runs;
+}
+
 std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const QueueKey &key, LaneQueue &queue, const StageCapacity &capacity)
 {
     const TimePoint now = m_parts.clock.now();
@@ -135,10 +173,12 @@
     const auto &[service, group, groups] = key;
     std::vector<InstanceSpec> instances = m_parts.instances.ready(service);
     const std::vector<InstanceSpec> all = instances;
+    std::size_t laneCount = 0;
     for (InstanceSpec &instance : instances) {
         if (laneGroupOf(all, instance.dataCentre, groups) != group) {
             continue;
         }
+        ++laneCount;
         Lane &lane = m_lanes[instance.id];
         forgetExpiredLocked(lane, now);
         const TimePoint freeAt = std::max({now, lane.blockedUntil, lane.calls < capacity.slots ? now : lane.freeAt});
@@ -153,30 +193,8 @@
     std::sort(free.begin(), free.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
-    std::size_t laneCount = 0;
-    for (const InstanceSpec &instance : all) {
-        laneCount += laneGroupOf(all, instance.dataCentre, groups) == group ? 1 : 0;
-    }
-    if (laneCount > 0) {
-        const Duration callTime = declaredTime(capacity, capacity.batch);
-        double rate = static_cast<double>(laneCount * capacity.slots * capacity.batch) / std::chrono::duration<double>(callTime).count();
-        while (!queue.started.empty() && queue.started.front().first < now - std::chrono::seconds(1)) {
-            queue.started.pop_front();
-        }
-        if (queue.work.empty()) {
-            queue.backlogSince = now;
-        }
-        if (now - queue.backlogSince > std::chrono::seconds(1)) {
-            std::size_t pieces = 0;
-            for (const auto &[at, count] : queue.started) {
-                pieces += count;
-            }
-            rate = std::max(rate / 4, static_cast<double>(pieces));
-        }
-        for (const Ref<StageRun> &run : shedLate(queue.work, rate, callTime, now, m_settings.batches)) {
-            logEvent(LogLevel::Info, "stage.shed", {{"request", run->order().request}, {"service", service}, {"late_ms", now - run->order().target}});
-            run->fail(ErrorCode::Overloaded);
-        }
+    for (const Ref<StageRun> &run : shedLocked(queue, capacity, laneCount, now)) {
+        failRun(run, ErrorCode::Overloaded);
     }
     std::vector<Dispatch> dispatches;
     for (auto &[slowness, instance] : free) {
@@ -194,7 +212,7 @@
             for (const BatchPick &pick : batch) {
                 lane.promisedBytes += pick.run->order().resultBytes;
             }
-            queue.started.emplace_back(now, batch.size());
+            queue.speed.started(now, batch.size());
             std::size_t left = 0;
             for (const WaitingWork &work : queue.work) {
                 left += work.pieces.size();
@@ -304,13 +322,15 @@
         case PieceFault::None:
             if (!pick.run->complete(pick.piece, outcome.handle)) {
                 unused.push_back(outcome.handle);
+                const auto before = pick.run->takeUnused();
+                unused.insert(unused.end(), before.begin(), before.end());
             }
             break;
         case PieceFault::Late:
-            pick.run->fail(ErrorCode::DeadlineExceeded);
+            failRun(pick.run, ErrorCode::DeadlineExceeded);
             break;
         case PieceFault::InputGone:
-            pick.run->fail(ErrorCode::InputsGone);
+            failRun(pick.run, ErrorCode::InputsGone);
             break;
         case PieceFault::NoRoom:
             noRoom = true;
@@ -352,14 +372,14 @@
     }
     if (counts && !m_parts.allowance.take(std::get<0>(key))) {
         for (const BatchPick &pick : picks) {
-            pick.run->fail(ErrorCode::Overloaded);
+            failRun(pick.run, ErrorCode::Overloaded);
         }
         return;
     }
     std::map<StageRun *, WaitingWork> works;
     for (const BatchPick &pick : picks) {
         if (counts && pick.run->countAttempt(pick.piece) >= m_settings.batches.attempts) {
-            pick.run->fail(ErrorCode::ServerRejected);
+            failRun(pick.run, ErrorCode::ServerRejected);
             continue;
         }
         WaitingWork &work = works[pick.run.get()];
@@ -367,9 +387,10 @@
         work.pieces.push_back(pick.piece);
         work.since = m_parts.clock.now() - m_settings.batches.slowPatience; // it has waited enough to be choosy
     }
+    const TimePoint now = m_parts.clock.now();
     const Lock lock(m_mutex);
     for (auto &[run, work] : works) {
-        m_queues[key].work.push_back(std::move(work));
+        m_queues[key].add(std::move(work), now);
     }
 }
 
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -77,6 +77,7 @@
     bool complete(unsigned piece, const std::string &handle);
     void fail(ErrorCode code);
     unsigned countAttempt(unsigned piece); // returns how often the piece has been sent
+    std::vector<std::string> takeUnused(); // results of a run that failed or was cancelled; each is returned once
 
 private:
     StageOrder m_order;
@@ -147,6 +148,13 @@
 // [BATCHES]
 //-----------------------------------------------------------------------------
 
+// When work that can't meet its target is refused; until then it waits behind what still can.
+struct ShedSettings {
+    std::chrono::milliseconds behind{1000}; // this much other work goes before it
+    std::chrono::milliseconds lateFor{1500}; // or its target passed this long ago,
+    std::chrono::milliseconds onTimeWaiting{200}; // and this much work that is still on time waits
+};
+
 struct BatchSettings {
     std::chrono::milliseconds dataCentrePatience{250}; // work waits at most this long for a lane in its data centre
     std::chrono::milliseconds nearbyWait{90}; // and only while one will be free within this time,
@@ -157,8 +165,7 @@
     std::chrono::milliseconds slowPatience{250}; // work that has waited this long goes to a slow lane as well
     std::chrono::milliseconds priorityStep{250}; // of later target for each rank of priority
     std::chrono::milliseconds latePenalty{2500}; // what can't meet its target any more waits for what still can
-    std::chrono::milliseconds lateWait{1000}; // late work with more than this before it is given up
-    std::chrono::milliseconds lateLife{1500}; // and work that has been late for this long, while on-time work waits
+    ShedSettings shed;
     unsigned attempts = 3; // calls that one piece may be part of
 };
 
@@ -187,8 +194,35 @@
 // Orders work: what can still meet its target by target and priority, then the rest.
 bool moreUrgent(const StageOrder &a, const StageOrder &b, TimePoint now, const BatchSettings &settings);
 
-// Takes late work out of the queue that would wait long behind the rest. `rate`: pieces a second that the lanes do together.
-std::vector<Ref<StageRun>> shedLate(std::vector<WaitingWork> &queue, double rate, Duration callTime, TimePoint now, const BatchSettings &settings);
+// What the lanes of a queue do together, in pieces a second.
+struct LaneSpeed {
+    double pieces = 0;
+    Duration callTime{}; // of a whole batch
+};
+
+// Measures the speed of lanes while work waits: room for results can hold them below what they declare. Not thread-safe.
+class SpeedMeter
+{
+public:
+    void nothingWaited(TimePoint now); // until now
+    void started(TimePoint now, std::size_t pieces);
+    double pieces(double declared, TimePoint now); // the declared speed until work has waited for a whole window
+
+private:
+    static constexpr std::chrono::milliseconds Window{1000}; // several calls of each lane
+    static constexpr double LeastShare = 0.25; // of the declared speed; a stall of a moment is no speed
+
+    TimePoint m_waitingSince{};
+    std::deque<std::pair<TimePoint, std::size_t>> m_started;
+};
+
+struct ShedWork {
+    Ref<StageRun> run;
+    Duration wait{}; // that was expected
+};
+
+// Takes out of `queue` what would not be done in time and only after long. Work that ends a chain stays: most of it is done.
+std::vector<ShedWork> shedLate(std::vector<WaitingWork> &queue, const LaneSpeed &speed, TimePoint now, const BatchSettings &settings);
 
 // Takes at most `batch` pieces out of `queue`, the most urgent first; work is split only
 // while another whole batch waits. Cancelled work is dropped.
@@ -305,10 +339,11 @@
         std::size_t bytes = 0;
     };
     struct LaneQueue {
+        void add(WaitingWork &&waiting, TimePoint now);
+
         std::vector<WaitingWork> work;
         bool recheckDue = false;
-        TimePoint backlogSince{};
-        std::deque<std::pair<TimePoint, std::size_t>> started;
+        SpeedMeter speed;
     };
     using QueueKey = std::tuple<std::string, std::size_t, std::size_t>; // service, lane group
     struct Dispatch {
@@ -323,6 +358,8 @@
     void freeLocked(const std::string &handle);
     void forgetExpiredLocked(Lane &lane, TimePoint now);
     static QueueKey keyOf(const StageOrder &order);
+    std::vector<Ref<StageRun>> shedLocked(LaneQueue &queue, const StageCapacity &capacity, std::size_t lanes, TimePoint now);
+    void failRun(const Ref<StageRun> &run, ErrorCode code); // and gives its results up
     std::vector<Dispatch> planLocked(const QueueKey &key, LaneQueue &queue, const StageCapacity &capacity);
     void dispatch(const QueueKey &key);
     void runBatch(const QueueKey &key, const Dispatch &dispatch);
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -321,6 +321,62 @@
     CHECK(listener.seen == seen);
 }
 
+TEST_GROUP(Estimates){};
+
+TEST(Estimates, AnEnginesTimeFollowsThePromptsLength)
+{
+    EngineTimes times;
+    const EngineTimeSettings settings;
+    CHECK(times.expected("engines", 1000) == settings.unknown);
+    for (unsigned i = 0; i < 40; ++i) {
+        const unsigned tokens = 500 + 100 * (i % 10);
+        times.record("engines", tokens, milliseconds(100) + std::chrono::microseconds(10) * tokens);
+    }
+    const auto near = [](Duration value, milliseconds wanted) {
+        return value > wanted - milliseconds(2) && value < wanted + milliseconds(2);
+    };
+    CHECK(near(times.expected("engines", 1000), milliseconds(110)));
+    CHECK(near(times.expected("engines", 50000), milliseconds(600)));
+    CHECK(times.expected("engines", 4000000) == settings.most);
+    CHECK(times.expected("others", 1000) == settings.unknown);
+}
+
+TEST(Estimates, LongerPromptsAreNeverExpectedToBeFaster)
+{
+    EngineTimes times;
+    for (unsigned i = 0; i < 20; ++i) {
+        times.record("engines", 100 * i, milliseconds(400 - 10 * i)); // the long ones met idle engines
+    }
+    CHECK(times.expected("engines", 100000) == times.expected("engines", 0));
+}
+
+TEST(Estimates, ACallerWhoComesBackIsToldByItsDeadline)
+{
+    StatedDeadlines deadlines;
+    for (int i = 0; i < 20; ++i) {
+        CHECK(deadlines.spent("r", milliseconds(9999 - i)) == milliseconds(0)); // within a step
+    }
+    CHECK(deadlines.spent("r", milliseconds(7210)) == milliseconds(2700));
+    for (int i = 0; i < 20; ++i) { // many come back after the same pause
+        CHECK(deadlines.spent("r", milliseconds(7200)) == milliseconds(2700));
+    }
+    CHECK(deadlines.spent("other", milliseconds(3000)) == milliseconds(0)); // routes count apart
+    CHECK(deadlines.spent("r", milliseconds(60000)) == milliseconds(0));
+    CHECK(deadlines.spent("r", milliseconds(9900)) == milliseconds(0)); // a single longer one isn't usual
+}
+
+TEST(Estimates, AShorterUsualDeadlineIsLearntAnew)
+{
+    StatedDeadlines deadlines;
+    for (int i = 0; i < 200; ++i) {
+        (void)deadlines.spent("r", milliseconds(10000));
+    }
+    for (int i = 0; i < 64; ++i) {
+        (void)deadlines.spent("r", milliseconds(4000));
+    }
+    CHECK(deadlines.spent("r", milliseconds(4000)) == milliseconds(0));
+}
+
 TEST_GROUP(Allowance){};
 
 TEST(Allowance, RepeatsStayWithinTheNodesPart)
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -73,6 +73,67 @@
     STRCMP_EQUAL("late0 ", plan(2).c_str());
 }
 
+TEST(Batches, WhatCannotBeDoneInTimeIsRefusedOnceMuchGoesBeforeIt)
+{
+    const LaneSpeed speed{10, milliseconds(100)}; // pieces a second
+    queue = {workOf(orderOf("first", 7)), workOf(orderOf("second", 4)), workOf(orderOf("third", 1))};
+    const auto shed = shedLate(queue, speed, Now, settings); // targets are 800 ms away
+    LONGS_EQUAL(1, static_cast<long>(shed.size()));
+    STRCMP_EQUAL("third", shed.front().run->order().request.c_str()); // 1.1 s go before it
+    CHECK(shed.front().wait == milliseconds(1100));
+    LONGS_EQUAL(2, static_cast<long>(queue.size())); // the second is late by 0.3 s, and waits for its turn
+    CHECK(shedLate(queue, speed, Now, settings).empty());
+}
+
+TEST(Batches, LateWorkIsRefusedInTheEndWhileOnTimeWorkWaits)
+{
+    const LaneSpeed speed{10, milliseconds(100)};
+    StageOrder late = orderOf("late", 1);
+    late.target = Now - settings.shed.lateFor - milliseconds(1);
+    queue = {workOf(late), workOf(orderOf("fresh", 2))};
+    CHECK(shedLate(queue, speed, Now, settings).empty()); // 200 ms of other work: its turn comes
+    queue.push_back(workOf(orderOf("more", 1)));
+    const auto shed = shedLate(queue, speed, Now, settings);
+    LONGS_EQUAL(1, static_cast<long>(shed.size()));
+    STRCMP_EQUAL("late", shed.front().run->order().request.c_str());
+}
+
+TEST(Batches, TheLastStageOfAChainIsNotRefused)
+{
+    const LaneSpeed speed{10, milliseconds(100)};
+    StageOrder last = orderOf("last", 1);
+    last.target = Now - seconds(3);
+    last.finishing = true;
+    queue = {workOf(orderOf("much", 8)), workOf(last)};
+    CHECK(shedLate(queue, speed, Now, settings).empty());
+}
+
+TEST(Batches, TheSpeedOfLanesIsMeasuredOnceWorkHasWaited)
+{
+    SpeedMeter meter;
+    meter.nothingWaited(Now);
+    meter.started(Now + milliseconds(100), 30);
+    DOUBLES_EQUAL(100, meter.pieces(100, Now + milliseconds(900)), 0.01);
+    meter.started(Now + milliseconds(1050), 30);
+    DOUBLES_EQUAL(60, meter.pieces(100, Now + milliseconds(1060)), 0.01);
+    DOUBLES_EQUAL(25, meter.pieces(100, Now + seconds(5)), 0.01); // a stall
+    meter.nothingWaited(Now + seconds(6)); // after a quiet time the lanes are as declared
+    DOUBLES_EQUAL(100, meter.pieces(100, Now + seconds(6)), 0.01);
+}
+
+TEST(Batches, ResultsOfAFailedRunAreGivenUpOnce)
+{
+    StageRun run(orderOf("r", 2), makeRef<Signal>());
+    CHECK(run.complete(0, "10.0.0.1:80/a"));
+    CHECK(run.takeUnused().empty()); // still wanted
+    run.fail(ErrorCode::Overloaded);
+    CHECK(!run.complete(1, "10.0.0.1:80/b"));
+    const auto unused = run.takeUnused();
+    LONGS_EQUAL(1, static_cast<long>(unused.size()));
+    STRCMP_EQUAL("10.0.0.1:80/a", unused.front().c_str());
+    CHECK(run.takeUnused().empty());
+}
+
 TEST(Batches, PriorityShiftsTheOrderByItsStep)
 {
     StageOrder urgent = orderOf("urgent", 1);
@@ -374,6 +435,25 @@
     CHECK(run->outcome()->error().code == ErrorCode::InputsGone);
 }
 
+TEST(Scheduler, LateWorkBehindMuchOtherWorkEndsAtOnce)
+{
+    Latch go(1);
+    channel.answer = [&go](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, UpstreamFailure> {
+        (void)go.wait(TestLimit);
+        return handlesFor(instance, pieces);
+    };
+    StageOrder big = orderOf("big", 4000); // 1.4 s of the one lane
+    big.target = clock.now() + seconds(60);
+    big.deadline = clock.now() + seconds(60);
+    const auto first = makeRef<StageRun>(big, makeRef<Signal>());
+    scheduler.submit(first);
+    const auto late = submit(scheduler, "late", 1);
+    CHECK(ends(late));
+    CHECK(late->outcome()->error().code == ErrorCode::Overloaded);
+    first->cancel();
+    go.countDown();
+}
+
 TEST(Scheduler, AResultOfACancelledRunIsFreed)
 {
     Latch asked(1);
