Relays ask the store often for the configuration only

One node in eight asks for three tables every 1.4 s, but the age of its news is told by the configuration's table alone; the servers' and members' tables may be asked with the long wait that nodes without relays use.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -71,6 +71,13 @@
     return allowance;
 }
 
+RelaySettings relaying()
+{
+    RelaySettings settings;
+    settings.proofTable = platform::OperatorTable;
+    return settings;
+}
+
 WatchSettings watching(std::chrono::milliseconds wait, std::chrono::milliseconds rest)
 {
     WatchSettings settings;
@@ -94,10 +101,12 @@
                   })
     , m_store(platform::makeStore(settings.storeAddress, m_upstream))
     , m_relays(makeRelayChannel(m_upstream))
-    , m_relayedStore(*m_store, *m_relays,
-                     [this] {
-                         return chooseRelay();
-                     })
+    , m_relayedStore(
+          *m_store, *m_relays,
+          [this] {
+              return chooseRelay();
+          },
+          relaying())
     , m_codec(platform::makeRequestCodec())
     , m_stageChannel(platform::makeStageChannel(m_upstream))
     , m_stagePeers(makeStagePeerChannel(m_upstream))
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -150,7 +150,7 @@
 
 // When work that can't meet its target is refused; until then it waits behind what still can.
 struct ShedSettings {
-    std::chrono::milliseconds behind{1000}; // this much other work goes before it
+    std::chrono::milliseconds behind{500}; // this much other work goes before it
     std::chrono::milliseconds lateFor{1500}; // or its target passed this long ago,
     std::chrono::milliseconds onTimeWaiting{200}; // and this much work that is still on time waits
 };
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -171,7 +171,8 @@
     std::chrono::milliseconds limit{500}; // for the answer besides
     std::chrono::milliseconds oldest{2200}; // a relay whose own news is older is itself cut off
     std::chrono::milliseconds directFor{4000}; // after the relay failed, the store is asked
-    std::chrono::milliseconds storeWait{1400}; // of a relay's own questions: its followers' news is older than its own
+    std::string proofTable; // whose answers tell how well a relay reaches the store; for the other tables silence proves nothing
+    std::chrono::milliseconds storeWait{1400}; // of a relay's own questions on it: its followers' news is older than its own
 };
 
 // Asks the relay that is in charge of this node, and the store when there is none or it fails.
