Soak: harmed links to backend servers, one-way cuts and resets

Stand-in servers register through a link of the fault proxy; the soak draws harm to these links apart from its other faults, so that the seeds kept from before repeat their faults. The proxy knows requests that don't arrive (mute) and resets, and lets closed pairs go.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -44,6 +44,7 @@
     explicit Soak(std::uint64_t seed)
         : m_seed(seed)
         , m_random(seed)
+        , m_linkRandom(~seed)
         , m_deployment("soak-" + std::to_string(seed))
     {
     }
@@ -143,6 +144,9 @@
     void injectFault()
     {
         ++m_faults;
+        if (m_linkRandom() % 3 == 0) {
+            harmLinkToWorker();
+        }
         switch (m_random() % 12) {
         case 0:
             m_deployment.restartNode(anyNode());
@@ -185,7 +189,7 @@
             storeTrouble(false);
             break;
         case 9: {
-            const std::vector<std::string> modes = {"blackhole", "cut", "silence", "swallow", "pass&delay_ms=150"};
+            const std::vector<std::string> modes = {"blackhole", "cut", "silence", "swallow", "mute", "reset", "pass&delay_ms=150"};
             m_linksHarmed = true;
             storeTrouble(true);
             m_deployment.linkToStore(anyNode(), modes[m_random() % modes.size()]);
@@ -201,6 +205,14 @@
         }
     }
 
+    // Drawn apart, so that the seeds kept from before repeat their other faults.
+    void harmLinkToWorker()
+    {
+        const std::vector<std::string> modes = {"blackhole", "cut", "silence", "swallow", "mute", "reset", "pass&delay_ms=150", "pass"};
+        const std::size_t worker = m_linkRandom() % m_deployment.workers();
+        m_deployment.linkToWorker(worker, modes[m_linkRandom() % modes.size()]);
+    }
+
     // A planned stop must end by itself in time; the node is started again.
     void stopPlanned(std::size_t node)
     {
@@ -260,6 +272,7 @@
         storeTrouble(false);
         for (std::size_t worker = 0; worker < m_deployment.workers(); ++worker) {
             m_deployment.controlWorker(worker, "fail=0&slow=1");
+            m_deployment.linkToWorker(worker, "pass");
         }
         if (m_revokedAt) {
             revokeOrRestore();
@@ -327,6 +340,7 @@
 
     const std::uint64_t m_seed;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_linkRandom;
     Deployment m_deployment;
     std::atomic<bool> m_stop{false};
     std::mutex m_mutex;
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -8,6 +8,8 @@
 //     blackhole  all connections, old and new, stay open and forward nothing
 //     silence    the connections open now forward nothing for good; new ones work
 //     swallow    requests go through, replies don't
+//     mute       replies go through, requests don't
+//     reset      the connections open now are reset; new ones work
 #include "standin.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -15,6 +17,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <poll.h>
 
 namespace
@@ -22,13 +25,14 @@
 using namespace vanillanotch;
 using Json = nlohmann::json;
 
-enum class Mode { Pass, Refuse, Cut, Blackhole, Swallow };
+enum class Mode { Pass, Refuse, Cut, Blackhole, Swallow, Mute };
 
 struct Pair : RefCounted<Pair> {
     Poco::Net::StreamSocket client;
     Poco::Net::StreamSocket server;
     std::atomic<bool> silent{false};
     std::atomic<bool> closed{false};
+    std::atomic<bool> reset{false};
 };
 
 class Link : public RefCounted<Link>
@@ -57,8 +61,16 @@
             }
             return true;
         }
-        const std::map<std::string, Mode> modes{
-            {"pass", Mode::Pass}, {"refuse", Mode::Refuse}, {"cut", Mode::Cut}, {"blackhole", Mode::Blackhole}, {"swallow", Mode::Swallow}};
+        if (mode == "reset") {
+            const Lock lock(m_mutex);
+            for (const Ref<Pair> &pair : m_pairs) {
+                pair->reset = true; // its own threads close it
+            }
+            m_pairs.clear();
+            return true;
+        }
+        const std::map<std::string, Mode> modes{{"pass", Mode::Pass},           {"refuse", Mode::Refuse},   {"cut", Mode::Cut},
+                                                {"blackhole", Mode::Blackhole}, {"swallow", Mode::Swallow}, {"mute", Mode::Mute}};
         const auto found = modes.find(mode);
         if (found == modes.end()) {
             return false;
@@ -82,6 +94,14 @@
         ::shutdown(pair.server.impl()->sockfd(), SHUT_RDWR);
     }
 
+    // Without a lingering time both ends see a reset once the last thread of the pair has let the sockets go.
+    static void resetBoth(Pair &pair)
+    {
+        pair.closed = true;
+        pair.client.setLinger(true, 0);
+        pair.server.setLinger(true, 0);
+    }
+
     void acceptAll()
     {
         for (;;) {
@@ -103,6 +123,11 @@
             }
             {
                 const Lock lock(m_mutex);
+                m_pairs.erase(std::remove_if(m_pairs.begin(), m_pairs.end(),
+                                             [](const Ref<Pair> &old) {
+                                                 return old->closed.load();
+                                             }),
+                              m_pairs.end());
                 m_pairs.push_back(pair);
             }
             start(pair, true);
@@ -119,7 +144,7 @@
 
     bool held(const Pair &pair, bool upstream) const
     {
-        return pair.silent || m_mode == Mode::Blackhole || (m_mode == Mode::Swallow && !upstream);
+        return pair.silent || m_mode == Mode::Blackhole || (m_mode == Mode::Swallow && !upstream) || (m_mode == Mode::Mute && upstream);
     }
 
     void forward(Pair &pair, bool upstream)
@@ -128,6 +153,9 @@
         Poco::Net::StreamSocket &to = upstream ? pair.server : pair.client;
         std::array<char, 65536> buffer{};
         while (!pair.closed) {
+            if (pair.reset) {
+                return resetBoth(pair);
+            }
             if (held(pair, upstream)) {
                 standin::pauseFor(std::chrono::milliseconds(10));
                 continue;
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(service, "", "service that it belongs to");
 DEFINE_string(data_centre, "dc1", "data centre");
 DEFINE_string(store, "", "address of the store");
+DEFINE_string(proxy, "", "fault proxy that callers reach it through; empty: none");
 DEFINE_string(ledger, "", "file for the runs");
 DEFINE_string(kind, "plain", "plain, engine or stage");
 DEFINE_int32(work_ms, 20, "time of a plain request; of an engine until the first event");
@@ -210,6 +211,20 @@
         standin::pauseFor(std::chrono::milliseconds(100));
     }
 }
+// A link of the fault proxy to this instance; its id and address.
+std::pair<std::size_t, std::string> linkTo(const std::string &address)
+{
+    HttpClient client;
+    HttpRequestOut request;
+    request.path = "/links?target=" + address;
+    const auto reply = client.call(FLAGS_proxy, request, std::chrono::steady_clock::now() + std::chrono::seconds(10));
+    if (!reply || reply->status != 200) {
+        std::cerr << "no link at the proxy" << std::endl;
+        std::_Exit(1);
+    }
+    const Json link = Json::parse(reply->body);
+    return {link.at("id").get<std::size_t>(), link.at("address").get<std::string>()};
+}
 } // namespace
 
 int main(int argc, char **argv)
@@ -221,13 +236,14 @@
     const standin::Server server(FLAGS_name, 256, [&worker](HttpExchange &exchange) {
         worker.handle(exchange);
     });
-    worker.m_address = server.address();
-    std::cout << "listening address=" << server.address() << std::endl;
-    registerAs("ready", server.address());
+    const auto [link, address] = FLAGS_proxy.empty() ? std::pair(std::size_t{0}, server.address()) : linkTo(server.address());
+    worker.m_address = address;
+    std::cout << "listening address=" << server.address() << " link=" << link << std::endl;
+    registerAs("ready", address);
     standin::awaitSignal(signals);
-    registerAs("draining", server.address());
+    registerAs("draining", address);
     standin::pauseFor(std::chrono::milliseconds(FLAGS_drain_ms));
-    registerAs("gone", server.address());
+    registerAs("gone", address);
     standin::pauseFor(std::chrono::milliseconds(FLAGS_drain_ms));
     std::_Exit(0);
 }
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -138,7 +138,8 @@
     worker.id = worker.service + "-" + std::to_string(++m_started);
     std::vector<std::string> arguments = worker.arguments;
     arguments.insert(arguments.end(),
-                     {"--name=" + worker.id, "--service=" + worker.service, "--store=" + m_store->address("address"), "--ledger=" + m_folder + "/ledger"});
+                     {"--name=" + worker.id, "--service=" + worker.service, "--store=" + m_store->address("address"), "--ledger=" + m_folder + "/ledger",
+                      "--proxy=" + m_proxy->address("address")});
     worker.process = std::make_unique<Process>(binary("tests/worker_standin"), arguments, m_folder + "/" + worker.id + ".log");
 }
 
@@ -280,6 +281,11 @@
     (void)send(m_workers.at(worker).process->address("address"), "POST", "/control?" + query);
 }
 
+void Deployment::linkToWorker(std::size_t worker, const std::string &mode) const
+{
+    (void)send(m_proxy->address("address"), "POST", "/links/" + m_workers.at(worker).process->address("link") + "?mode=" + mode);
+}
+
 void Deployment::linkToStore(std::size_t node, const std::string &mode) const
 {
     (void)send(m_proxy->address("address"), "POST", "/links/" + std::to_string(m_nodes.at(node).link) + "?mode=" + mode);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -65,6 +65,7 @@
     void controlStore(const std::string &query) const;
     void controlWorker(std::size_t worker, const std::string &query) const;
     void linkToStore(std::size_t node, const std::string &mode) const; // of the fault proxy
+    void linkToWorker(std::size_t worker, const std::string &mode) const;
     void forgetWorker(std::size_t worker); // removes its entry, as the platform does after some silence
 
     std::size_t nodes() const
