--- a/src/account/account.cpp
+++ b/src/account/account.cpp
@@ -6,29 +6,13 @@
 {
 
 AccountPermit::AccountPermit(AccountTable *table, std::string account)
-    : m_table(table)
-    , m_account(std::move(account))
+    : m_held(table, Release{std::move(account)})
 {
 }
 
-AccountPermit::AccountPermit(AccountPermit &&other) noexcept
-    : m_table(std::exchange(other.m_table, nullptr))
-    , m_account(std::move(other.m_account))
+void AccountPermit::Release::operator()(AccountTable *table) const
 {
-}
-
-AccountPermit &AccountPermit::operator=(AccountPermit &&other) noexcept
-{
-    std::swap(m_table, other.m_table);
-    std::swap(m_account, other.m_account);
-    return *this;
-}
-
-AccountPermit::~AccountPermit()
-{
-    if (m_table != nullptr) {
-        m_table->release(m_account);
-    }
+    table->release(account);
 }
 
 AccountTable::AccountTable(const Clock &clock)
--- a/src/account/account.h
+++ b/src/account/account.h
@@ -19,13 +19,13 @@
 public:
     AccountPermit() = default;
     AccountPermit(AccountTable *table, std::string account);
-    AccountPermit(AccountPermit &&other) noexcept;
-    AccountPermit &operator=(AccountPermit &&other) noexcept;
-    ~AccountPermit();
 
 private:
-    AccountTable *m_table = nullptr;
-    std::string m_account;
+    struct Release {
+        std::string account;
+        void operator()(AccountTable *table) const;
+    };
+    std::unique_ptr<AccountTable, Release> m_held; // lets go at its end
 };
 
 struct AccountState {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -8,7 +8,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "request/request.h"
-#include "steward/steward.h"
+#include "duties/duties.h"
 
 namespace vanillanotch
 {
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -204,7 +204,7 @@
     StagePeers = 33, // StageOwners: nodes that schedule stages for others
     Accounts = 40, // AccountTable
     Requests = 50, // RequestTable
-    Estimates = 60, // StageEstimates, RetryBudget, RetryAllowance
+    Estimates = 60, // StageEstimates, RetryBudget, RetryAllowance, EngineTimes, StatedDeadlines
     Suspects = 65, // SuspectTable
     Duties = 67, // Duty
     Journal = 70, // JournalWriter: rows waiting for a group commit
--- a/src/steward/duties.cpp
+++ b/src/duties/duties.cpp
@@ -1,4 +1,4 @@
-#include "steward/steward.h"
+#include "duties/duties.h"
 
 namespace vanillanotch
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -99,18 +99,18 @@
 public:
     ServerLease() = default;
     ServerLease(BackendServerTable *table, BackendServerSpec spec);
-    ServerLease(ServerLease &&other) noexcept;
-    ServerLease &operator=(ServerLease &&other) noexcept;
-    ~ServerLease();
     const BackendServerSpec &server() const
     {
-        return m_spec;
+        return m_held.get_deleter().spec;
     }
     void finish(CallVerdict verdict, Duration serviceTime, std::optional<double> reportedLoad);
 
 private:
-    BackendServerTable *m_table = nullptr;
-    BackendServerSpec m_spec;
+    struct Abandon { // of a lease that ends unfinished
+        BackendServerSpec spec;
+        void operator()(BackendServerTable *table) const;
+    };
+    std::unique_ptr<BackendServerTable, Abandon> m_held;
 };
 
 struct AcquireInput {
--- a/src/fleet/servers.cpp
+++ b/src/fleet/servers.cpp
@@ -25,33 +25,19 @@
 } // namespace
 
 ServerLease::ServerLease(BackendServerTable *table, BackendServerSpec spec)
-    : m_table(table)
-    , m_spec(std::move(spec))
+    : m_held(table, Abandon{std::move(spec)})
 {
 }
 
-ServerLease::ServerLease(ServerLease &&other) noexcept
-    : m_table(std::exchange(other.m_table, nullptr))
-    , m_spec(std::move(other.m_spec))
+void ServerLease::Abandon::operator()(BackendServerTable *table) const
 {
-}
-
-ServerLease &ServerLease::operator=(ServerLease &&other) noexcept
-{
-    std::swap(m_table, other.m_table);
-    std::swap(m_spec, other.m_spec);
-    return *this;
-}
-
-ServerLease::~ServerLease()
-{
-    finish(CallVerdict::Abandoned, Duration::zero(), std::nullopt);
+    table->release(spec.name, CallVerdict::Abandoned, Duration::zero(), std::nullopt);
 }
 
 void ServerLease::finish(CallVerdict verdict, Duration serviceTime, std::optional<double> reportedLoad)
 {
-    if (BackendServerTable *table = std::exchange(m_table, nullptr)) {
-        table->release(m_spec.name, verdict, serviceTime, reportedLoad);
+    if (BackendServerTable *table = m_held.release()) {
+        table->release(server().name, verdict, serviceTime, reportedLoad);
     }
 }
 
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -9,7 +9,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "request/request.h"
-#include "steward/steward.h"
+#include "spreading/spreading.h"
 #include "wire/wire.h"
 
 namespace vanillanotch
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -18,36 +18,20 @@
 //-----------------------------------------------------------------------------
 
 InstanceLease::InstanceLease(InstanceTable *table, InstanceSpec spec)
-    : m_table(table)
-    , m_spec(std::move(spec))
+    : m_held(table, Release{std::move(spec)})
 {
 }
 
-InstanceLease::InstanceLease(InstanceLease &&other) noexcept
-    : m_table(std::exchange(other.m_table, nullptr))
-    , m_spec(std::move(other.m_spec))
+void InstanceLease::Release::operator()(InstanceTable *table) const
 {
-}
-
-InstanceLease &InstanceLease::operator=(InstanceLease &&other) noexcept
-{
-    std::swap(m_table, other.m_table);
-    std::swap(m_spec, other.m_spec);
-    return *this;
-}
-
-InstanceLease::~InstanceLease()
-{
-    if (m_table != nullptr) {
-        m_table->release(m_spec.id);
-    }
+    table->release(spec.id);
 }
 
 void InstanceLease::finish(InstanceVerdict verdict, Duration time, const std::optional<ReportedLoad> &load)
 {
-    if (InstanceTable *table = std::exchange(m_table, nullptr); table != nullptr) {
-        table->release(m_spec.id);
-        table->report(m_spec.id, verdict, time, load);
+    if (InstanceTable *table = m_held.release()) {
+        table->release(instance().id);
+        table->report(instance().id, verdict, time, load);
     }
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -104,18 +104,18 @@
 public:
     InstanceLease() = default;
     InstanceLease(InstanceTable *table, InstanceSpec spec);
-    InstanceLease(InstanceLease &&other) noexcept;
-    InstanceLease &operator=(InstanceLease &&other) noexcept;
-    ~InstanceLease();
     const InstanceSpec &instance() const
     {
-        return m_spec;
+        return m_held.get_deleter().spec;
     }
     void finish(InstanceVerdict verdict, Duration time, const std::optional<ReportedLoad> &load);
 
 private:
-    InstanceTable *m_table = nullptr;
-    InstanceSpec m_spec;
+    struct Release { // without a verdict
+        InstanceSpec spec;
+        void operator()(InstanceTable *table) const;
+    };
+    std::unique_ptr<InstanceTable, Release> m_held;
 };
 
 class InstanceTable
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -1,8 +1,8 @@
-// Between the steward's structs and the generated messages; private to the peer library.
+// Between the spreading library's structs and the generated messages; private to the peer library.
 #pragma once
 
 #include "peer/generated/peer.pb.h"
-#include "steward/steward.h"
+#include "spreading/spreading.h"
 
 namespace vanillanotch
 {
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "steward/steward.h"
+#include "spreading/spreading.h"
 
 #include <memory>
 
--- a/src/steward/control.cpp
+++ b/src/spreading/spreading.cpp
@@ -1,5 +1,5 @@
 // Index of sections: [PLATFORM] [EXCHANGE] [NEWS]
-#include "steward/steward.h"
+#include "spreading/spreading.h"
 
 #include <algorithm>
 #include <random>
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -12,7 +12,7 @@
 #include "fleet/fleet.h"
 #include "journal/journal.h"
 #include "request/request.h"
-#include "steward/steward.h"
+#include "duties/duties.h"
 #include "storage/storage.h"
 
 namespace vanillanotch
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -52,21 +52,8 @@
     if (::pipe2(pipe.data(), O_CLOEXEC) != 0) {
         std::abort();
     }
-    std::vector<char *> argv{const_cast<char *>(program.c_str())};
-    for (const std::string &argument : arguments) {
-        argv.push_back(const_cast<char *>(argument.c_str()));
-    }
-    argv.push_back(nullptr);
-    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    m_pid = ::fork();
-    if (m_pid == 0) {
-        ::dup2(pipe[1], STDOUT_FILENO);
-        ::dup2(log, STDERR_FILENO);
-        ::execv(program.c_str(), argv.data());
-        ::_exit(127);
-    }
+    start(program, arguments, logFile, pipe[1]);
     ::close(pipe[1]);
-    ::close(log);
     std::string line;
     char c = 0;
     while (::read(pipe[0], &c, 1) == 1 && c != '\n') {
@@ -83,6 +70,11 @@
 }
 
 Process::Process(Quiet /*quiet*/, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
+{
+    start(program, arguments, logFile, std::nullopt);
+}
+
+void Process::start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output)
 {
     std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
@@ -92,7 +84,7 @@
     const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     m_pid = ::fork();
     if (m_pid == 0) {
-        ::dup2(log, STDOUT_FILENO);
+        ::dup2(output.value_or(log), STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
         ::execv(program.c_str(), argv.data());
         ::_exit(127);
--- a/tests/support/harness.h
+++ b/tests/support/harness.h
@@ -49,6 +49,9 @@
     }
 
 private:
+    // `output`: descriptor for standard output; nullopt: the log.
+    void start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output);
+
     pid_t m_pid = -1;
     bool m_reaped = false;
     int m_status = 0;
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -267,21 +267,28 @@
     STRCMP_EQUAL(freed.c_str(), table->acquire(input, *least)->instance().id.c_str());
 }
 
-TEST_GROUP(Watch){};
-
-TEST(Watch, AGapIsReadAnewAndTheVersionNeverFalls)
+TEST_GROUP(Watch)
 {
     ScriptedStore store;
-    store.answers = {rowsAt(7), rowsAt(9), rowsAt(8), tl::unexpected(Error{ErrorCode::StoreHistoryGone, {}}), rowsAt(12)};
     RecordingListener listener;
     MetricsRegistry metrics;
     StoreTrouble trouble;
-    WatchSettings settings;
-    settings.firstPause = milliseconds(1);
-    TableWatch watch(store, "t", listener, nullptr, trouble, settings, metrics);
-    watch.start();
-    CHECK(store.done.wait(seconds(20)));
-    watch.stop();
+
+    void watchToTheEnd()
+    {
+        WatchSettings settings;
+        settings.firstPause = milliseconds(1);
+        TableWatch watch(store, "t", listener, nullptr, trouble, settings, metrics);
+        watch.start();
+        CHECK(store.done.wait(seconds(20)));
+        watch.stop();
+    }
+};
+
+TEST(Watch, AGapIsReadAnewAndTheVersionNeverFalls)
+{
+    store.answers = {rowsAt(7), rowsAt(9), rowsAt(8), tl::unexpected(Error{ErrorCode::StoreHistoryGone, {}}), rowsAt(12)};
+    watchToTheEnd();
     const std::vector<std::string> calls = {"read", "after 7", "after 9", "after 9", "read"};
     CHECK(store.calls == calls);
     const std::vector<std::string> seen = {"snapshot 7", "changes 9", "changes 8", "snapshot 12"};
@@ -290,35 +297,17 @@
 
 TEST(Watch, TheFirstAnswerAfterTroubleSaysSo)
 {
-    ScriptedStore store;
     store.answers = {rowsAt(1), tl::unexpected(Error{ErrorCode::StoreRefused, {}}), rowsAt(2)};
-    RecordingListener listener;
-    MetricsRegistry metrics;
-    StoreTrouble trouble;
-    WatchSettings settings;
-    settings.firstPause = milliseconds(1);
-    TableWatch watch(store, "t", listener, nullptr, trouble, settings, metrics);
-    watch.start();
-    CHECK(store.done.wait(seconds(20)));
-    watch.stop();
+    watchToTheEnd();
     const std::vector<std::string> seen = {"snapshot 1", "changes 2 after trouble"};
     CHECK(listener.seen == seen);
 }
 
 TEST(Watch, AFeedThatHungThroughAnOutageKnowsOfItFromTheOthers)
 {
-    ScriptedStore store;
     store.answers = {rowsAt(1)};
-    RecordingListener listener;
-    MetricsRegistry metrics;
-    StoreTrouble trouble;
     trouble.note(); // another table's watch failed
-    WatchSettings settings;
-    settings.firstPause = milliseconds(1);
-    TableWatch watch(store, "t", listener, nullptr, trouble, settings, metrics);
-    watch.start();
-    CHECK(store.done.wait(seconds(20)));
-    watch.stop();
+    watchToTheEnd();
     const std::vector<std::string> seen = {"snapshot 1 after trouble"};
     CHECK(listener.seen == seen);
 }
