--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -6,9 +6,9 @@
 #pragma once
 
 #include "base/base.h"
+#include "duties/duties.h"
 #include "http/http.h"
 #include "request/request.h"
-#include "duties/duties.h"
 
 namespace vanillanotch
 {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -9,10 +9,10 @@
 
 #include "base/base.h"
 #include "configuration/configuration.h"
+#include "duties/duties.h"
 #include "fleet/fleet.h"
 #include "journal/journal.h"
 #include "request/request.h"
-#include "duties/duties.h"
 #include "storage/storage.h"
 
 namespace vanillanotch
