Bound the routes whose stated deadlines are remembered

Found on reading the change again: names of routes change with configurations, so the map grew for ever (about 1 KB a name). Test RoutesAreForgottenBeyondABound.

--- a/src/forwarding/estimates.cpp
+++ b/src/forwarding/estimates.cpp
@@ -60,6 +60,9 @@
 {
     const std::chrono::milliseconds rounded = stated / m_settings.step * m_settings.step;
     const Lock lock(m_mutex);
+    if (m_recent.size() >= m_settings.routes && m_recent.find(route) == m_recent.end()) {
+        m_recent.clear();
+    }
     std::deque<std::chrono::milliseconds> &recent = m_recent[route];
     recent.push_back(rounded);
     if (recent.size() > m_settings.remembered) {
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -154,6 +154,7 @@
     std::chrono::milliseconds step{100}; // deadlines are compared in these
     std::size_t remembered = 64; // requests of a route
     double usualShare = 0.1; // of these: callers begin with it
+    std::size_t routes = 1000; // names change with configurations: beyond this many, all are learnt anew
 };
 
 // Tells first tries from later ones: callers of a route begin with like deadlines, and one who comes back states what is
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -356,6 +356,18 @@
     CHECK(deadlines.spent("r", milliseconds(9900)) == milliseconds(0)); // a single longer one isn't usual
 }
 
+TEST(Estimates, RoutesAreForgottenBeyondABound)
+{
+    StatedDeadlineSettings settings;
+    settings.routes = 2;
+    StatedDeadlines deadlines(settings);
+    (void)deadlines.spent("a", milliseconds(9000));
+    (void)deadlines.spent("b", milliseconds(9000));
+    CHECK(deadlines.spent("a", milliseconds(5000)) == milliseconds(4000));
+    (void)deadlines.spent("c", milliseconds(9000));
+    CHECK(deadlines.spent("a", milliseconds(5000)) == milliseconds(0));
+}
+
 TEST(Estimates, AShorterUsualDeadlineIsLearntAnew)
 {
     StatedDeadlines deadlines;
