Test support: draw nodes' ports below those of outgoing connections

Ruled out: a node that hangs (node.start_failed code=1804 in its log). Test NodesListenBelowThePortsOfOutgoingConnections failed before.

--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 using namespace vanillanotch;
@@ -61,6 +62,17 @@
     }
 };
 
+// A port that outgoing connections use too may be taken when the node is started again.
+TEST(Entry, NodesListenBelowThePortsOfOutgoingConnections)
+{
+    const std::string address = deployment->callers(0);
+    std::ifstream range("/proc/sys/net/ipv4/ip_local_port_range");
+    int firstOutgoing = 0;
+    range >> firstOutgoing;
+    CHECK(!range.fail());
+    CHECK(std::stoi(address.substr(address.rfind(':') + 1)) < firstOutgoing);
+}
+
 TEST(Entry, EveryKindOfRequestIsServedWhole)
 {
     for (const CallKind kind : {CallKind::Read, CallKind::Pay, CallKind::Draft, CallKind::Explain}) {
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 namespace vanillanotch::test
@@ -20,11 +21,23 @@
     return std::string(VANILLANOTCH_BINARIES) + "/" + path;
 }
 
+// Ports below those that outgoing connections use: a node must find its port free again after a restart.
 std::string freeAddress()
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true, false); // POCO's constructor would share the port of another run
-    return socket.address().toString();
+    constexpr int FirstPort = 15000;
+    constexpr int LastPort = 31999; // Linux begins with 32768
+    static std::mt19937 random{std::random_device{}()};
+    for (;;) {
+        const int port = std::uniform_int_distribution<int>(FirstPort, LastPort)(random);
+        const std::string address = "127.0.0.1:" + std::to_string(port);
+        try {
+            Poco::Net::ServerSocket socket;
+            socket.bind(Poco::Net::SocketAddress(address), true, false); // POCO's constructor would share the port of another run
+            return address;
+        } catch (const Poco::Exception &) {
+            continue; // taken
+        }
+    }
 }
 
 std::string base64(const std::string &text)
