--- a/src/base/base.h
+++ b/src/base/base.h
@@ -201,7 +201,7 @@
     BackendServers = 30, // BackendServerTable
     Stages = 31, // StageScheduler: waiting pieces and lanes
     Instances = 32, // InstanceTable: registered instances of services
-    StagePeers = 33, // StageOwners: nodes that schedule stages for others
+    StagePeers = 33, // OwnedStages: nodes that schedule stages for others
     Accounts = 40, // AccountTable
     Requests = 50, // RequestTable
     Estimates = 60, // StageEstimates, RetryBudget, RetryAllowance, EngineTimes, StatedDeadlines
--- a/src/instances/choice.cpp
+++ b/src/instances/choice.cpp
@@ -12,6 +12,8 @@
 constexpr auto RemotePenalty = std::chrono::milliseconds(3); // there and back between data centres
 constexpr auto UnknownTime = std::chrono::milliseconds(20); // an untried instance looks fast, so that it gets tried
 constexpr double FailureWeight = 4.0; // a server that fails all requests looks this many times slower
+constexpr double FreeLoad = 0.5; // places in use up to which a server doesn't queue
+constexpr double JitterWidth = 0.2; // of predicted times: nodes that see the same figures spread out
 constexpr double HomeFailureLimit = 0.35; // recent failures above this share: the prompt's next home is better
 constexpr double HomeLoadLimit = 0.85; // places in use at the home: beyond it reading the prompt again costs less
 
@@ -28,7 +30,7 @@
     {
         const auto predicted = [](const InstanceView &view) {
             const Duration time = view.averageTime == Duration::zero() ? Duration(UnknownTime) : view.averageTime;
-            const double queued = 1.0 + std::max(0.0, view.load - 0.5); // half-empty servers are alike
+            const double queued = 1.0 + std::max(0.0, view.load - FreeLoad);
             const double failing = 1.0 + FailureWeight * view.failureShare;
             const double seconds = std::chrono::duration<double>(time).count() * queued * failing;
             return seconds + (view.local ? 0.0 : std::chrono::duration<double>(RemotePenalty).count());
@@ -36,7 +38,7 @@
         std::size_t best = 0;
         double bestTime = 0;
         for (std::size_t i = 0; i < views.size(); ++i) {
-            const double jitter = 0.9 + 0.2 * randomTie(); // nodes that see the same figures spread out
+            const double jitter = 1.0 + JitterWidth * (randomTie() - 0.5);
             const double time = predicted(views[i]) * jitter;
             if (i == 0 || time < bestTime) {
                 best = i;
--- a/src/peering/peering.cpp
+++ b/src/peering/peering.cpp
@@ -16,9 +16,9 @@
 constexpr std::size_t ReplyLimit = 4 * 1024 * 1024; // bytes; the largest is a table
 
 // Times travel as what is left, since clocks of two nodes differ.
-std::int64_t leftMs(TimePoint until, TimePoint now)
+std::int64_t encodeLeft(Duration left)
 {
-    return toMilliseconds(until - now).count();
+    return toMilliseconds(left).count();
 }
 
 std::string encodeOrder(const StageOrder &order, TimePoint now)
@@ -37,8 +37,8 @@
     json["moved_bytes"] = order.movedBytes;
     json["result_bytes"] = order.resultBytes;
     json["data_centre"] = order.dataCentre;
-    json["target_ms"] = leftMs(order.target, now);
-    json["deadline_ms"] = leftMs(order.deadline, now);
+    json["target_ms"] = encodeLeft(order.target - now);
+    json["deadline_ms"] = encodeLeft(order.deadline - now);
     json["priority"] = order.priority;
     json["finishing"] = order.finishing;
     return json.dump();
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -57,7 +57,7 @@
         entries[0].fd = descriptor;
         entries[0].events = POLLOUT;
         caller.prepare(entries[1]);
-        (void)::poll(entries.data(), entries.size(), pollTimeout(until));
+        (void)::poll(entries.data(), entries.size(), pollTimeout(until).count());
         caller.examine(entries[1]);
         if (caller.gone()) {
             return tl::unexpected(failure(ErrorCode::CallerGone));
@@ -88,7 +88,7 @@
         entries[0].fd = m_connection->descriptor();
         entries[0].events = static_cast<short>(POLLIN | (!m_unsent.empty() && !m_sendBroken ? POLLOUT : 0));
         caller.prepare(entries[1]);
-        (void)::poll(entries.data(), entries.size(), pollTimeout(until));
+        (void)::poll(entries.data(), entries.size(), pollTimeout(until).count());
         caller.examine(entries[1]);
         if (caller.gone()) {
             return tl::unexpected(failure(ErrorCode::CallerGone));
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -79,7 +79,7 @@
             m_connection.gone = true;
         } else if (state == IoState::WouldBlock) {
             pollfd entry{m_connection.io.descriptor(), POLLOUT, 0};
-            (void)::poll(&entry, 1, pollTimeout(until));
+            (void)::poll(&entry, 1, pollTimeout(until).count());
             if (std::chrono::steady_clock::now() >= until) {
                 m_connection.gone = true; // it takes nothing: as good as gone
             }
@@ -229,7 +229,7 @@
     std::array<epoll_event, EventsAtOnce> events{};
     TimePoint nextSweep = std::chrono::steady_clock::now() + SweepInterval;
     while (!m_stopping) {
-        const int count = ::epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), pollTimeout(nextSweep));
+        const int count = ::epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), pollTimeout(nextSweep).count());
         for (int i = 0; i < count; ++i) {
             const int descriptor = events.at(static_cast<std::size_t>(i)).data.fd;
             if (descriptor == m_stop->descriptor()) {
@@ -352,7 +352,7 @@
             return false;
         }
         pollfd entry{connection.io.descriptor(), POLLIN, 0};
-        (void)::poll(&entry, 1, pollTimeout(until));
+        (void)::poll(&entry, 1, pollTimeout(until).count());
         const IoState state = connection.io.receive();
         if (state == IoState::Closed || state == IoState::Reset) {
             return false;
@@ -395,7 +395,7 @@
             return body;
         }
         pollfd entry{connection.io.descriptor(), POLLIN, 0};
-        (void)::poll(&entry, 1, pollTimeout(until));
+        (void)::poll(&entry, 1, pollTimeout(until).count());
         const IoState state = connection.io.receive();
         if (state == IoState::Closed || state == IoState::Reset) {
             return fail(ErrorCode::CallerGone);
--- a/src/transport/sockets.cpp
+++ b/src/transport/sockets.cpp
@@ -101,10 +101,10 @@
     entry.fd = -1;
 }
 
-int pollTimeout(TimePoint until)
+PollTime pollTimeout(TimePoint until)
 {
     const auto left = until - std::chrono::steady_clock::now();
-    return left <= Duration::zero() ? 0 : static_cast<int>(toMilliseconds(left).count()) + 1;
+    return left <= Duration::zero() ? PollTime::zero() : std::chrono::duration_cast<PollTime>(left) + PollTime(1);
 }
 
 Result<void> awaitSignal(Signal &signal, CallerWatch &caller, TimePoint until)
@@ -119,7 +119,7 @@
         entries[0].fd = signal.descriptor();
         entries[0].events = POLLIN;
         caller.prepare(entries[1]);
-        (void)::poll(entries.data(), entries.size(), pollTimeout(until));
+        (void)::poll(entries.data(), entries.size(), pollTimeout(until).count());
         caller.examine(entries[1]);
         if (caller.gone()) {
             return fail(ErrorCode::CallerGone);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -179,7 +179,8 @@
     }
 };
 
-int pollTimeout(TimePoint until); // for poll() and epoll_wait(): milliseconds, rounded up; 0 when it has passed
+using PollTime = std::chrono::duration<int, std::milli>; // as poll() and epoll_wait() count
+PollTime pollTimeout(TimePoint until); // rounded up; 0 when it has passed
 
 // Waits for the signal. Errors: CallerGone, DeadlineExceeded.
 Result<void> awaitSignal(Signal &signal, CallerWatch &caller, TimePoint until);
--- /dev/null
+++ b/src/wire/json_parts.h
@@ -0,0 +1,34 @@
+// What several JSON documents share; private to the wire library.
+#pragma once
+
+#include "wire/wire.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillanotch
+{
+
+using Json = nlohmann::json;
+
+// Invalid UTF-8 from a backend server becomes U+FFFD instead of an exception.
+inline std::string dumped(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+inline double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+inline Json stagesToJson(const std::vector<StageReport> &stages)
+{
+    Json list = Json::array();
+    for (const StageReport &stage : stages) {
+        list.push_back(
+            Json{{"stage", stage.stage}, {"server", stage.server}, {"attempts", stage.attempts}, {"time_ms", milliseconds(stage.time)}, {"cost", stage.cost}});
+    }
+    return list;
+}
+
+} // namespace vanillanotch
--- a/src/wire/yaml.cpp
+++ b/src/wire/yaml.cpp
@@ -56,9 +56,10 @@
     DataCentreSpec spec;
     mapping.read("name", spec.name, true);
     mapping.read("region", spec.region, true);
-    double delay = static_cast<double>(spec.oneWayDelay.count()) / 1000;
-    mapping.read("one_way_delay_ms", delay, 0, 1000);
-    spec.oneWayDelay = std::chrono::microseconds(static_cast<std::int64_t>(delay * 1000));
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    double milliseconds = Milliseconds(spec.oneWayDelay).count();
+    mapping.read("one_way_delay_ms", milliseconds, 0, 1000);
+    spec.oneWayDelay = std::chrono::duration_cast<std::chrono::microseconds>(Milliseconds(milliseconds));
     return spec;
 }
 
