Call the platform's tenants client accounts outside platform/; remove what nobody calls of UpstreamCall

Read with a newcomer's eyes: TenantSpec, tenantOf and the rest carried the platform's word through deployment and forwarding; reusable(), close() and sent() of UpstreamCall are from the time of kept connections. Deployment's header listed a type that isn't there. No change of behaviour.

--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -6,12 +6,12 @@
 namespace vanillanotch
 {
 
-Deployment::Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<TenantSpec> tenants,
+Deployment::Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<AccountSpec> accounts,
                        const FrontLimits &limits)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
-    , m_tenants(std::move(tenants))
+    , m_accounts(std::move(accounts))
     , m_limits(limits)
 {
     for (const RouteSpec &route : m_routes) {
@@ -22,9 +22,9 @@
             return a->prefix.size() > b->prefix.size();
         });
     }
-    for (const TenantSpec &tenant : m_tenants) {
-        for (const std::string &key : tenant.apiKeys) {
-            m_byKey.emplace(key, &tenant);
+    for (const AccountSpec &account : m_accounts) {
+        for (const std::string &key : account.apiKeys) {
+            m_byKey.emplace(key, &account);
         }
     }
 }
@@ -51,7 +51,7 @@
     return found == m_services.end() ? nullptr : &*found;
 }
 
-const TenantSpec *Deployment::tenantOf(const std::string &apiKey) const
+const AccountSpec *Deployment::accountOf(const std::string &apiKey) const
 {
     const auto found = m_byKey.find(apiKey);
     return found == m_byKey.end() ? nullptr : found->second;
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -1,7 +1,7 @@
 // vanillanotch deployment library: the routes, services and client accounts that an operator has put in force.
 //
 // Index of sections:
-//   [SPECS]   RouteSpec, ServiceSpec, TenantSpec, TrafficLimits
+//   [SPECS]   RouteSpec, ServiceSpec, AccountSpec
 //   [ROUTES]  Deployment: one immutable version of all of them
 //   [TABLE]   DeploymentTable: the version in force, and when it was last shown to be the newest
 //
@@ -77,7 +77,7 @@
     std::optional<StageCapacity> stage;
 };
 
-struct TenantSpec {
+struct AccountSpec { // a client account
     std::string name;
     std::vector<std::string> apiKeys;
     std::optional<int> priority; // goes before the route's
@@ -90,7 +90,7 @@
 class Deployment : public RefCounted<Deployment>
 {
 public:
-    Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<TenantSpec> tenants,
+    Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<AccountSpec> accounts,
                const FrontLimits &limits);
 
     std::uint64_t version() const
@@ -100,10 +100,10 @@
     // Host without a port; the longest prefix that begins the path. nullptr: none.
     const RouteSpec *route(std::string_view host, std::string_view path) const;
     const ServiceSpec *service(const std::string &name) const; // nullptr: none
-    const TenantSpec *tenantOf(const std::string &apiKey) const; // nullptr: unknown key
+    const AccountSpec *accountOf(const std::string &apiKey) const; // nullptr: unknown key
     bool keysNeeded() const // there are client accounts, so a request needs a key
     {
-        return !m_tenants.empty();
+        return !m_accounts.empty();
     }
     const std::vector<ServiceSpec> &services() const
     {
@@ -122,10 +122,10 @@
     std::uint64_t m_version;
     std::vector<RouteSpec> m_routes;
     std::vector<ServiceSpec> m_services;
-    std::vector<TenantSpec> m_tenants;
+    std::vector<AccountSpec> m_accounts;
     FrontLimits m_limits;
     std::unordered_map<std::string, std::vector<const RouteSpec *>> m_byHost; // longest prefix first
-    std::unordered_map<std::string, const TenantSpec *> m_byKey;
+    std::unordered_map<std::string, const AccountSpec *> m_byKey;
 };
 
 using DeploymentRef = Ref<const Deployment>;
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -47,7 +47,7 @@
     std::string_view body;
     std::string host;
     std::string instance; // that is expected at the address
-    std::string tenant; // empty: none
+    std::string account; // client account; empty: none
     std::chrono::milliseconds timeLeft{0};
     std::optional<int> urgency; // 0 is first
     std::vector<std::string> inputs; // results of the stages
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -111,8 +111,8 @@
     if (!m_deployment->keysNeeded()) {
         return {};
     }
-    const TenantSpec *tenant = m_request.apiKey.empty() ? nullptr : m_deployment->tenantOf(m_request.apiKey);
-    if (tenant == nullptr) {
+    const AccountSpec *account = m_request.apiKey.empty() ? nullptr : m_deployment->accountOf(m_request.apiKey);
+    if (account == nullptr) {
         if (m_route->anonymous) {
             return {};
         }
@@ -123,8 +123,8 @@
     if (!m_parts.deployments.keysTrusted(suspendAwareNow())) {
         return fail(ErrorCode::ConfigurationStale);
     }
-    m_tenant = tenant->name;
-    m_priority = tenant->priority.value_or(m_priority);
+    m_account = account->name;
+    m_priority = account->priority.value_or(m_priority);
     return {};
 }
 
@@ -206,7 +206,7 @@
     call.body = m_exchange.body();
     call.host = m_request.host;
     call.instance = instance.id;
-    call.tenant = m_tenant;
+    call.account = m_account;
     call.timeLeft = std::max(std::chrono::milliseconds(1), toMilliseconds(remaining()));
     if (streaming()) {
         call.urgency = std::clamp(m_priority, MostUrgent, LeastUrgent);
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -92,7 +92,7 @@
     CallerRequest m_request;
     const RouteSpec *m_route = nullptr;
     std::string m_service;
-    std::string m_tenant;
+    std::string m_account;
     int m_priority = 0;
     std::uint64_t m_affinity = 0;
     TimePoint m_target{};
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -161,8 +161,7 @@
             }
             m_framing = *framing;
             m_complete = m_framing.kind == BodyKind::None;
-            m_head = std::move(**head);
-            return m_head;
+            return std::move(**head);
         }
         if (m_ended) {
             return tl::unexpected(failure(ErrorCode::ConnectionLost));
@@ -232,17 +231,4 @@
     }
 }
 
-bool UpstreamCall::reusable() const
-{
-    return m_connection && m_complete && m_unsent.empty() && !m_sendBroken && !m_ended && m_framing.kind != BodyKind::UntilClose
-        && m_connection->received().empty() && m_head.minorVersion == 1 && !m_head.headers.listContains("Connection", "close");
-}
-
-void UpstreamCall::close()
-{
-    if (m_connection) {
-        m_connection->close();
-    }
-}
-
 } // namespace vanillanotch
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -220,13 +220,6 @@
     tl::expected<bool, UpstreamFailure> readBody(std::string &out, TimePoint until, CallerWatch &caller);
     // Reads the whole body. InvalidReply: longer than `limit` bytes.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CallerWatch &caller);
-    bool sent() const
-    {
-        return m_sent;
-    }
-    // True: the whole request was sent, the whole reply was read, nothing came behind it, and the server keeps the connection.
-    bool reusable() const;
-    void close();
 
 private:
     UpstreamFailure failure(ErrorCode code) const;
@@ -242,7 +235,6 @@
     bool m_sendBroken = false;
     bool m_ended = false;
     bool m_reset = false;
-    ReplyHead m_head;
     BodyFraming m_framing;
     ChunkDecoder m_chunks;
     std::size_t m_bodyRead = 0;
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -25,10 +25,10 @@
 
 DeploymentRef deployment(std::uint64_t version)
 {
-    TenantSpec tenant;
-    tenant.name = "t";
-    tenant.apiKeys = {"key"};
-    return makeRef<Deployment>(version, std::vector<RouteSpec>{route("/a/"), route("/a/b/")}, std::vector<ServiceSpec>{}, std::vector<TenantSpec>{tenant},
+    AccountSpec account;
+    account.name = "t";
+    account.apiKeys = {"key"};
+    return makeRef<Deployment>(version, std::vector<RouteSpec>{route("/a/"), route("/a/b/")}, std::vector<ServiceSpec>{}, std::vector<AccountSpec>{account},
                                FrontLimits{});
 }
 
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -335,7 +335,7 @@
         service.name = "s";
         service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 0, seconds(4)};
         (void)deployments.install(
-            makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<TenantSpec>{}, FrontLimits{}));
+            makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
         channel.answer = [](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) {
             return handlesFor(instance, pieces);
         };
