Forget servers whose entries lapsed and never came back

Read with a newcomer's eyes: an entry kept for its return was unusable after its time but stayed in the table, one for each server that ended while the store was away, and its address could be taken for the maker of another server's results. Test AnEntryThatNeverCameBackIsForgotten failed before. A time that nobody read is gone.

--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -96,9 +96,11 @@
                 missing.push_back(id);
             }
         }
+        const TimePoint now = m_clock.now();
         for (const std::string &id : missing) {
-            removeLocked(id, registryAway, m_clock.now());
+            removeLocked(id, registryAway, now);
         }
+        forgetLapsedLocked(now);
     }
     if (m_listener) {
         m_listener();
@@ -119,7 +121,18 @@
 void InstanceTable::remove(const std::string &id, bool registryAway)
 {
     const Lock lock(m_mutex);
-    removeLocked(id, registryAway, m_clock.now());
+    const TimePoint now = m_clock.now();
+    removeLocked(id, registryAway, now);
+    forgetLapsedLocked(now);
+}
+
+// What has not come back in time: its address may be another server's by now.
+void InstanceTable::forgetLapsedLocked(TimePoint now)
+{
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        const bool lapsed = it->second.leavesAt && now >= *it->second.leavesAt;
+        it = lapsed ? m_entries.erase(it) : std::next(it);
+    }
 }
 
 bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
@@ -143,7 +156,7 @@
         const double halves = std::chrono::duration<double>(now - since) / std::chrono::duration<double>(m_settings.forgetting);
         return std::exp2(-halves);
     };
-    view.averageTime = entry.averageTime == Duration::zero() ? Duration::zero() : entry.averageTime;
+    view.averageTime = entry.averageTime;
     view.failureShare = entry.failureShare * remembered(entry.failureAt);
     view.suspected = now < entry.suspectedUntil;
     return view;
@@ -284,7 +297,6 @@
         const auto past = std::chrono::duration<double>(entry.averageTime);
         const auto mixed = past * m_settings.memory + std::chrono::duration<double>(time) * (1.0 - m_settings.memory);
         entry.averageTime = entry.averageTime == Duration::zero() ? time : std::chrono::duration_cast<Duration>(mixed);
-        entry.measuredAt = now;
     }
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -148,7 +148,6 @@
         std::optional<ReportedLoad> load;
         TimePoint loadAt{};
         Duration averageTime{};
-        TimePoint measuredAt{};
         double failureShare = 0;
         TimePoint failureAt{};
         unsigned unreachable = 0; // in a row
@@ -160,6 +159,7 @@
     bool usableLocked(const Entry &entry, TimePoint now) const;
     void upsertLocked(const InstanceSpec &spec);
     void removeLocked(const std::string &id, bool registryAway, TimePoint now);
+    void forgetLapsedLocked(TimePoint now);
     void release(const std::string &id);
 
     const Clock &m_clock;
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -211,6 +211,21 @@
     LONGS_EQUAL(0, static_cast<long>(table->size()));
 }
 
+TEST(Instances, AnEntryThatNeverCameBackIsForgotten)
+{
+    table->upsert(instance("lapsed"));
+    table->upsert(instance("other"));
+    table->remove("lapsed", true);
+    clock.advance(settings.lapseGrace + milliseconds(1));
+    table->remove("other", false);
+    LONGS_EQUAL(0, static_cast<long>(table->size()));
+    table->upsert(instance("lapsed"));
+    table->remove("lapsed", true);
+    clock.advance(settings.lapseGrace + milliseconds(1));
+    table->synchronise({instance("third")}, false);
+    LONGS_EQUAL(1, static_cast<long>(table->size()));
+}
+
 TEST(Instances, ALateEntryOfAnEarlierRunIsIgnored)
 {
     InstanceSpec now = instance("i", 200);
