Relays forget removed rows in time

Read with a newcomer's eyes: the cache that followers read kept every removed row until the table was read anew. Beyond 1,000 of them the older half goes; a follower behind that asks the store. Test RemovedRowsAreForgottenInTime failed before.

--- a/src/watch/relay.cpp
+++ b/src/watch/relay.cpp
@@ -2,6 +2,8 @@
 
 #include "deployment/deployment.h"
 
+#include <algorithm>
+
 namespace vanillanotch
 {
 
@@ -21,12 +23,33 @@
         for (const StoredRow &row : rows.rows) {
             m_rows[row.key] = row;
         }
+        forgetRemovedLocked();
         m_version = std::max(whole ? 0 : m_version, rows.version);
         m_asOf = std::max(m_asOf, asOf);
     }
     m_changed.notify_all();
 }
 
+// A follower behind what is forgotten reads the table anew.
+void TableCache::forgetRemovedLocked()
+{
+    std::vector<std::uint64_t> removed;
+    for (const auto &[key, row] : m_rows) {
+        if (row.removed) {
+            removed.push_back(row.version);
+        }
+    }
+    if (removed.size() <= RemovedKept) {
+        return;
+    }
+    const auto middle = removed.begin() + static_cast<std::ptrdiff_t>(removed.size() / 2);
+    std::nth_element(removed.begin(), middle, removed.end());
+    m_first = std::max(m_first, *middle);
+    for (auto it = m_rows.begin(); it != m_rows.end();) {
+        it = it->second.removed && it->second.version <= *middle ? m_rows.erase(it) : std::next(it);
+    }
+}
+
 Result<StoredRows> TableCache::changesAfter(std::uint64_t version, std::chrono::milliseconds wait)
 {
     Lock lock(m_mutex);
@@ -55,6 +78,12 @@
     return changes;
 }
 
+std::size_t TableCache::rows() const
+{
+    const Lock lock(m_mutex);
+    return m_rows.size();
+}
+
 TimePoint TableCache::asOf() const
 {
     const Lock lock(m_mutex);
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -147,12 +147,17 @@
     // Waits for a change after that version. StoreHistoryGone: this node has not followed the table from there.
     Result<StoredRows> changesAfter(std::uint64_t version, std::chrono::milliseconds wait);
     TimePoint asOf() const;
+    std::size_t rows() const; // removed ones included
+
+    static constexpr std::size_t RemovedKept = 1000; // rows; followers are seconds behind at most
 
 private:
+    void forgetRemovedLocked();
+
     mutable RankedMutex m_mutex{LockRank::TableCaches};
     std::condition_variable_any m_changed;
     std::map<std::string, StoredRow> m_rows;
-    std::uint64_t m_first = 0; // version of the first whole reading; 0: none yet
+    std::uint64_t m_first = 0; // changes are known from this version on; 0: not read yet
     std::uint64_t m_version = 0;
     TimePoint m_asOf{};
 };
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -441,6 +441,21 @@
     CHECK(cache.changesAfter(12, milliseconds(0))->rows.empty());
 }
 
+TEST(Relay, RemovedRowsAreForgottenInTime)
+{
+    TableCache cache;
+    cache.apply(rowsAt(1), true, TimePoint(seconds(100)));
+    std::uint64_t version = 1;
+    for (std::size_t i = 0; i < 2 * TableCache::RemovedKept; ++i) {
+        StoredRows rows = rowsAt(++version);
+        rows.rows = {StoredRow{"server-" + std::to_string(i), "", version, true}};
+        cache.apply(rows, false, TimePoint(seconds(100)));
+    }
+    CHECK(cache.rows() <= TableCache::RemovedKept);
+    CHECK(cache.changesAfter(1, milliseconds(0)).error().code == ErrorCode::StoreHistoryGone);
+    LONGS_EQUAL(1, static_cast<long>(cache.changesAfter(version - 1, milliseconds(0))->rows.size()));
+}
+
 namespace
 {
 class ScriptedRelay final : public RelayChannel
