--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -48,12 +48,23 @@
 class MemberListener final : public TableListener
 {
 public:
-    explicit MemberListener(MemberTable &table);
+    // `onRead` is called after each read of the whole table, `onSelfMissing` when this node's own row isn't in the table any more, or not
+    // yet. Both run on the thread of the watch.
+    MemberListener(MemberTable &table, std::function<void()> onRead, std::function<void()> onSelfMissing);
+    bool selfListed() const // this node's own row was in the table when it was seen last
+    {
+        return m_selfListed;
+    }
     void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
     void changes(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
 
 private:
+    void remove(const std::string &name);
+
     MemberTable &m_table;
+    const std::function<void()> m_onRead;
+    const std::function<void()> m_onSelfMissing;
+    std::atomic<bool> m_selfListed{false};
 };
 
 // Serves callers' requests: passes them to the ForwardService.
@@ -99,8 +110,9 @@
     void stop();
 
 private:
+    void followTables(); // starts to follow the tables of the configuration and of backend servers, once
+    void beginAnnouncing(); // has announce() run on the pool, unless it is about to run already
     void announce(); // writes this node's row to the members' table; after a failure it repeats the write until the store confirms it or the node stops
-    RelayedStore::Choice chooseRelay() const;
     void waitUntil(TimePoint time, const std::function<bool()> &done); // returns at that time, or earlier when done() is true
 
     const EntrySettings m_settings;
@@ -139,6 +151,8 @@
     TableWatch m_instanceWatch;
     TableWatch m_memberWatch;
     std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_following{false}; // followTables() was called
+    std::atomic<bool> m_announcing{false}; // a write of this node's row is under way or will be repeated
     ForwardHandler m_forwardHandler;
     ReadinessHandler m_readinessHandler;
     PeerHandler m_peerHandler;
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -111,27 +111,49 @@
 // MemberListener
 //-----------------------------------------------------------------------------
 
-MemberListener::MemberListener(MemberTable &table)
+MemberListener::MemberListener(MemberTable &table, std::function<void()> onRead, std::function<void()> onSelfMissing)
     : m_table(table)
+    , m_onRead(std::move(onRead))
+    , m_onSelfMissing(std::move(onSelfMissing))
 {
 }
 
 void MemberListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage)
 {
     changes(rows, asOf, afterOutage);
+    std::set<std::string> listed;
+    for (const StoredRow &row : rows.rows) {
+        listed.insert(row.key);
+    }
+    for (const MemberRecord &member : m_table.all()) {
+        if (listed.count(member.name) == 0) {
+            remove(member.name); // its row was removed while this node missed changes
+        }
+    }
+    m_onRead();
+}
+
+void MemberListener::remove(const std::string &name)
+{
+    if (name == m_table.self().name) {
+        m_selfListed = false;
+        m_onSelfMissing();
+        return;
+    }
+    for (MemberRecord member : m_table.all()) {
+        if (member.name == name && member.state != MemberState::Left) {
+            member.state = MemberState::Left;
+            ++member.version; // merge() ignores a record whose version is not higher than that of the known one
+            m_table.merge({member});
+        }
+    }
 }
 
 void MemberListener::changes(const StoredRows &rows, TimePoint /*asOf*/, bool /*afterOutage*/)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.removed) {
-            for (MemberRecord member : m_table.all()) {
-                if (member.name == row.key) {
-                    member.state = MemberState::Left;
-                    ++member.version; // merge() ignores a record whose version is not higher than that of the known one
-                    m_table.merge({member});
-                }
-            }
+            remove(row.key);
             continue;
         }
         const auto member = decodeMember(row.key, row.value);
@@ -140,6 +162,7 @@
             continue;
         }
         logEvent(LogLevel::Info, "member.entry", {{"member", row.key}, {"address", member->peerAddress}, {"incarnation", member->incarnation}});
+        m_selfListed = m_selfListed || row.key == m_table.self().name;
         m_table.merge({*member});
     }
 }
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -10,10 +10,10 @@
 constexpr std::size_t PoolThreadLimit = 600; // threads; each running request, call of a stage, and call to or from a peer takes one
 constexpr std::size_t BackgroundWorkers = 1; // threads for the timers' short tasks
 constexpr const char *MembersTable = "members";
-// One in this many nodes of a data centre is a relay: it asks the store for changes of tables and passes them on to the others. With
-// fewer nodes, each asks the store.
-constexpr std::size_t MembersPerRelay = 8;
 constexpr Duration AnnounceTimeout = std::chrono::seconds(2); // timeout for writing or removing this node's row of the members' table
+constexpr Duration MembersReadLimit = std::chrono::milliseconds(500); // longest time for which the first reads of the other tables wait for that of the members
+// Pause before this node writes its row again because it is missing; longer than MembersCoalesceInterval and a call to the store.
+constexpr Duration SelfMissingCheckPause = std::chrono::seconds(4);
 constexpr Duration AnnounceRetryPause = std::chrono::milliseconds(700); // pause before a failed write of this node's row is repeated
 // How long the store may hold a request for changes of the tables of backend servers and of members while there are none. This may be
 // long, since no deadline depends on an answer without changes, and TCP keep-alive probes find a dead connection.
@@ -104,8 +104,8 @@
     , m_store(platform::makeStore(settings.storeAddress, m_upstream))
     , m_relayChannel(makeRelayChannel(m_upstream))
     , m_relayedStore(*m_store, *m_relayChannel,
-                     [this] {
-                         return chooseRelay();
+                     [this](const std::string &table) {
+                         return sourceOrder(m_members.all(), m_members.self(), table, RelayPolicy{});
                      })
     , m_codec(platform::makeRequestCodec())
     , m_stageChannel(platform::makeStageChannel(m_upstream))
@@ -121,7 +121,20 @@
                 ForwardSettings{})
     , m_deploymentListener(m_deployments, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
-    , m_memberListener(m_members)
+    , m_memberListener(
+          m_members,
+          [this] {
+              followTables();
+          },
+          [this] {
+              // A removal of the row of this node's former process may have been delayed until after the row was written anew. The row that
+              // is being written at the moment may not have been seen yet.
+              m_timers.after(SelfMissingCheckPause, [this] {
+                  if (!m_memberListener.selfListed()) {
+                      beginAnnouncing();
+                  }
+              });
+          })
     , m_deploymentWatch(m_relayedStore, platform::OperatorTable, m_deploymentListener, &m_deploymentCache, m_storeFailures, WatchSettings{}, m_metrics)
     , m_instanceWatch(m_relayedStore, platform::ServersTable, m_instanceListener, &m_instanceCache, m_storeFailures,
                       feedSettings(LongPollWait, ServersCoalesceInterval), m_metrics)
@@ -130,8 +143,7 @@
     , m_forwardHandler(m_service, m_deployments)
     , m_readinessHandler(m_deployments, m_leaving)
     , m_peerHandler(m_scheduler,
-                    RelayedTables{{{platform::OperatorTable, &m_deploymentCache}, {platform::ServersTable, &m_instanceCache}, {MembersTable, &m_memberCache}},
-                                  &m_deploymentCache},
+                    RelayedTables{{platform::OperatorTable, &m_deploymentCache}, {platform::ServersTable, &m_instanceCache}, {MembersTable, &m_memberCache}},
                     m_metrics)
 {
     m_instances.setChangeListener([this] {
@@ -166,37 +178,48 @@
     } catch (const Poco::Exception &exception) {
         return fail(ErrorCode::ListenFailed, exception.displayText());
     }
-    m_deploymentWatch.start();
-    m_instanceWatch.start();
+    // The other tables are read when the members are known, since most nodes then get them from another node. A store that doesn't answer
+    // must not delay this for long.
     m_memberWatch.start();
-    m_pool.post([this] {
-        announce();
+    m_timers.after(MembersReadLimit, [this] {
+        followTables();
     });
+    beginAnnouncing();
     return {};
 }
 
+void EntryNode::followTables()
+{
+    if (!m_following.exchange(true)) {
+        m_deploymentWatch.start();
+        m_instanceWatch.start();
+    }
+}
+
+void EntryNode::beginAnnouncing()
+{
+    if (!m_announcing.exchange(true)) {
+        m_pool.post([this] {
+            announce();
+        });
+    }
+}
+
 void EntryNode::announce()
 {
     if (m_leaving) {
         return;
     }
     const auto written = m_store->writeRow(MembersTable, m_settings.node, encodeMember(m_members.self()), AnnounceTimeout);
+    m_announcing = false;
     if (!written) {
         logEvent(LogLevel::Warning, "node.announce_failed", {{"error", written.error().code}});
         m_timers.after(AnnounceRetryPause, [this] {
-            m_pool.post([this] {
-                announce();
-            });
+            beginAnnouncing();
         });
     }
 }
 
-RelayedStore::Choice EntryNode::chooseRelay() const
-{
-    const DutyLeaderChoice relayChoice = chooseDutyLeader(m_members.all(), m_members.self(), "relay", MembersPerRelay);
-    return RelayedStore::Choice{relayChoice.leader ? std::optional(relayChoice.leader->peerAddress) : std::nullopt, relayChoice.isLeader};
-}
-
 void EntryNode::waitUntil(TimePoint time, const std::function<bool()> &done)
 {
     RankedMutex mutex(LockRank::Leaf);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -304,14 +304,8 @@
 // square of its cores, which keeps duties off small VMs.
 double dutyRank(const MemberRecord &member, std::string_view duty);
 
-// Result of chooseDutyLeader(). A leader does a duty for itself and for the members that follow it. Leaders are the members with the highest dutyRank().
-struct DutyLeaderChoice {
-    std::optional<MemberRecord> leader; // the leader that `self` follows; nullopt: `self` is a leader, or there are too few members to have one
-    bool isLeader = false; // true: `self` is a leader
-};
-// Returns whether `self` is a leader for the duty, and otherwise which leader it follows. Considers members that are alive and in the data centre of `self`.
-// One of every `membersPerLeader` of them is a leader, rounded down; `membersPerLeader` is above zero.
-DutyLeaderChoice chooseDutyLeader(const std::vector<MemberRecord> &members, const MemberRecord &self, std::string_view duty, std::size_t membersPerLeader);
+// The members of a data centre that are alive, in the order in which they are to do the duty: the highest dutyRank() first.
+std::vector<MemberRecord> rankForDuty(const std::vector<MemberRecord> &members, const std::string &dataCentre, std::string_view duty);
 
 // True when `self` is one of the `count` members that do the duty for their data centre: those with the highest hash of (duty, name).
 // Unlike dutyRank(), it ignores the members' cores.
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -272,26 +272,23 @@
     return member.cores * member.cores / -std::log(std::min(uniform, 1 - 1e-12));
 }
 
-DutyLeaderChoice chooseDutyLeader(const std::vector<MemberRecord> &members, const MemberRecord &self, std::string_view duty, std::size_t membersPerLeader)
+std::vector<MemberRecord> rankForDuty(const std::vector<MemberRecord> &members, const std::string &dataCentre, std::string_view duty)
 {
     std::vector<std::pair<double, const MemberRecord *>> ranked;
     for (const MemberRecord &member : members) {
-        if (member.dataCentre == self.dataCentre && member.state == MemberState::Alive) {
+        if (member.dataCentre == dataCentre && member.state == MemberState::Alive) {
             ranked.emplace_back(dutyRank(member, duty), &member);
         }
     }
-    const std::size_t leaders = ranked.size() / membersPerLeader;
-    if (leaders == 0) {
-        return DutyLeaderChoice{};
-    }
-    std::sort(ranked.rbegin(), ranked.rend());
-    ranked.resize(leaders);
+    std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) {
+        return a.first != b.first ? a.first > b.first : a.second->name < b.second->name;
+    });
+    std::vector<MemberRecord> records;
+    records.reserve(ranked.size());
     for (const auto &[rank, member] : ranked) {
-        if (member->name == self.name) {
-            return DutyLeaderChoice{std::nullopt, true};
-        }
+        records.push_back(*member);
     }
-    return DutyLeaderChoice{*ranked[stableHash(self.name) % leaders].second, false};
+    return records;
 }
 
 } // namespace vanillanotch
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -14,16 +14,11 @@
 // Makes a channel through which this node has other nodes run stage tasks.
 std::unique_ptr<StagePeerChannel> makeStagePeerChannel(const UpstreamSettings &settings);
 
-// Makes a channel through which this node gets changes of tables of the platform's store from another node.
+// Makes a channel through which this node gets tables of the platform's store from another node.
 std::unique_ptr<RelayChannel> makeRelayChannel(const UpstreamSettings &settings);
 
-// Tables of the store whose changes this node gives to nodes that ask for them.
-struct RelayedTables {
-    std::map<std::string, TableCache *> tables; // by name
-    // The table whose updates tell how recently this node reached the store; the age that is sent with the rows of any table is taken from
-    // it. Must be set unless `tables` is empty.
-    const TableCache *freshnessTable = nullptr;
-};
+// Tables of the store whose rows this node gives to nodes that ask for them, by name.
+using RelayedTables = std::map<std::string, TableCache *>;
 
 // Serves the calls of other nodes, and GET /metrics.
 class PeerHandler final : public FrontHandler
--- a/src/peerhttp/relay.cpp
+++ b/src/peerhttp/relay.cpp
@@ -1,4 +1,4 @@
-// Changes of tables of the platform's store that a node (the follower) gets from another one (the relay): call and reply.
+// Rows of tables of the platform's store that a node (the follower) gets from another one (the relay): call and reply.
 #include "peerhttp/peer_call.h"
 
 #include "deployment/deployment.h"
@@ -14,6 +14,10 @@
 
 constexpr std::chrono::milliseconds MaxWait{5000}; // a relay waits for a change at most this long, also when the follower asks for a longer wait
 
+// A confirmation ends a follower's wait only if it is this much later than the one that the follower knows: the age that a follower states is
+// rounded, and grows while the query is on its way.
+constexpr std::chrono::milliseconds MinConfirmationStep{50};
+
 // Returns the text of `json`. The values of rows in `json` are documents that may hold bytes that aren't valid UTF-8. Such bytes are
 // replaced, which does no harm: no node could decode such a document anyway.
 std::string dumpReplacingInvalidUtf8(const Json &json)
@@ -40,13 +44,21 @@
     {
     }
 
-    Result<StoredRows> follow(const std::string &peerAddress, const std::string &table, std::uint64_t after, std::chrono::milliseconds wait,
-                              Duration timeout) override
+    Result<StoredRows> follow(const std::string &peerAddress, const RelayQuery &query, Duration timeout) override
     {
         NeverCancelled neverCancelled;
         const TimePoint requestedAt = suspendAwareNow();
         const TimePoint until = std::chrono::steady_clock::now() + timeout;
-        const Json request{{"table", table}, {"after", after}, {"wait_ms", wait.count()}};
+        Json request{{"table", query.table}, {"wait_ms", query.wait.count()}};
+        if (query.after) {
+            request["after"] = *query.after;
+        } else {
+            request["whole"] = true;
+            request["after"] = 0; // a node of an earlier version, which doesn't know `whole`, answers that it doesn't hold the changes since then
+        }
+        if (query.knownAge != Duration::max()) {
+            request["known_age_ms"] = toMilliseconds(query.knownAge).count();
+        }
         const auto reply = callPeer(m_settings, PeerCall{peerAddress, RelayTablePath, request.dump(), until, until}, neverCancelled, [] {
             return false;
         });
@@ -67,6 +79,7 @@
             // The relay got the request after requestedAt and replied `held_ms` milliseconds later; its rows were `age_ms` milliseconds old then.
             // So asOf is never later than the moment at which the rows were known to be current.
             rows.asOf = requestedAt + std::chrono::milliseconds(json.at("held_ms").get<std::int64_t>() - json.at("age_ms").get<std::int64_t>());
+            rows.hops = json.value("hops", 1U);
             return rows;
         } catch (const Json::exception &exception) {
             return fail(ErrorCode::PeerUnavailable, exception.what());
@@ -92,24 +105,31 @@
     try {
         const Json request = Json::parse(exchange.body());
         const std::string tableName = request.at("table").get<std::string>();
-        const auto found = m_relayed.tables.find(tableName);
+        const auto found = m_relayed.find(tableName);
         const auto wait = std::min(MaxWait, std::chrono::milliseconds(request.at("wait_ms").get<std::int64_t>()));
-        auto changes = found == m_relayed.tables.end() ? Result<StoredRows>(fail(ErrorCode::UnknownEntry))
-                                                       : found->second->changesAfter(request.at("after").get<std::uint64_t>(), wait);
-        if (!changes) {
-            body = describeError(changes.error().code);
+        const auto known = std::chrono::milliseconds(request.value("known_age_ms", std::int64_t{-1}));
+        Result<StoredRows> table = fail(ErrorCode::UnknownEntry);
+        if (found != m_relayed.end() && request.value("whole", false)) {
+            table = found->second->wholeTable(wait);
+        } else if (found != m_relayed.end()) {
+            // Without a known age only changes end the wait.
+            const TimePoint knownAsOf = known.count() < 0 ? TimePoint::max() : receivedAt - known + MinConfirmationStep;
+            table = found->second->changesAfter(request.at("after").get<std::uint64_t>(), wait, knownAsOf);
+        }
+        if (!table) {
+            body = describeError(table.error().code);
         } else {
             const TimePoint repliedAt = suspendAwareNow();
-            const TimePoint asOf = found->second == m_relayed.freshnessTable ? *changes->asOf : m_relayed.freshnessTable->asOf();
             Json rows = Json::array();
-            for (const StoredRow &row : changes->rows) {
+            for (const StoredRow &row : table->rows) {
                 rows.push_back(encodeRow(row));
             }
             // The age is rounded up, so that the rows never look newer than they are.
-            body = dumpReplacingInvalidUtf8(Json{{"version", changes->version},
+            body = dumpReplacingInvalidUtf8(Json{{"version", table->version},
                                                  {"rows", rows},
                                                  {"held_ms", toMilliseconds(repliedAt - receivedAt).count()},
-                                                 {"age_ms", toMilliseconds(repliedAt - asOf).count() + 1}});
+                                                 {"age_ms", toMilliseconds(repliedAt - *table->asOf).count() + 1},
+                                                 {"hops", table->hops + 1}});
         }
     } catch (const Json::exception &) {
         logEvent(LogLevel::Warning, "peer.question_unreadable", {{"error", ErrorCode::MalformedRequest}});
--- a/src/watch/relay.cpp
+++ b/src/watch/relay.cpp
@@ -28,6 +28,7 @@
         evictRemovedLocked();
         m_version = std::max(whole ? 0 : m_version, rows.version);
         m_asOf = std::max(m_asOf, asOf);
+        m_hops = rows.hops;
     }
     m_changed.notify_all();
 }
@@ -53,9 +54,23 @@
     }
 }
 
-Result<StoredRows> TableCache::changesAfter(std::uint64_t version, std::chrono::milliseconds wait)
+bool TableCache::awaitFirstReadLocked(Lock &lock, std::chrono::milliseconds wait)
 {
+    return m_changed.wait_for(lock, wait, [this] {
+        return m_first != 0;
+    });
+}
+
+Result<StoredRows> TableCache::changesAfter(std::uint64_t version, std::chrono::milliseconds wait, TimePoint knownAsOf)
+{
+    const TimePoint until = std::chrono::steady_clock::now() + wait;
     Lock lock(m_mutex);
+    if (!awaitFirstReadLocked(lock, wait)) {
+        return fail(ErrorCode::PlatformUnavailable, "this node has not read the table yet");
+    }
+    if (version < m_first) {
+        return fail(ErrorCode::StoreHistoryGone);
+    }
     StoredRows changes;
     const auto collect = [&] {
         changes.rows.clear();
@@ -64,23 +79,36 @@
                 changes.rows.push_back(row);
             }
         }
-        return !changes.rows.empty();
+        return !changes.rows.empty() || m_asOf > knownAsOf;
     };
-    if (m_first == 0) {
-        return fail(ErrorCode::PlatformUnavailable, "this node has not read the table from the store yet");
-    }
-    if (version < m_first) {
-        return fail(ErrorCode::StoreHistoryGone);
-    }
-    m_changed.wait_for(lock, wait, collect);
+    m_changed.wait_until(lock, until, collect);
     if (version < m_first) {
         return fail(ErrorCode::StoreHistoryGone); // the table was read again, or removed rows were evicted, during the wait
     }
     changes.version = std::max(version, m_version);
     changes.asOf = m_asOf; // read under the same lock as the rows, so that this moment holds for these rows
+    changes.hops = m_hops;
     return changes;
 }
 
+Result<StoredRows> TableCache::wholeTable(std::chrono::milliseconds wait)
+{
+    Lock lock(m_mutex);
+    if (!awaitFirstReadLocked(lock, wait)) {
+        return fail(ErrorCode::PlatformUnavailable, "this node has not read the table yet");
+    }
+    StoredRows table;
+    for (const auto &[key, row] : m_rows) {
+        if (!row.removed) {
+            table.rows.push_back(row);
+        }
+    }
+    table.version = m_version;
+    table.asOf = m_asOf;
+    table.hops = m_hops;
+    return table;
+}
+
 std::size_t TableCache::rowCount() const
 {
     const Lock lock(m_mutex);
@@ -97,55 +125,91 @@
 // RelayedStore
 //-----------------------------------------------------------------------------
 
-RelayedStore::RelayedStore(StateStore &store, RelayChannel &channel, std::function<Choice()> choose, RelaySettings settings)
+RelayedStore::RelayedStore(StateStore &store, RelayChannel &channel, std::function<SourceOrder(const std::string &table)> order, RelaySettings settings)
     : m_store(store)
     , m_channel(channel)
-    , m_choose(std::move(choose))
+    , m_order(std::move(order))
     , m_settings(settings)
 {
 }
 
-bool RelayedStore::bypassesRelay() const
+RelayedStore::TableState &RelayedStore::stateLocked(const std::string &table)
 {
-    const Lock lock(m_mutex);
-    return suspendAwareNow() < m_bypassUntil;
+    return m_tables.try_emplace(table, TableState{SourceChooser(m_settings.sources, std::random_device{}()), TimePoint{}}).first->second;
 }
 
-void RelayedStore::bypassRelay()
+Result<StoredRows> RelayedStore::askStore(const std::string &table, std::optional<std::uint64_t> after, std::chrono::milliseconds wait, Duration timeout)
 {
-    const Lock lock(m_mutex);
-    m_bypassUntil = suspendAwareNow() + m_settings.bypassTime;
+    return after ? m_store.awaitChanges(table, *after, wait, timeout) : m_store.readTable(table, timeout);
 }
 
-Result<StoredRows> RelayedStore::readTable(const std::string &table, Duration timeout)
+Result<StoredRows> RelayedStore::askRelay(const std::string &relay, const RelayQuery &query)
 {
-    return m_store.readTable(table, timeout);
+    const Duration timeout = query.after ? query.wait + m_settings.relayReplyTimeout : m_settings.wholeTableTimeout;
+    auto rows = m_channel.follow(relay, query, timeout);
+    return rows && !rows->asOf ? fail(ErrorCode::PeerUnavailable, "expected the age of the relay's copy; the reply has none") : std::move(rows);
 }
 
-Result<StoredRows> RelayedStore::awaitChanges(const std::string &table, std::uint64_t after, std::chrono::milliseconds wait, Duration timeout)
+Result<StoredRows> RelayedStore::fetch(const std::string &table, std::optional<std::uint64_t> after, std::chrono::milliseconds wait, Duration timeout)
 {
-    const Choice choice = m_choose();
-    if (choice.relay && !bypassesRelay()) {
-        const auto pollWait = std::min(wait, m_settings.relayWait);
-        auto rows = m_channel.follow(*choice.relay, table, after, pollWait, pollWait + m_settings.relayReplyTimeout);
-        if (rows && rows->asOf && suspendAwareNow() - *rows->asOf < m_settings.maxDataAge) {
+    for (;;) {
+        const SourceOrder order = m_order(table);
+        std::optional<SourceChooser::Plan> plan;
+        TimePoint knownAsOf;
+        {
+            const Lock lock(m_mutex);
+            TableState &state = stateLocked(table);
+            plan = state.chooser.next(order, suspendAwareNow());
+            knownAsOf = state.asOf;
+        }
+        if (!plan) {
+            return fail(ErrorCode::PlatformUnavailable, "every source of the table failed a short time ago");
+        }
+        RelayQuery query{table, after, std::min(wait, m_settings.relayWait), Duration::max()};
+        if (knownAsOf != TimePoint{}) {
+            query.knownAge = suspendAwareNow() - knownAsOf;
+        }
+        auto rows = plan->isStore() ? askStore(table, after, std::min(wait, plan->wait.value_or(wait)), timeout) : askRelay(plan->relay, query);
+        // The source works, but doesn't hold all changes after that version.
+        const bool historyGone = !rows && rows.error().code == ErrorCode::StoreHistoryGone;
+        const Duration age = rows && rows->asOf ? suspendAwareNow() - *rows->asOf : Duration::zero();
+        bool usable = historyGone || rows.has_value();
+        {
+            const Lock lock(m_mutex);
+            TableState &state = stateLocked(table);
+            usable = usable && (plan->isStore() || historyGone || state.chooser.accepts(order, rows->hops, age));
+            if (usable) {
+                state.chooser.recordSuccess(*plan);
+                state.asOf = rows && rows->asOf ? *rows->asOf : state.asOf;
+            } else {
+                state.chooser.recordFailure(*plan, order, rows ? SourceFailure::Unfit : SourceFailure::Unreachable, suspendAwareNow());
+            }
+        }
+        if (usable && historyGone && !plan->isStore()) {
+            return askStore(table, after, std::chrono::milliseconds(0), timeout); // the store may still hold them
+        }
+        if (usable || (plan->isStore() && order.afterStore.empty())) {
             return rows;
         }
-        // StoreHistoryGone: the relay began to follow the table later than this node, or evicted removed rows, so it doesn't know all
-        // changes after this node's version; the store may know them. The relay works, so it isn't bypassed for later requests.
-        const bool historyGap = !rows && rows.error().code == ErrorCode::StoreHistoryGone;
-        if (!historyGap) {
-            bypassRelay();
+        if (!plan->isStore()) {
+            logEvent(LogLevel::Info, "relay.failed",
+                     {{"table", table},
+                      {"relay", plan->relay},
+                      {"error", rows ? ErrorCode::ConfigurationStale : rows.error().code},
+                      {"hops", rows ? rows->hops : 0U},
+                      {"news_age_ms", age}});
         }
-        logEvent(LogLevel::Info, "relay.failed",
-                 {{"table", table},
-                  {"relay", *choice.relay},
-                  {"error", rows ? ErrorCode::ConfigurationStale : rows.error().code},
-                  {"news_age_ms", rows && rows->asOf ? suspendAwareNow() - *rows->asOf : Duration::zero()}});
     }
-    const bool limitsWait = choice.servesFollowers || choice.relay;
-    const auto storeWait = limitsWait ? std::min(wait, m_settings.storeWait) : wait;
-    return m_store.awaitChanges(table, after, storeWait, timeout);
+}
+
+Result<StoredRows> RelayedStore::readTable(const std::string &table, Duration timeout)
+{
+    return fetch(table, std::nullopt, m_settings.relayWait, timeout);
+}
+
+Result<StoredRows> RelayedStore::awaitChanges(const std::string &table, std::uint64_t after, std::chrono::milliseconds wait, Duration timeout)
+{
+    return fetch(table, after, wait, timeout);
 }
 
 Result<void> RelayedStore::writeRow(const std::string &table, const std::string &key, const std::string &value, Duration timeout)
--- /dev/null
+++ b/src/watch/sources.cpp
@@ -0,0 +1,139 @@
+// From which source a node gets a table: the order of its sources, and the choice among them.
+#include "watch/watch.h"
+
+#include <algorithm>
+
+namespace vanillanotch
+{
+
+namespace
+{
+constexpr unsigned MaxDoublings = 3; // how often SourceSettings::relayRetry is doubled at most
+
+// The primary relays of other data centres, in an order that differs from node to node.
+std::vector<std::string> remotePrimaries(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &duty, std::size_t limit)
+{
+    std::map<std::string, std::pair<double, const MemberRecord *>> primaries; // by data centre
+    for (const MemberRecord &member : members) {
+        if (member.dataCentre == self.dataCentre || member.state != MemberState::Alive) {
+            continue;
+        }
+        const double rank = dutyRank(member, duty);
+        const auto [best, inserted] = primaries.emplace(member.dataCentre, std::pair(rank, &member));
+        if (!inserted && rank > best->second.first) {
+            best->second = {rank, &member};
+        }
+    }
+    std::vector<std::pair<std::uint64_t, std::string>> shuffled;
+    for (const auto &[dataCentre, primary] : primaries) {
+        shuffled.emplace_back(stableHash(self.name + "/" + dataCentre), primary.second->peerAddress);
+    }
+    std::sort(shuffled.begin(), shuffled.end());
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < std::min(limit, shuffled.size()); ++i) {
+        addresses.push_back(shuffled[i].second);
+    }
+    return addresses;
+}
+} // namespace
+
+SourceOrder sourceOrder(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &table, const RelayPolicy &policy)
+{
+    const std::string duty = "relay/" + table;
+    std::vector<MemberRecord> ranked = rankForDuty(members, self.dataCentre, duty);
+    SourceOrder order;
+    if (ranked.size() < policy.minMembers) {
+        return order;
+    }
+    const std::size_t serving = std::clamp<std::size_t>(ranked.size() / policy.membersPerRelay, 1, policy.maxServing);
+    ranked.resize(std::min(ranked.size(), serving + policy.standbys));
+    const auto own = std::find_if(ranked.begin(), ranked.end(), [&self](const MemberRecord &member) {
+        return member.name == self.name;
+    });
+    order.isRelay = own != ranked.end();
+    const auto append = [](std::vector<std::string> &addresses, auto first, auto last) {
+        std::transform(first, last, std::back_inserter(addresses), [](const MemberRecord &member) {
+            return member.peerAddress;
+        });
+    };
+    append(order.beforeStore, ranked.begin(), own);
+    if (order.isRelay) {
+        append(order.afterStore, std::next(own), ranked.end());
+    } else {
+        // The members are spread evenly over the serving relays.
+        const auto preferred = order.beforeStore.begin() + static_cast<std::ptrdiff_t>(stableHash(self.name) % serving);
+        std::rotate(order.beforeStore.begin(), preferred, std::next(preferred));
+    }
+    for (std::string &address : remotePrimaries(members, self, duty, policy.remoteRelays)) {
+        order.afterStore.push_back(std::move(address));
+    }
+    return order;
+}
+
+SourceChooser::SourceChooser(SourceSettings settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_generator(seed)
+{
+}
+
+bool SourceChooser::avoided(const std::string &relay, TimePoint now) const
+{
+    const auto found = m_relays.find(relay);
+    return found != m_relays.end() && now < found->second.avoidUntil;
+}
+
+std::optional<SourceChooser::Plan> SourceChooser::next(const SourceOrder &order, TimePoint now)
+{
+    for (const std::string &relay : order.beforeStore) {
+        if (!avoided(relay, now)) {
+            return Plan{relay, std::nullopt};
+        }
+    }
+    if (now >= m_avoidStoreUntil) {
+        // The first call after another source asks without a wait: the copy is as old as the failure of that source, and the followers of
+        // this node wait for a newer one.
+        const bool switched = order.hasRelays() && m_last != std::string();
+        return Plan{std::string(),
+                    switched                ? std::optional(std::chrono::milliseconds(0))
+                        : order.hasRelays() ? std::optional(m_settings.storeWait)
+                                            : std::nullopt};
+    }
+    for (const std::string &relay : order.afterStore) {
+        if (!avoided(relay, now)) {
+            return Plan{relay, std::nullopt};
+        }
+    }
+    return std::nullopt;
+}
+
+bool SourceChooser::accepts(const SourceOrder &order, unsigned hops, Duration age) const
+{
+    return age < m_settings.maxDataAge && (!order.isRelay || hops <= 1);
+}
+
+void SourceChooser::recordSuccess(const Plan &plan)
+{
+    m_relays.erase(plan.relay);
+    m_last = plan.relay;
+}
+
+void SourceChooser::recordFailure(const Plan &plan, const SourceOrder &order, SourceFailure failure, TimePoint now)
+{
+    if (m_last == plan.relay) {
+        m_last.reset();
+    }
+    if (!plan.isStore()) {
+        RelayState &state = m_relays[plan.relay];
+        const bool unfit = failure == SourceFailure::Unfit;
+        const Duration pause = unfit ? Duration(m_settings.unfitRetry)
+                                     : std::min<Duration>(m_settings.maxRelayRetry, m_settings.relayRetry * (1U << std::min(state.failures, MaxDoublings)));
+        state.failures += unfit ? 0 : 1;
+        state.avoidUntil = now + pause;
+        return;
+    }
+    const double fraction = std::uniform_real_distribution<double>(0.5, 1.0)(m_generator);
+    const Duration longest = order.beforeStore.empty() ? m_settings.primaryStoreRetry : m_settings.storeRetry;
+    m_avoidStoreUntil = now + std::chrono::duration_cast<Duration>(longest * fraction);
+}
+
+} // namespace vanillanotch
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -3,6 +3,7 @@
 // Index of sections:
 //   [STORE]  StateStore: the operations of the platform's store that a node uses
 //   [WATCH]  TableWatch: follows one table; StoreClockMapping, StoreFailureTracker: what it knows of the store's clock and failures
+//   [SOURCES] SourceOrder, SourceChooser: from which node, or from the store, a node gets a table, and what it does when that fails
 //   [RELAY]  TableCache, RelayedStore: most nodes of a data centre follow a table through a few of them
 //
 // The platform is the existing infrastructure that the nodes run on; a node is one vanillanotch process. The platform's store holds tables
@@ -18,6 +19,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "fleet/fleet.h"
 
 #include <random>
 
@@ -42,6 +44,7 @@
     // The rows are at least as new as this moment of this node's suspend-aware clock. Set for rows that came from a relay. nullopt: the rows
     // came from the store itself, and TableWatch computes the moment from storeClock.
     std::optional<TimePoint> asOf;
+    unsigned hops = 0; // number of nodes that passed the rows on: 0 for rows that came from the store itself
 };
 
 // The operations of the platform's store that a node uses. `timeout` limits a whole call, including `wait`.
@@ -155,6 +158,87 @@
     std::thread m_thread;
 };
 
+//-----------------------------------------------------------------------------
+// [SOURCES]
+//-----------------------------------------------------------------------------
+
+// How many members of a data centre pass a table on to the others. The first member by dutyRank() is the primary relay: it alone asks the
+// store while it works. The other serving relays follow the primary and share the remaining members among them. Standbys are only asked
+// when a serving relay fails. Each table has an order of its own, so that its relays are other nodes than those of the next table.
+struct RelayPolicy {
+    std::size_t minMembers = 8; // in a smaller data centre every member asks the store
+    std::size_t membersPerRelay = 24; // one serving relay for each of this many members; limits the calls that one node serves
+    std::size_t maxServing = 6; // largest number of serving relays
+    std::size_t standbys = 2;
+    std::size_t remoteRelays = 2; // primary relays of other data centres, asked when all else fails
+};
+
+// The sources of one table, in the order in which one node tries them.
+struct SourceOrder {
+    std::vector<std::string> beforeStore; // peer addresses of relays
+    std::vector<std::string> afterStore; // peer addresses of relays that are asked only while the store fails
+    bool isRelay = false; // this node may be asked by others
+    bool hasRelays() const
+    {
+        return isRelay || !beforeStore.empty();
+    }
+};
+
+SourceOrder sourceOrder(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &table, const RelayPolicy &policy);
+
+struct SourceSettings {
+    // Longest wait of one call to the store by a node that has relays or is one. The copies of a relay's followers get as old as this.
+    std::chrono::milliseconds storeWait{1400};
+    std::chrono::milliseconds maxDataAge{2000}; // a relay whose copy is older than this can't reach the store
+    std::chrono::milliseconds unfitRetry{1000}; // pause before a relay is asked again whose copy was too old or not direct
+    std::chrono::milliseconds relayRetry{2000}; // pause before a relay that failed is asked again; doubles with each further failure
+    std::chrono::milliseconds maxRelayRetry{16000};
+    // Longest pauses before the store is asked again after it failed; a pause is random, at least half of this. The primary relay, for which
+    // the store comes first, pauses for a shorter time than the others: all members of a data centre ask the store when they can't use
+    // their relays, most of all while the store itself fails.
+    std::chrono::milliseconds primaryStoreRetry{500};
+    std::chrono::milliseconds storeRetry{2400};
+};
+
+enum class SourceFailure {
+    Unreachable, // the call failed
+    Unfit // the relay answered, but its copy is too old, or not direct although this node needs a direct one
+};
+
+// Decides which source of a table a node asks next. Makes no calls itself. Not thread-safe.
+//
+// A relay accepts only direct copies, which came from the store through one other node at most. So two relays never follow each other.
+class SourceChooser
+{
+public:
+    struct Plan {
+        std::string relay; // peer address; empty: the store
+        std::optional<std::chrono::milliseconds> wait; // longest wait of a call to the store; nullopt: as long as wanted
+        bool isStore() const
+        {
+            return relay.empty();
+        }
+    };
+    explicit SourceChooser(SourceSettings settings, std::uint64_t seed);
+    std::optional<Plan> next(const SourceOrder &order, TimePoint now); // nullopt: every source failed a short time ago
+    bool accepts(const SourceOrder &order, unsigned hops, Duration age) const; // whether a relay's copy may be used
+    void recordSuccess(const Plan &plan);
+    void recordFailure(const Plan &plan, const SourceOrder &order, SourceFailure failure, TimePoint now);
+
+private:
+    struct RelayState {
+        TimePoint avoidUntil{};
+        unsigned failures = 0; // in a row; an unfit copy isn't counted
+    };
+    bool avoided(const std::string &relay, TimePoint now) const;
+
+    const SourceSettings m_settings;
+    std::map<std::string, RelayState> m_relays; // by peer address; holds only relays whose last call failed
+    TimePoint m_avoidStoreUntil{};
+    std::optional<std::string> m_last; // source of the last success; empty string: the store
+    std::mt19937_64 m_generator;
+};
+
 //-----------------------------------------------------------------------------
 // [RELAY]
 //-----------------------------------------------------------------------------
@@ -167,10 +251,12 @@
     // Takes over rows that the relay received. `whole`: true when they are all rows of the table, false when they are changes.
     // `asOf` (suspend-aware clock): the rows are at least as new as that moment.
     void apply(const StoredRows &rows, bool whole, TimePoint asOf);
-    // Changes after `version`. When there are none, waits up to `wait` for one; returns no rows when none has come by then. Errors:
-    // PlatformUnavailable (the relay hasn't read the table yet), StoreHistoryGone (the relay doesn't know all changes after `version`, so
-    // the follower must read the whole table from the store).
-    Result<StoredRows> changesAfter(std::uint64_t version, std::chrono::milliseconds wait);
+    // Changes after `version`. When there are none, waits up to `wait` until there are, or until the copy was confirmed to be current at a
+    // moment later than `knownAsOf` (suspend-aware clock), which the follower knows already. Errors: PlatformUnavailable (the relay hasn't
+    // read the table by the end of the wait), StoreHistoryGone (the relay doesn't know all changes after `version`).
+    Result<StoredRows> changesAfter(std::uint64_t version, std::chrono::milliseconds wait, TimePoint knownAsOf = TimePoint::max());
+    // The whole table, without removed rows. Waits up to `wait` for this node's own first read. Errors: PlatformUnavailable.
+    Result<StoredRows> wholeTable(std::chrono::milliseconds wait);
     TimePoint asOf() const; // the copy is at least as new as that moment (suspend-aware clock)
     std::size_t rowCount() const; // number of rows, removed ones included
 
@@ -179,6 +265,7 @@
     static constexpr std::size_t MaxRemovedRows = 1000;
 
 private:
+    bool awaitFirstReadLocked(Lock &lock, std::chrono::milliseconds wait);
     void evictRemovedLocked(); // removes the older half of the removed rows when there are more than MaxRemovedRows
 
     mutable RankedMutex m_mutex{LockRank::TableCaches};
@@ -187,57 +274,63 @@
     std::uint64_t m_first = 0; // all changes after this version are known; 0: the table wasn't read yet
     std::uint64_t m_version = 0; // newest version that was received
     TimePoint m_asOf{};
+    unsigned m_hops = 0; // StoredRows::hops of the latest rows
+};
+
+// What a follower asks a relay.
+struct RelayQuery {
+    std::string table;
+    std::optional<std::uint64_t> after; // the changes after this version; nullopt: the whole table
+    std::chrono::milliseconds wait{0}; // how long the relay may hold the query
+    Duration knownAge = Duration::max(); // age of the copy that the follower has; a later confirmation ends the wait. max(): it has none
 };
 
-// Asks a relay for the changes of a table.
+// Asks a relay for the rows of a table.
 class RelayChannel
 {
 public:
     virtual ~RelayChannel() = default;
-    // Changes after the version `after` in the TableCache of the relay at `peerAddress`, as StateStore::awaitChanges() returns them, with asOf set.
-    // Errors: PeerUnavailable, and those that TableCache::changesAfter() returned at the relay.
-    virtual Result<StoredRows> follow(const std::string &peerAddress, const std::string &table, std::uint64_t after, std::chrono::milliseconds wait,
-                                      Duration timeout) = 0;
+    // The rows from the TableCache of the relay at `peerAddress`, with asOf and hops set. `timeout` limits the whole call. Errors:
+    // PeerUnavailable, and those that the TableCache returned at the relay.
+    virtual Result<StoredRows> follow(const std::string &peerAddress, const RelayQuery &query, Duration timeout) = 0;
 };
 
 struct RelaySettings {
-    // How long a relay holds a request while there are no changes; a failed relay is noticed after this and `relayReplyTimeout`.
+    SourceSettings sources;
+    // How long a relay may hold a query while there is nothing new; a failed relay is noticed after this and `relayReplyTimeout`.
     std::chrono::milliseconds relayWait{1000};
-    std::chrono::milliseconds relayReplyTimeout{500}; // timeout of a request to the relay, in addition to the wait
-    std::chrono::milliseconds maxDataAge{2200}; // a relay whose copy is older than this counts as failed: the relay probably can't reach the store
-    std::chrono::milliseconds bypassTime{4000}; // after its relay failed, a follower asks the store instead of the relay for this long
-    // Longest wait in a request to the store by two kinds of nodes. For a relay it is limited because the copies of its followers are
-    // always older than its own copy. For a follower that asks the store because its relay failed, it is limited because a store that
-    // fails for this follower may leave a long wait unanswered, while the relay may have newer rows by the end of a short one.
-    std::chrono::milliseconds storeWait{1400};
+    std::chrono::milliseconds relayReplyTimeout{500}; // timeout of a query to the relay, in addition to the wait
+    std::chrono::milliseconds wholeTableTimeout{1500}; // timeout of a query for a whole table
 };
 
-// Asks the relay of this node for changes, and `store` when there is no relay, or when the relay fails. All other calls go to `store`.
-// Thread-safe.
+// Gets each table from the source that its SourceChooser names, and turns to the next one when that fails. Writes go to `store`. Thread-safe.
 class RelayedStore final : public StateStore
 {
 public:
-    struct Choice {
-        std::optional<std::string> relay; // peer address of the node to follow; nullopt: this node asks the store itself
-        bool servesFollowers = false; // true: this node is a relay, so other nodes may follow it
-    };
-    // `choose` returns the relay to ask, if any; it is called for each request for changes.
-    RelayedStore(StateStore &store, RelayChannel &channel, std::function<Choice()> choose, RelaySettings settings = {});
+    // `order` returns the sources of a table; it is called for each call to a source.
+    RelayedStore(StateStore &store, RelayChannel &channel, std::function<SourceOrder(const std::string &table)> order, RelaySettings settings = {});
     Result<StoredRows> readTable(const std::string &table, Duration timeout) override;
     Result<StoredRows> awaitChanges(const std::string &table, std::uint64_t after, std::chrono::milliseconds wait, Duration timeout) override;
     Result<void> writeRow(const std::string &table, const std::string &key, const std::string &value, Duration timeout) override;
     Result<void> removeRow(const std::string &table, const std::string &key, Duration timeout) override;
 
 private:
-    bool bypassesRelay() const; // true: the relay failed less than bypassTime ago
-    void bypassRelay(); // for bypassTime from now
+    struct TableState {
+        SourceChooser chooser;
+        TimePoint asOf{}; // of the latest rows from a relay (suspend-aware clock)
+    };
+    TableState &stateLocked(const std::string &table);
+    // Asks sources one after the other until one answers. `after`: as in RelayQuery.
+    Result<StoredRows> fetch(const std::string &table, std::optional<std::uint64_t> after, std::chrono::milliseconds wait, Duration timeout);
+    Result<StoredRows> askStore(const std::string &table, std::optional<std::uint64_t> after, std::chrono::milliseconds wait, Duration timeout);
+    Result<StoredRows> askRelay(const std::string &relay, const RelayQuery &query);
 
     StateStore &m_store;
     RelayChannel &m_channel;
-    const std::function<Choice()> m_choose;
+    const std::function<SourceOrder(const std::string &table)> m_order;
     const RelaySettings m_settings;
     mutable RankedMutex m_mutex{LockRank::TableCaches};
-    TimePoint m_bypassUntil{};
+    std::map<std::string, TableState> m_tables;
 };
 
 } // namespace vanillanotch
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -489,24 +489,77 @@
     LONGS_EQUAL(1, static_cast<long>(cache.changesAfter(version - 1, milliseconds(0))->rows.size()));
 }
 
+// Guards against followers that get the news of a confirmation only after the whole wait: the relay's copy is confirmed to be current
+// although nothing has changed, and the follower knows only an earlier confirmation.
+TEST(Relay, AConfirmationEndsAFollowersWait)
+{
+    TableCache cache;
+    cache.apply(rowsAt(10), true, TimePoint(seconds(100)));
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(*cache.changesAfter(10, seconds(10), TimePoint(seconds(99)))->asOf == TimePoint(seconds(100)));
+    std::thread confirmer([&cache] {
+        cache.apply(rowsAt(10), false, TimePoint(seconds(101)));
+    });
+    CHECK(*cache.changesAfter(10, seconds(10), TimePoint(seconds(100)))->asOf == TimePoint(seconds(101)));
+    confirmer.join();
+    CHECK(std::chrono::steady_clock::now() - begun < seconds(8));
+}
+
+// Guards against starting nodes that all read the store: a query waits for the relay's own first read. The whole table has no removed rows.
+TEST(Relay, TheWholeTableIsPassedOnOnceTheRelayHasReadIt)
+{
+    TableCache cache;
+    CHECK(cache.wholeTable(milliseconds(0)).error().code == ErrorCode::PlatformUnavailable);
+    std::thread reader([&cache] {
+        StoredRows rows = rowsAt(12);
+        rows.rows = {StoredRow{"a", "1", 4, false}, StoredRow{"b", "2", 12, false}};
+        rows.hops = 1;
+        cache.apply(rows, true, TimePoint(seconds(100)));
+    });
+    CHECK(cache.wholeTable(seconds(10)).has_value());
+    reader.join();
+    StoredRows removal = rowsAt(13);
+    removal.rows = {StoredRow{"a", "", 13, true}};
+    cache.apply(removal, false, TimePoint(seconds(101)));
+    const auto table = cache.wholeTable(milliseconds(0));
+    LONGS_EQUAL(1, static_cast<long>(table->rows.size()));
+    STRCMP_EQUAL("b", table->rows.front().key.c_str());
+    LONGS_EQUAL(13, static_cast<long>(table->version));
+}
+
 namespace
 {
 class ScriptedRelay final : public RelayChannel
 {
 public:
-    Result<StoredRows> answer = fail(ErrorCode::PeerUnavailable);
-    int callCount = 0;
-    Result<StoredRows> follow(const std::string & /*peer*/, const std::string & /*table*/, std::uint64_t /*after*/, milliseconds /*wait*/,
-                              Duration /*timeout*/) override
+    std::map<std::string, Result<StoredRows>> answers; // by peer address; another address fails
+    std::vector<std::string> asked; // peer addresses
+    Result<StoredRows> follow(const std::string &peer, const RelayQuery & /*query*/, Duration /*timeout*/) override
     {
-        ++callCount;
-        return answer;
+        asked.push_back(peer);
+        const auto found = answers.find(peer);
+        return found == answers.end() ? fail(ErrorCode::PeerUnavailable) : found->second;
     }
 };
+
+StoredRows relayRows(std::uint64_t version, Duration age, unsigned hops)
+{
+    StoredRows rows = rowsAt(version);
+    rows.asOf = suspendAwareNow() - age;
+    rows.hops = hops;
+    return rows;
+}
+
+// Order of a member that is no relay itself.
+SourceOrder followerOrder(const std::string & /*table*/)
+{
+    return SourceOrder{{"peer:1"}, {}, false};
+}
 } // namespace
 
 // Guards against outdated data from a relay (the node through which others, its followers, read the store). A relay that fails every call
-// is bypassed, and so is one that is cut off from the store and answers with old rows: they are 3 s old here, and at most 2.2 s are accepted.
+// is avoided for a time, and so is one that is cut off from the store and answers with old rows: they are 3 s old here, and at most 2 s are
+// accepted.
 TEST(Relay, ARelayThatFailsOrHasOldDataIsBypassed)
 {
     for (const bool stale : {false, true}) {
@@ -514,92 +567,92 @@
         store.answers = {rowsAt(5), rowsAt(6)};
         ScriptedRelay relay;
         if (stale) {
-            StoredRows outdated = rowsAt(4);
-            outdated.asOf = suspendAwareNow() - seconds(3);
-            relay.answer = outdated;
+            relay.answers.emplace("peer:1", relayRows(4, seconds(3), 1));
         }
-        RelayedStore relayed(store, relay, [] {
-            return RelayedStore::Choice{"peer:1", false};
-        });
+        RelayedStore relayed(store, relay, followerOrder);
         LONGS_EQUAL(5, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
         LONGS_EQUAL(6, static_cast<long>(relayed.awaitChanges("t", 5, milliseconds(10), milliseconds(20))->version));
-        LONGS_EQUAL(1, relay.callCount); // the relay is not called again during the bypass time after its first failure
+        LONGS_EQUAL(1, static_cast<long>(relay.asked.size())); // the relay is not called again right after its first failure
     }
 }
 
-// Guards against bypassing a working relay: StoreHistoryGone says only that this call needs the store.
+// Guards against bypassing a working relay: StoreHistoryGone says only that this call needs the store, which is asked without a wait.
 TEST(Relay, OnlyTheCallThatTheRelayCannotAnswerGoesToTheStore)
 {
     ScriptedStore store;
     store.answers = {rowsAt(5)};
     ScriptedRelay relay;
-    relay.answer = fail(ErrorCode::StoreHistoryGone);
-    RelayedStore relayed(store, relay, [] {
-        return RelayedStore::Choice{"peer:1", false};
-    });
+    relay.answers.emplace("peer:1", fail(ErrorCode::StoreHistoryGone));
+    RelayedStore relayed(store, relay, followerOrder);
     LONGS_EQUAL(5, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
-    StoredRows fresh = rowsAt(6);
-    fresh.asOf = suspendAwareNow();
-    relay.answer = fresh;
+    CHECK(store.waits == std::vector<milliseconds>{milliseconds(0)});
+    relay.answers.at("peer:1") = relayRows(6, seconds(0), 1);
     LONGS_EQUAL(6, static_cast<long>(relayed.awaitChanges("t", 5, milliseconds(10), milliseconds(20))->version));
-    LONGS_EQUAL(2, relay.callCount);
+    LONGS_EQUAL(2, static_cast<long>(relay.asked.size()));
 }
 
-// Guards against needless load of the store: relay data that is 500 ms old is fresh.
+// Guards against needless load of the store: relay data that is 500 ms old is fresh, and a whole table comes from the relay too.
 TEST(Relay, TheStoreIsNotCalledWhileTheRelaysDataIsFresh)
 {
     ScriptedStore store;
     ScriptedRelay relay;
-    StoredRows fresh = rowsAt(4);
-    fresh.asOf = suspendAwareNow() - milliseconds(500);
-    relay.answer = fresh;
-    RelayedStore relayed(store, relay, [] {
-        return RelayedStore::Choice{"peer:1", false};
-    });
+    relay.answers.emplace("peer:1", relayRows(4, milliseconds(500), 1));
+    RelayedStore relayed(store, relay, followerOrder);
+    LONGS_EQUAL(4, static_cast<long>(relayed.readTable("t", milliseconds(20))->version));
     LONGS_EQUAL(4, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
     CHECK(store.calls.empty());
 }
 
-// Guards against long waits at the store by a relay (its followers would get old data) and by a follower whose relay failed (the relay may
-// have newer rows sooner): both wait only storeWait. Any other node waits as long as it asked for.
+// Guards against long waits at the store by a node that has relays or is one (its followers would get old data): the first call after a
+// change of source asks without a wait, later ones wait storeWait. Any other node waits as long as it asked for.
 TEST(Relay, OnlyANodeWithoutRelayOrFollowersWaitsTheFullTimeAtTheStore)
 {
-    ScriptedStore store;
-    ScriptedRelay relay; // fails every call
     const RelaySettings settings;
-    for (const RelayedStore::Choice &choice : {RelayedStore::Choice{"peer:1", false}, RelayedStore::Choice{std::nullopt, true}, RelayedStore::Choice{}}) {
-        RelayedStore relayed(store, relay, [&choice] {
-            return choice;
+    const std::vector<std::pair<SourceOrder, std::vector<milliseconds>>> cases = {
+        {SourceOrder{{"peer:1"}, {}, false}, {milliseconds(0), settings.sources.storeWait}},
+        {SourceOrder{{}, {"peer:1"}, true}, {milliseconds(0), settings.sources.storeWait}},
+        {SourceOrder{}, {seconds(20), seconds(20)}},
+    };
+    for (const auto &[order, waits] : cases) {
+        ScriptedStore store;
+        store.answers = {rowsAt(1), rowsAt(1)};
+        ScriptedRelay relay; // fails every call
+        RelayedStore relayed(store, relay, [order = order](const std::string & /*table*/) {
+            return order;
         });
         (void)relayed.awaitChanges("t", 1, seconds(20), seconds(1));
+        (void)relayed.awaitChanges("t", 1, seconds(20), seconds(1));
+        CHECK(store.waits == waits);
     }
-    const std::vector<milliseconds> expected = {settings.storeWait, settings.storeWait, seconds(20)};
-    CHECK(store.waits == expected);
 }
 
-// Guards against members without a relay, and against relays that follow another relay.
-TEST(Relay, EveryMemberButTheLeadersFollowsALeaderOfItsDataCentre)
+// Guards against a node that is cut off from the store alone: the primary relay of its data centre. It turns to the standby, which accepts
+// the primary's copy no longer, since that isn't direct.
+TEST(Relay, ARelayThatLosesTheStoreFollowsAnotherOne)
 {
-    std::vector<MemberRecord> members;
-    for (int i = 0; i < 20; ++i) {
-        MemberRecord member;
-        member.name = "n" + std::to_string(i);
-        member.dataCentre = "dc1";
-        member.cores = i < 2 ? 0.5 : 0.12;
-        members.push_back(member);
-    }
-    std::set<std::string> leaders;
-    std::size_t leaderCount = 0;
-    for (const MemberRecord &self : members) {
-        const DutyLeaderChoice leaderChoice = chooseDutyLeader(members, self, "relay", 8);
-        leaderCount += leaderChoice.isLeader ? 1 : 0;
-        CHECK(leaderChoice.isLeader != leaderChoice.leader.has_value());
-        if (leaderChoice.leader) {
-            leaders.insert(leaderChoice.leader->name);
-        }
-    }
-    LONGS_EQUAL(2, static_cast<long>(leaderCount));
-    LONGS_EQUAL(2, static_cast<long>(leaders.size()));
-    members.resize(7);
-    CHECK_FALSE(chooseDutyLeader(members, members.front(), "relay", 8).leader.has_value()); // with 7 members, fewer than the 8 given here, there is no leader
+    ScriptedStore store; // fails every call
+    ScriptedRelay relay;
+    relay.answers.emplace("standby:1", relayRows(7, milliseconds(10), 2));
+    relay.answers.emplace("remote:1", relayRows(8, milliseconds(10), 1));
+    const SourceOrder order{{}, {"standby:1", "remote:1"}, true};
+    RelayedStore relayed(store, relay, [&order](const std::string & /*table*/) {
+        return order;
+    });
+    LONGS_EQUAL(8, static_cast<long>(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20))->version));
+    CHECK(relay.asked == std::vector<std::string>({"standby:1", "remote:1"}));
+}
+
+// Guards against a source that is asked again and again without a pause while all of them fail.
+TEST(Relay, AFailureOfAllSourcesEndsTheCall)
+{
+    ScriptedStore store; // fails every call
+    ScriptedRelay relay; // fails every call
+    const SourceOrder order{{"peer:1", "peer:2"}, {"remote:1"}, false};
+    RelayedStore relayed(store, relay, [&order](const std::string & /*table*/) {
+        return order;
+    });
+    CHECK_FALSE(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20)).has_value());
+    CHECK_FALSE(relayed.awaitChanges("t", 1, milliseconds(10), milliseconds(20)).has_value());
+    LONGS_EQUAL(3, static_cast<long>(relay.asked.size()));
+    LONGS_EQUAL(1, static_cast<long>(store.waits.size()));
 }
--- /dev/null
+++ b/tests/unit/sources_test.cpp
@@ -0,0 +1,425 @@
+// Choice of the source from which a node gets a table, played for whole fleets under a hand-driven clock: calls to the store, age of the
+// data at the worst node, time until all nodes have fresh data again. No network, no threads.
+#include "watch/watch.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillanotch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr milliseconds Step{20}; // of the clock
+constexpr milliseconds StoreReply{5};
+constexpr milliseconds RefusedReply{20}; // until a refused call or connection has failed
+constexpr milliseconds SilentTimeout{1500}; // until a call to a node or store that doesn't answer has failed
+constexpr milliseconds RelayWait{1000};
+constexpr milliseconds FailurePause{400}; // of a node all whose sources have failed
+
+// Plays one table of a fleet. Only confirmations matter: the table never changes.
+class Fleet
+{
+public:
+    enum class Store { Serves, Refuses, Silent };
+
+    Fleet(std::size_t nodes, std::size_t dataCentres)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            MemberRecord member;
+            member.name = "n" + std::to_string(i);
+            member.dataCentre = "dc" + std::to_string(i % dataCentres);
+            member.peerAddress = member.name;
+            member.cores = i % 16 < 1 ? 0.5 : 0.12;
+            m_byAddress[member.peerAddress] = i;
+            m_members.push_back(member);
+            m_nodes.push_back(Node{member, std::make_unique<SourceChooser>(SourceSettings{}, i + 1)});
+        }
+        for (Node &node : m_nodes) {
+            node.order = sourceOrder(m_members, node.record, "op", RelayPolicy{});
+        }
+    }
+
+    // What a fault changes; each is asked at every step.
+    std::function<Store(const MemberRecord &)> storeFor = [](const MemberRecord &) {
+        return Store::Serves;
+    };
+    std::function<bool(const MemberRecord &)> runs = [](const MemberRecord &) {
+        return true;
+    };
+    std::function<bool(const MemberRecord &, const MemberRecord &)> connected = [](const MemberRecord &, const MemberRecord &) {
+        return true;
+    };
+
+    std::size_t storeCalls = 0; // all that reached the store, refused ones included
+    void run(Duration span)
+    {
+        for (const TimePoint until = m_now + span; m_now < until; m_now += Step) {
+            for (Node &node : m_nodes) {
+                if (!runs(node.record)) {
+                    node.call.reset();
+                    node.asOf.reset();
+                    continue;
+                }
+                if (node.call) {
+                    finish(node);
+                }
+                if (!node.call && m_now >= node.pausedUntil) {
+                    begin(node);
+                }
+            }
+        }
+    }
+    void restart(const std::function<bool(const MemberRecord &)> &which) // processes that know nothing
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (which(m_nodes[i].record)) {
+                Node fresh{m_nodes[i].record, std::make_unique<SourceChooser>(SourceSettings{}, i + 77)};
+                fresh.order = m_nodes[i].order;
+                m_nodes[i] = std::move(fresh);
+            }
+        }
+    }
+    Duration worstAge(const std::function<bool(const MemberRecord &)> &which = nullptr) const
+    {
+        Duration worst{};
+        for (const Node &node : m_nodes) {
+            if (runs(node.record) && (!which || which(node.record))) {
+                worst = std::max(worst, node.asOf ? m_now - *node.asOf : Duration(seconds(1000)));
+            }
+        }
+        return worst;
+    }
+    // Runs until no node's data is older than `age`; returns the time that took.
+    Duration runUntilFresh(Duration age, Duration limit)
+    {
+        const TimePoint begun = m_now;
+        while (worstAge() > age && m_now - begun < limit) {
+            run(Step);
+        }
+        return m_now - begun;
+    }
+    // The largest worstAge() in the span.
+    Duration worstAgeDuring(Duration span, const std::function<bool(const MemberRecord &)> &which = nullptr)
+    {
+        Duration worst{};
+        for (const TimePoint until = m_now + span; m_now < until;) {
+            run(Step);
+            worst = std::max(worst, worstAge(which));
+        }
+        return worst;
+    }
+    const MemberRecord &primaryOf(const std::string &dataCentre) const
+    {
+        for (const Node &node : m_nodes) {
+            if (node.record.dataCentre == dataCentre && node.order.beforeStore.empty()) {
+                return node.record;
+            }
+        }
+        FAIL("no primary relay");
+        return m_members.front();
+    }
+    std::size_t largestFollowing() const // members that prefer the same relay
+    {
+        std::map<std::string, std::size_t> followers;
+        for (const Node &node : m_nodes) {
+            if (!node.order.beforeStore.empty()) {
+                ++followers[node.order.beforeStore.front()];
+            }
+        }
+        std::size_t largest = 0;
+        for (const auto &[relay, count] : followers) {
+            largest = std::max(largest, count);
+        }
+        return largest;
+    }
+
+private:
+    struct Call {
+        SourceChooser::Plan plan;
+        TimePoint begun;
+        TimePoint ends; // when it ends without news
+        bool fails = false;
+    };
+    struct Node {
+        MemberRecord record;
+        std::unique_ptr<SourceChooser> chooser;
+        SourceOrder order{};
+        std::optional<TimePoint> asOf{};
+        unsigned hops = 0;
+        std::optional<Call> call{};
+        TimePoint pausedUntil{};
+    };
+
+    void begin(Node &node)
+    {
+        const auto plan = node.chooser->next(node.order, m_now);
+        if (!plan) {
+            node.pausedUntil = m_now + FailurePause;
+            return;
+        }
+        Call call{*plan, m_now, m_now, false};
+        if (plan->isStore()) {
+            const Store store = storeFor(node.record);
+            storeCalls += store == Store::Silent ? 0 : 1;
+            call.fails = store != Store::Serves;
+            call.ends = m_now
+                + (store == Store::Serves        ? StoreReply + plan->wait.value_or(milliseconds(2800))
+                       : store == Store::Refuses ? RefusedReply
+                                                 : SilentTimeout);
+        } else {
+            const Node &relay = m_nodes[m_byAddress.at(plan->relay)];
+            const bool reached = connected(node.record, relay.record);
+            call.fails = !reached || !runs(relay.record);
+            call.ends = m_now + (!reached ? SilentTimeout : call.fails ? RefusedReply : RelayWait);
+        }
+        node.call = call;
+    }
+
+    void finish(Node &node)
+    {
+        const Call call = *node.call;
+        if (call.plan.isStore()) {
+            if (m_now >= call.ends) {
+                conclude(node, !call.fails, m_now, 0, SourceFailure::Unreachable);
+            }
+            return;
+        }
+        const Node &relay = m_nodes[m_byAddress.at(call.plan.relay)];
+        const bool lost = call.fails || !runs(relay.record) || !connected(node.record, relay.record);
+        const bool confirmed = !lost && relay.asOf && (!node.asOf || *relay.asOf > *node.asOf + milliseconds(50));
+        if (confirmed || (m_now >= call.ends && !lost && relay.asOf)) {
+            const bool fit = node.chooser->accepts(node.order, relay.hops + 1, m_now - *relay.asOf);
+            conclude(node, fit, *relay.asOf, relay.hops + 1, SourceFailure::Unfit);
+        } else if (m_now >= call.ends) {
+            conclude(node, false, m_now, 0, SourceFailure::Unreachable);
+        }
+    }
+
+    void conclude(Node &node, bool success, TimePoint asOf, unsigned hops, SourceFailure failure)
+    {
+        const SourceChooser::Plan plan = node.call->plan;
+        node.call.reset();
+        if (success) {
+            node.chooser->recordSuccess(plan);
+            node.asOf = std::max(node.asOf.value_or(asOf), asOf);
+            node.hops = hops;
+        } else {
+            node.chooser->recordFailure(plan, node.order, failure, m_now);
+        }
+    }
+
+    TimePoint m_now{seconds(1000)};
+    std::vector<MemberRecord> m_members;
+    std::vector<Node> m_nodes;
+    std::map<std::string, std::size_t> m_byAddress;
+};
+
+bool inFirst(const MemberRecord &member)
+{
+    return member.dataCentre == "dc0";
+}
+
+// The share of nodes that a fault hits is chosen by name, so that it is the same in each run.
+bool inThird(const MemberRecord &member)
+{
+    return stableHash("third" + member.name) % 3 == 0;
+}
+constexpr auto ReadinessBound = milliseconds(3500); // FreshnessSettings: a node with older data takes no new connections
+constexpr auto RevocationBound = milliseconds(4500); // a node with older data refuses requests with a key
+} // namespace
+
+TEST_GROUP(TableSources){};
+
+// Guards against members without a relay, and against relays that wait for each other: exactly one member of a data centre, the primary relay,
+// asks the store first. All others prefer a relay of their own data centre; a relay prefers one that ranks before it.
+TEST(TableSources, EveryMemberButThePrimaryPrefersARelayOfItsDataCentre)
+{
+    std::vector<MemberRecord> members;
+    for (int i = 0; i < 60; ++i) {
+        MemberRecord member;
+        member.name = "n" + std::to_string(i);
+        member.peerAddress = member.name;
+        member.dataCentre = i < 50 ? "dc1" : "dc2";
+        member.cores = i < 2 ? 0.5 : 0.12;
+        members.push_back(member);
+    }
+    std::set<std::string> preferred;
+    std::size_t primaries = 0;
+    std::size_t relays = 0;
+    for (std::size_t i = 0; i < 50; ++i) {
+        const SourceOrder order = sourceOrder(members, members[i], "op", RelayPolicy{});
+        primaries += order.beforeStore.empty() ? 1 : 0;
+        relays += order.isRelay ? 1 : 0;
+        for (const std::string &relay : order.beforeStore) {
+            CHECK(relay != members[i].name);
+            CHECK(std::stoi(relay.substr(1)) < 50);
+        }
+        if (!order.isRelay) {
+            preferred.insert(order.beforeStore.front());
+        }
+        LONGS_EQUAL(1, static_cast<long>(std::count(order.afterStore.begin(), order.afterStore.end(), order.afterStore.back()))); // the relay of dc2
+    }
+    LONGS_EQUAL(1, static_cast<long>(primaries));
+    LONGS_EQUAL(2, static_cast<long>(preferred.size())); // 50 members / 24 for each serving relay
+    LONGS_EQUAL(4, static_cast<long>(relays)); // and two standbys
+    members.resize(RelayPolicy{}.minMembers - 1);
+    CHECK_FALSE(sourceOrder(members, members.front(), "op", RelayPolicy{}).hasRelays());
+}
+
+// Without faults the calls grow with the data centres, not with the nodes.
+TEST(TableSources, StoreCallsDoNotGrowWithTheNodesOfADataCentre)
+{
+    std::map<std::size_t, std::size_t> calls;
+    for (const std::size_t nodes : {60, 195, 1000, 2700}) {
+        Fleet fleet(nodes, 6);
+        fleet.run(seconds(3));
+        fleet.storeCalls = 0;
+        CHECK(fleet.worstAgeDuring(seconds(14)) < ReadinessBound);
+        calls[nodes] = fleet.storeCalls;
+        CHECK(fleet.storeCalls <= 6 * 14); // at most one call a second for each data centre
+        CHECK(fleet.largestFollowing() <= nodes); // the limit of one relay is checked below
+    }
+    CHECK(calls.at(2700) <= calls.at(60) + 6);
+    Fleet large(2700, 23);
+    CHECK(large.largestFollowing() <= 2 * RelayPolicy{}.membersPerRelay);
+}
+
+// In a small data centre each node asks the store.
+TEST(TableSources, SmallDataCentresHaveNoRelays)
+{
+    Fleet fleet(7, 4);
+    fleet.run(seconds(10));
+    CHECK(fleet.worstAge() < ReadinessBound);
+    LONGS_EQUAL(0, static_cast<long>(fleet.largestFollowing()));
+}
+
+// A primary relay crashes, freezes or is cut off from the store: its followers have fresh data again from a standby before they lose their
+// readiness, and few calls are added.
+TEST(TableSources, AFailedPrimaryIsReplacedBeforeItsFollowersDataIsTooOld)
+{
+    for (const char *fault : {"crashed", "frozen", "refused", "silent"}) {
+        const std::string kind = fault;
+        Fleet fleet(195, 6);
+        fleet.run(seconds(5));
+        const std::string primary = fleet.primaryOf("dc0").name;
+        const auto isPrimary = [primary](const MemberRecord &member) {
+            return member.name == primary;
+        };
+        if (kind == "crashed") {
+            fleet.runs = [isPrimary](const MemberRecord &member) {
+                return !isPrimary(member);
+            };
+        } else if (kind == "frozen") {
+            fleet.connected = [isPrimary](const MemberRecord &a, const MemberRecord &b) {
+                return !isPrimary(a) && !isPrimary(b);
+            };
+            fleet.storeFor = [isPrimary](const MemberRecord &member) {
+                return isPrimary(member) ? Fleet::Store::Silent : Fleet::Store::Serves;
+            };
+        } else {
+            fleet.storeFor = [isPrimary, kind](const MemberRecord &member) {
+                return !isPrimary(member) ? Fleet::Store::Serves : kind == "refused" ? Fleet::Store::Refuses : Fleet::Store::Silent;
+            };
+        }
+        fleet.storeCalls = 0;
+        const auto others = [isPrimary](const MemberRecord &member) {
+            return !isPrimary(member);
+        };
+        CHECK(fleet.worstAgeDuring(seconds(10), others) < RevocationBound);
+        CHECK(fleet.storeCalls < 200); // 12 a second without the fault would be 60; each follower asking for itself would be 230
+    }
+}
+
+// The store turns away a third of the nodes for 9 s. Each node has fresh data through another one.
+TEST(TableSources, AThirdOfTheNodesRefusedByTheStore)
+{
+    for (const auto refusal : {Fleet::Store::Refuses, Fleet::Store::Silent}) {
+        Fleet fleet(195, 6);
+        fleet.run(seconds(5));
+        fleet.storeCalls = 0;
+        fleet.storeFor = [refusal](const MemberRecord &member) {
+            return inThird(member) ? refusal : Fleet::Store::Serves;
+        };
+        CHECK(fleet.worstAgeDuring(seconds(9)) < RevocationBound);
+        CHECK(fleet.storeCalls < 300);
+    }
+}
+
+// A data centre is cut off from the store and the others for 6 s. Its nodes have fresh data within 2 s of the end, the other data centres
+// notice nothing.
+TEST(TableSources, ADataCentreIsCutOff)
+{
+    Fleet fleet(195, 6);
+    fleet.run(seconds(5));
+    fleet.storeCalls = 0;
+    fleet.connected = [](const MemberRecord &a, const MemberRecord &b) {
+        return inFirst(a) == inFirst(b);
+    };
+    fleet.storeFor = [](const MemberRecord &member) {
+        return inFirst(member) ? Fleet::Store::Silent : Fleet::Store::Serves;
+    };
+    CHECK(fleet.worstAgeDuring(seconds(6), [](const MemberRecord &member) {
+        return !inFirst(member);
+    }) < ReadinessBound);
+    fleet.connected = [](const MemberRecord &, const MemberRecord &) {
+        return true;
+    };
+    fleet.storeFor = [](const MemberRecord &) {
+        return Fleet::Store::Serves;
+    };
+    CHECK(fleet.runUntilFresh(seconds(2), seconds(10)) < seconds(2));
+    CHECK(fleet.storeCalls < 200);
+}
+
+// The store fails for all nodes for 8 s: while it does, and when it is back, calls stay far below one for each node and second.
+TEST(TableSources, AnOutageOfTheStore)
+{
+    for (const std::size_t nodes : {195, 1000}) {
+        Fleet fleet(nodes, 6);
+        fleet.run(seconds(5));
+        fleet.storeCalls = 0;
+        fleet.storeFor = [](const MemberRecord &) {
+            return Fleet::Store::Refuses;
+        };
+        fleet.run(seconds(8));
+        CHECK(fleet.storeCalls < nodes * 8 * 2 / 3);
+        fleet.storeFor = [](const MemberRecord &) {
+            return Fleet::Store::Serves;
+        };
+        CHECK(fleet.runUntilFresh(seconds(2), seconds(10)) < seconds(3));
+    }
+}
+
+// Two thirds of the nodes are killed at once and come back after 2 s.
+TEST(TableSources, AHerdOfNodesIsKilled)
+{
+    Fleet fleet(195, 6);
+    fleet.run(seconds(5));
+    fleet.storeCalls = 0;
+    const auto survives = [](const MemberRecord &member) {
+        return inThird(member);
+    };
+    fleet.runs = survives;
+    CHECK(fleet.worstAgeDuring(seconds(2), survives) < ReadinessBound);
+    fleet.restart([survives](const MemberRecord &member) {
+        return !survives(member);
+    });
+    fleet.runs = [](const MemberRecord &) {
+        return true;
+    };
+    CHECK(fleet.runUntilFresh(seconds(2), seconds(10)) < seconds(2));
+    CHECK(fleet.storeCalls < 300);
+}
+
+// All nodes start at once and know their members: most get the table from a relay.
+TEST(TableSources, AllNodesStartAtOnce)
+{
+    for (const std::size_t nodes : {195, 1000, 2700}) {
+        Fleet fleet(nodes, 6);
+        CHECK(fleet.runUntilFresh(seconds(2), seconds(10)) < seconds(1));
+        CHECK(fleet.storeCalls < 200);
+    }
+}
