Owners of instance groups are large VMs of the group's data centre, spread evenly

planOwners (no network) ranks the members of a group's data centre with at least half of the largest cores first, the least loaded of them as owner; a group whose candidates fail is left for the next group. A peer that fails repeatedly is avoided longer. Planning a queue no longer copies all instances and builds a set for each of them.

--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -13,6 +13,28 @@
 constexpr Duration LoadReportMaxAge = std::chrono::seconds(1); // older load reports are ignored
 } // namespace
 
+//-----------------------------------------------------------------------------
+// InstanceList
+//-----------------------------------------------------------------------------
+
+namespace
+{
+std::vector<std::string> dataCentresOf(const std::vector<InstanceSpec> &instances)
+{
+    std::set<std::string> names;
+    for (const InstanceSpec &instance : instances) {
+        names.insert(instance.dataCentre);
+    }
+    return {names.begin(), names.end()};
+}
+} // namespace
+
+InstanceList::InstanceList(std::vector<InstanceSpec> instances)
+    : specs(std::move(instances))
+    , dataCentres(dataCentresOf(specs))
+{
+}
+
 //-----------------------------------------------------------------------------
 // InstanceLease
 //-----------------------------------------------------------------------------
@@ -64,6 +86,7 @@
     }
     entry.spec = spec;
     entry.removeAt.reset();
+    m_lists.clear();
 }
 
 void InstanceTable::removeLocked(const std::string &id, bool registryWasUnreachable, TimePoint now)
@@ -72,6 +95,7 @@
     if (found == m_entries.end()) {
         return;
     }
+    m_lists.clear();
     if (registryWasUnreachable && !found->second.spec.draining) {
         if (!found->second.removeAt) {
             found->second.removeAt = now + m_settings.missingEntryGrace;
@@ -131,6 +155,9 @@
 {
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         const bool expired = it->second.removeAt && now >= *it->second.removeAt;
+        if (expired) {
+            m_lists.clear();
+        }
         it = expired ? m_entries.erase(it) : std::next(it);
     }
 }
@@ -216,16 +243,24 @@
     return *views.at(policy.choose(input, views)).spec;
 }
 
-std::vector<InstanceSpec> InstanceTable::usableInstances(const std::string &service) const
+InstanceListRef InstanceTable::usableInstances(const std::string &service) const
 {
     const Lock lock(m_mutex);
-    std::vector<InstanceSpec> result;
+    const TimePoint now = m_clock.now();
+    CachedList &cached = m_lists[service];
+    if (cached.list && now < cached.validUntil) {
+        return cached.list;
+    }
+    std::vector<InstanceSpec> specs;
+    cached.validUntil = TimePoint::max();
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service == service && usableLocked(entry, m_clock.now())) {
-            result.push_back(entry.spec);
+        if (entry.spec.service == service && usableLocked(entry, now)) {
+            specs.push_back(entry.spec);
+            cached.validUntil = std::min(cached.validUntil, entry.removeAt.value_or(TimePoint::max()));
         }
     }
-    return result;
+    cached.list = makeRef<InstanceList>(std::move(specs));
+    return cached.list;
 }
 
 bool InstanceTable::usable(const std::string &id) const
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -111,6 +111,17 @@
 
 class InstanceTable;
 
+// The usable instances of a service at one moment, sorted by id; includes recently unreachable ones. Immutable.
+class InstanceList : public RefCounted<InstanceList>
+{
+public:
+    explicit InstanceList(std::vector<InstanceSpec> instances);
+    const std::vector<InstanceSpec> specs;
+    const std::vector<std::string> dataCentres; // that hold these instances, sorted by name
+};
+
+using InstanceListRef = Ref<const InstanceList>;
+
 // A request's slot at an instance. finish() releases it and reports the outcome; the destructor releases it without a report.
 class InstanceLease
 {
@@ -148,8 +159,7 @@
     Result<InstanceLease> acquire(const ChoiceInput &input, ChoicePolicy &policy);
     // What acquire() would choose; takes no slot. nullopt: the service has no usable instance.
     std::optional<InstanceSpec> preview(const ChoiceInput &input, ChoicePolicy &policy) const;
-    std::vector<InstanceSpec> usableInstances(
-        const std::string &service) const; // the service's usable instances, sorted by id; includes recently unreachable ones
+    InstanceListRef usableInstances(const std::string &service) const; // the same object until the table changes
     bool usable(const std::string &id) const; // not draining, and either registered or, after its entry expired, still kept for missingEntryGrace
     bool recentlyUnreachable(const std::string &id) const;
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
@@ -185,6 +195,11 @@
     const InstanceSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::Instances};
     std::map<std::string, Entry> m_entries;
+    struct CachedList {
+        InstanceListRef list;
+        TimePoint validUntil{}; // when the next of its instances isn't usable any more
+    };
+    mutable std::map<std::string, CachedList> m_lists; // by service; cleared when entries change
     std::function<void()> m_listener;
 };
 
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -1,5 +1,6 @@
 #include "stages/stages.h"
 
+#include <algorithm>
 #include <poll.h>
 
 namespace vanillanotch
@@ -7,6 +8,8 @@
 
 namespace
 {
+constexpr unsigned MaxBackoffDoublings = 3; // how often OwnerSettings::peerBackoff is doubled at most
+
 // Ends the wait for a peer's answer when the run is cancelled.
 class RunCancellation final : public CancellationWatch
 {
@@ -47,52 +50,157 @@
 {
 }
 
-InstanceGroup OwnerStageExecutor::groupFor(const std::string &service, const std::string &dataCentre) const
+std::map<std::string, std::vector<std::vector<MemberRecord>>> planOwners(const std::vector<OwnedService> &services, const std::vector<MemberRecord> &members,
+                                                                         std::size_t limit)
 {
-    if (m_assignment != StageAssignment::OwnerGroups) {
-        return InstanceGroup{};
+    std::map<std::string, std::vector<std::vector<MemberRecord>>> plan;
+    std::map<std::string, std::size_t> owned; // by member name: groups that it is the first candidate of
+    for (const OwnedService &service : services) {
+        std::vector<std::vector<MemberRecord>> &groups = plan[service.name];
+        for (std::size_t index = 0; index < service.groups; ++index) {
+            const auto near = [&](const MemberRecord &member) {
+                return std::binary_search(service.dataCentres.begin(), service.dataCentres.end(), member.dataCentre)
+                    && instanceGroupOf(service.dataCentres, member.dataCentre, service.groups) == index;
+            };
+            struct Candidate {
+                bool near = false;
+                bool strong = false;
+                double rank = 0;
+                const MemberRecord *member = nullptr;
+            };
+            const std::string duty = "stages/" + service.name + "/" + std::to_string(index) + "/" + std::to_string(service.groups);
+            std::vector<Candidate> candidates;
+            double mostCores = 0;
+            for (const MemberRecord &member : members) {
+                if (member.state == MemberState::Alive) {
+                    candidates.push_back(Candidate{near(member), false, dutyRank(member, duty), &member});
+                    mostCores = std::max(mostCores, candidates.back().near ? member.cores : 0);
+                }
+            }
+            for (Candidate &candidate : candidates) {
+                candidate.strong = candidate.member->cores * 2 >= mostCores;
+            }
+            const auto before = [](const Candidate &a, const Candidate &b) {
+                return std::make_tuple(a.near, a.strong, a.rank, a.member->name) > std::make_tuple(b.near, b.strong, b.rank, b.member->name);
+            };
+            // The member with the fewest groups goes first among the equally suitable ones.
+            const auto first = std::min_element(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
+                const auto suitability = [&owned](const Candidate &candidate) {
+                    return std::make_tuple(!candidate.near, !candidate.strong, owned[candidate.member->name]);
+                };
+                return suitability(a) != suitability(b) ? suitability(a) < suitability(b) : before(a, b);
+            });
+            std::vector<MemberRecord> chosen;
+            if (first != candidates.end()) {
+                ++owned[first->member->name];
+                std::iter_swap(candidates.begin(), first);
+                const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(limit, candidates.size()));
+                std::partial_sort(std::next(candidates.begin()), end, candidates.end(), before);
+                std::transform(candidates.begin(), end, std::back_inserter(chosen), [](const Candidate &candidate) {
+                    return *candidate.member;
+                });
+            }
+            groups.push_back(std::move(chosen));
+        }
     }
-    const std::vector<InstanceSpec> instances = m_dependencies.instances.usableInstances(service);
-    std::set<std::string> dataCentres;
-    for (const InstanceSpec &instance : instances) {
-        dataCentres.insert(instance.dataCentre);
+    return plan;
+}
+
+Ref<const OwnerStageExecutor::OwnerPlan> OwnerStageExecutor::currentPlan()
+{
+    const TimePoint now = m_dependencies.clock.now();
+    {
+        const Lock lock(m_mutex);
+        if (m_plan && now - m_plan->madeAt < m_settings.planLifetime) {
+            return m_plan;
+        }
     }
-    InstanceGroup group;
-    group.count = std::clamp<std::size_t>(instances.size() / m_settings.instancesPerOwner, 1, std::max<std::size_t>(1, dataCentres.size()));
-    group.index = instanceGroupOf(instances, dataCentre, group.count);
-    return group;
+    auto plan = makeRef<OwnerPlan>();
+    plan->madeAt = now;
+    std::vector<OwnedService> services;
+    const DeploymentRef deployment = m_dependencies.deployments.current();
+    for (const ServiceSpec &service : deployment ? deployment->services() : std::vector<ServiceSpec>()) {
+        const InstanceListRef instances = m_dependencies.instances.usableInstances(service.name);
+        if (!service.stage || instances->specs.empty()) {
+            continue;
+        }
+        OwnedService owned{service.name, 1, instances->dataCentres};
+        if (m_assignment == StageAssignment::OwnerGroups) {
+            owned.groups = std::clamp<std::size_t>(instances->specs.size() / m_settings.instancesPerOwner, 1, owned.dataCentres.size());
+        }
+        services.push_back(std::move(owned));
+    }
+    std::sort(services.begin(), services.end(), [](const OwnedService &a, const OwnedService &b) {
+        return a.name < b.name;
+    });
+    plan->candidates = planOwners(services, m_members.all(), m_settings.maxOwners);
+    for (OwnedService &service : services) {
+        plan->services.emplace(service.name, std::move(service));
+    }
+    const Lock lock(m_mutex);
+    m_plan = plan;
+    return m_plan;
 }
 
-std::optional<MemberRecord> OwnerStageExecutor::ownerOf(const std::string &service, const InstanceGroup &group) const
+std::size_t OwnerStageExecutor::pausedCandidates(const std::vector<MemberRecord> &candidates) const
 {
-    const std::string hashKey = "stages/" + service + "/" + std::to_string(group.index) + "/" + std::to_string(group.count);
-    const std::vector<MemberRecord> members = m_members.all();
-    const std::string &self = members.front().name; // all() begins with this node
     const TimePoint now = m_dependencies.clock.now();
-    std::optional<MemberRecord> best;
-    double bestRank = 0;
     const Lock lock(m_mutex);
-    for (const MemberRecord &member : members) {
-        const auto paused = m_pausedUntil.find(member.name);
-        const bool available = paused == m_pausedUntil.end() || now >= paused->second;
-        const bool usable = member.name == self || (available && member.state == MemberState::Alive);
-        const double rank = dutyRank(member, hashKey);
-        if (usable && (!best || rank > bestRank)) {
-            best = member;
-            bestRank = rank;
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const MemberRecord &member) {
+        const auto found = m_peerStates.find(member.name);
+        return found != m_peerStates.end() && now < found->second.pausedUntil;
+    }));
+}
+
+// The group of the data centre; when it can probably not be reached, the next one that can.
+InstanceGroup OwnerStageExecutor::groupFor(const std::string &service, const std::string &dataCentre)
+{
+    const Ref<const OwnerPlan> plan = currentPlan();
+    const auto found = plan->services.find(service);
+    if (found == plan->services.end()) {
+        return InstanceGroup{};
+    }
+    InstanceGroup group;
+    group.count = found->second.groups;
+    group.index = instanceGroupOf(found->second.dataCentres, dataCentre, group.count);
+    const auto &candidates = plan->candidates.at(service);
+    for (std::size_t step = 0; step < group.count; ++step) {
+        const std::size_t index = (group.index + step) % group.count;
+        if (pausedCandidates(candidates.at(index)) < m_settings.unreachableCandidates) {
+            group.index = index;
+            break;
+        }
+    }
+    return group;
+}
+
+std::optional<MemberRecord> OwnerStageExecutor::ownerOf(const std::string &service, const InstanceGroup &group)
+{
+    const Ref<const OwnerPlan> plan = currentPlan();
+    const auto found = plan->candidates.find(service);
+    if (found == plan->candidates.end() || group.index >= found->second.size()) {
+        return std::nullopt;
+    }
+    const std::string self = m_members.self().name;
+    for (const MemberRecord &member : found->second.at(group.index)) {
+        if (member.name == self) {
+            return std::nullopt;
+        }
+        if (pausedCandidates({member}) == 0) {
+            return member;
         }
     }
-    return best && best->name != self ? best : std::nullopt;
+    return std::nullopt;
 }
 
 void OwnerStageExecutor::submit(const Ref<StageRun> &run)
 {
-    run->assignGroup(groupFor(run->task().service, run->task().dataCentre));
     dispatchToOwner(run, m_settings.maxOwners);
 }
 
 void OwnerStageExecutor::dispatchToOwner(const Ref<StageRun> &run, unsigned ownersLeft)
 {
+    run->assignGroup(groupFor(run->task().service, run->task().dataCentre));
     const bool runHere = m_assignment == StageAssignment::EachNode || ownersLeft == 0;
     const auto owner = runHere ? std::nullopt : ownerOf(run->task().service, run->task().group);
     if (!owner) {
@@ -107,15 +215,17 @@
 void OwnerStageExecutor::recordReply(const std::string &member)
 {
     const Lock lock(m_mutex);
-    m_lastReplyAt[member] = m_dependencies.clock.now();
+    PeerState &state = m_peerStates[member];
+    state.lastReplyAt = m_dependencies.clock.now();
+    state.failures = 0;
 }
 
 bool OwnerStageExecutor::alive(const MemberRecord &member)
 {
     {
         const Lock lock(m_mutex);
-        const auto found = m_lastReplyAt.find(member.name);
-        if (found != m_lastReplyAt.end() && m_dependencies.clock.now() - found->second < m_settings.peerSilenceLimit) {
+        const auto found = m_peerStates.find(member.name);
+        if (found != m_peerStates.end() && m_dependencies.clock.now() - found->second.lastReplyAt < m_settings.peerSilenceLimit) {
             return true;
         }
     }
@@ -156,7 +266,9 @@
     }
     {
         const Lock lock(m_mutex);
-        m_pausedUntil[owner.name] = m_dependencies.clock.now() + m_settings.peerBackoff;
+        PeerState &state = m_peerStates[owner.name];
+        const unsigned doublings = std::min(state.failures++, MaxBackoffDoublings);
+        state.pausedUntil = m_dependencies.clock.now() + std::min(m_settings.maxPeerBackoff, m_settings.peerBackoff * (1U << doublings));
     }
     m_dependencies.metrics.counter("vanillanotch_stage_owner_failures_total").add();
     logEvent(LogLevel::Warning, "stage.owner_failed",
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -114,13 +114,9 @@
     return unused;
 }
 
-std::size_t instanceGroupOf(const std::vector<InstanceSpec> &instances, const std::string &dataCentre, std::size_t groups)
+std::size_t instanceGroupOf(const std::vector<std::string> &dataCentres, const std::string &dataCentre, std::size_t groups)
 {
-    std::set<std::string> dataCentres;
-    for (const InstanceSpec &instance : instances) {
-        dataCentres.insert(instance.dataCentre);
-    }
-    const auto position = static_cast<std::size_t>(std::distance(dataCentres.begin(), dataCentres.lower_bound(dataCentre)));
+    const auto position = static_cast<std::size_t>(std::distance(dataCentres.begin(), std::lower_bound(dataCentres.begin(), dataCentres.end(), dataCentre)));
     return position % std::max<std::size_t>(1, std::min(groups, dataCentres.size()));
 }
 
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -168,14 +168,22 @@
 std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const QueueKey &key, TaskQueue &queue, const StageCapacity &capacity)
 {
     const TimePoint now = m_dependencies.clock.now();
-    std::vector<std::pair<double, InstanceSpec>> freeInstances; // slowness and instance, the fastest first
+    if (queue.entries.empty()) {
+        return {};
+    }
+    std::vector<std::pair<double, const InstanceSpec *>> freeInstances; // slowness and instance, the fastest first
     EarliestFreeTimes earliestFree;
     const auto &[service, groupIndex, groupCount] = key;
-    std::vector<InstanceSpec> instances = m_dependencies.instances.usableInstances(service);
-    const std::vector<InstanceSpec> all = instances;
+    const InstanceListRef instances = m_dependencies.instances.usableInstances(service);
+    std::set<std::string> groupDataCentres;
+    for (const std::string &dataCentre : instances->dataCentres) {
+        if (instanceGroupOf(instances->dataCentres, dataCentre, groupCount) == groupIndex) {
+            groupDataCentres.insert(dataCentre);
+        }
+    }
     std::size_t groupSize = 0;
-    for (InstanceSpec &instance : instances) {
-        if (instanceGroupOf(all, instance.dataCentre, groupCount) != groupIndex) {
+    for (const InstanceSpec &instance : instances->specs) {
+        if (groupDataCentres.count(instance.dataCentre) == 0) {
             continue;
         }
         ++groupSize;
@@ -187,7 +195,7 @@
             earliest->second = std::min(earliest->second, freeAt);
         }
         if (state.calls < capacity.slots && now >= state.blockedUntil && !m_dependencies.instances.recentlyUnreachable(instance.id)) {
-            freeInstances.emplace_back(slownessOf(state, now), std::move(instance));
+            freeInstances.emplace_back(slownessOf(state, now), &instance);
         }
     }
     std::sort(freeInstances.begin(), freeInstances.end(), [](const auto &a, const auto &b) {
@@ -197,9 +205,9 @@
         failRun(run, ErrorCode::Overloaded);
     }
     std::vector<Dispatch> dispatches;
-    for (auto &[slowness, instance] : freeInstances) {
-        InstanceState &state = m_instanceStates[instance.id];
-        StageInstanceView view{instance.dataCentre, slowness, 0};
+    for (const auto &[slowness, instance] : freeInstances) {
+        InstanceState &state = m_instanceStates[instance->id];
+        StageInstanceView view{instance->dataCentre, slowness, 0};
         if (capacity.resultCapacityBytes > 0) {
             const std::size_t used = state.storedBytes + state.reservedBytes;
             const auto usable = static_cast<std::size_t>(static_cast<double>(capacity.resultCapacityBytes) * m_settings.usableStorageShare);
@@ -217,7 +225,7 @@
             for (const PendingPieces &pending : queue.entries) {
                 piecesLeft += pending.pieces.size();
             }
-            dispatches.push_back(Dispatch{std::move(instance), std::move(batch), capacity, view.freeResultBytes, piecesLeft});
+            dispatches.push_back(Dispatch{*instance, std::move(batch), capacity, view.freeResultBytes, piecesLeft});
         }
     }
     return dispatches;
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -110,10 +110,10 @@
     Ref<WakeupSignal> m_cancelSignal;
 };
 
-// Index of the InstanceGroup whose owner schedules the instances in `dataCentre`. `instances`: all instances of the service; `groups`:
-// number of its groups. For a data centre without instances, the position p (see InstanceGroup) is the number of data centres with
-// instances whose names sort before its own.
-std::size_t instanceGroupOf(const std::vector<InstanceSpec> &instances, const std::string &dataCentre, std::size_t groups);
+// Index of the InstanceGroup that holds the instances in `dataCentre`. `dataCentres`: those that hold instances of the service, sorted by
+// name; `groups`: number of its groups. For another data centre, the position p (see InstanceGroup) is the number of names in
+// `dataCentres` that sort before its own.
+std::size_t instanceGroupOf(const std::vector<std::string> &dataCentres, const std::string &dataCentre, std::size_t groups);
 
 class StageExecutor
 {
@@ -442,9 +442,13 @@
 struct OwnerSettings {
     // With StageAssignment::OwnerGroups: the number of owners of a service is the number of its instances divided by this, rounded down, but
     // at least one and at most the number of data centres that hold instances of the service.
-    std::size_t instancesPerOwner = 6;
-    unsigned maxOwners = 3; // owners that are tried one after the other before this node runs the task itself
-    std::chrono::milliseconds peerBackoff{2000}; // a peer that failed gets no task for this long
+    std::size_t instancesPerOwner = 4;
+    unsigned maxOwners = 4; // owners that are tried one after the other before this node runs the task itself
+    std::chrono::milliseconds peerBackoff{2000}; // a peer that failed gets no task for this long; doubles with each further failure
+    std::chrono::milliseconds maxPeerBackoff{16000};
+    // A group this many of whose candidates failed a short time ago can probably not be reached at all; its tasks go to another group.
+    std::size_t unreachableCandidates = 2;
+    std::chrono::milliseconds planLifetime{300}; // how long an OwnerPlan is used before it is made anew from the members and instances
     std::chrono::milliseconds releaseInterval{10}; // handles of results to be released are collected for this long, then sent in one call to each owner
     // Timeout of a release call to an owner. If the call fails, this node releases the results itself; those that are still not
     // released expire at their instance.
@@ -460,6 +464,20 @@
     OwnerGroups, // like Owners, but a service with many instances has one owner for each instance group
 };
 
+// The instances of one service, as input to planOwners().
+struct OwnedService {
+    std::string name;
+    std::size_t groups = 1;
+    std::vector<std::string> dataCentres; // that hold its instances, sorted by name
+};
+
+// The members that may schedule each instance group, in the order in which they are to do it: by service and index of the group. Prefers
+// members of the data centres that hold the group's instances, so that a data centre that is cut off has owners of its own, and among
+// them those with at least half of the cores of the largest one: a small VM can't schedule for all others in a burst. Groups are spread
+// evenly over these members. At most `limit` members for a group. Every node makes the same plan from the same members.
+std::map<std::string, std::vector<std::vector<MemberRecord>>> planOwners(const std::vector<OwnedService> &services, const std::vector<MemberRecord> &members,
+                                                                         std::size_t limit);
+
 // Sends stage tasks to the owners of their services or instance groups. Handles of results to be released are sent to the owners as well,
 // because the owner tracks how much storage for results is in use at each instance.
 class OwnerStageExecutor final : public StageExecutor, public ResultSink
@@ -471,8 +489,15 @@
     void release(const std::vector<std::string> &handles) override;
 
 private:
-    InstanceGroup groupFor(const std::string &service, const std::string &dataCentre) const;
-    std::optional<MemberRecord> ownerOf(const std::string &service, const InstanceGroup &group) const; // nullopt: this node is the owner
+    struct OwnerPlan : RefCounted<OwnerPlan> {
+        std::map<std::string, OwnedService> services; // by name
+        std::map<std::string, std::vector<std::vector<MemberRecord>>> candidates; // result of planOwners()
+        TimePoint madeAt{};
+    };
+    Ref<const OwnerPlan> currentPlan();
+    std::size_t pausedCandidates(const std::vector<MemberRecord> &candidates) const; // how many of them failed a short time ago
+    InstanceGroup groupFor(const std::string &service, const std::string &dataCentre);
+    std::optional<MemberRecord> ownerOf(const std::string &service, const InstanceGroup &group); // nullopt: this node is the owner
     void dispatchToOwner(const Ref<StageRun> &run, unsigned ownersLeft); // `ownersLeft`: number of owners that may still be tried
     void flush();
     void runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner, unsigned ownersLeft);
@@ -486,8 +511,13 @@
     const StageAssignment m_assignment;
     const OwnerSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::StageOwners};
-    std::map<std::string, TimePoint> m_pausedUntil; // by member name: a member that failed gets no task before this time
-    std::map<std::string, TimePoint> m_lastReplyAt; // by member name
+    Ref<const OwnerPlan> m_plan;
+    struct PeerState {
+        TimePoint pausedUntil{}; // it gets no task before this time
+        unsigned failures = 0; // in a row
+        TimePoint lastReplyAt{};
+    };
+    std::map<std::string, PeerState> m_peerStates; // by member name
     std::vector<std::string> m_unused; // handles of results to be released
     bool m_flushScheduled = false;
 };
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -243,7 +243,7 @@
     now.address = "127.0.0.1:2";
     table->upsert(now);
     table->upsert(instance("i", 100));
-    STRCMP_EQUAL("127.0.0.1:2", table->usableInstances("s").front().address.c_str());
+    STRCMP_EQUAL("127.0.0.1:2", table->usableInstances("s")->specs.front().address.c_str());
 }
 
 // Guards against calls to an unreachable instance, and against avoiding all of a service when the fault is at this node.
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -226,15 +226,82 @@
 // Guards against an instance whose group does not exist, also with more groups than data centres or in an unknown data centre.
 TEST(Batches, EveryInstanceIsInExactlyOneGroup)
 {
-    std::vector<InstanceSpec> instances(5);
-    for (std::size_t i = 0; i < instances.size(); ++i) {
-        instances[i].dataCentre = "dc" + std::to_string(i);
-    }
+    const std::vector<std::string> dataCentres = {"dc0", "dc1", "dc2", "dc3", "dc4"};
     for (const std::size_t groups : {std::size_t{1}, std::size_t{2}, std::size_t{3}, std::size_t{9}}) {
-        for (const InstanceSpec &spec : instances) {
-            CHECK(instanceGroupOf(instances, spec.dataCentre, groups) < std::min<std::size_t>(groups, 5));
+        std::set<std::size_t> used;
+        for (const std::string &dataCentre : dataCentres) {
+            used.insert(instanceGroupOf(dataCentres, dataCentre, groups));
+        }
+        LONGS_EQUAL(static_cast<long>(std::min<std::size_t>(groups, 5)), static_cast<long>(used.size()));
+        CHECK(*used.rbegin() < std::min<std::size_t>(groups, 5));
+        CHECK(instanceGroupOf(dataCentres, "elsewhere", groups) < std::min<std::size_t>(groups, 5));
+    }
+}
+
+TEST_GROUP(Owners)
+{
+    std::vector<MemberRecord> members;
+    const std::vector<OwnedService> services = {{"a", 3, {"dc0", "dc1", "dc2"}}, {"b", 3, {"dc0", "dc1", "dc2"}}, {"c", 1, {"dc0", "dc1", "dc2"}}};
+
+    void setup() override
+    {
+        for (int i = 0; i < 66; ++i) {
+            MemberRecord member;
+            member.name = "n" + std::to_string(i);
+            member.dataCentre = "dc" + std::to_string(i % 3);
+            member.cores = i < 6 ? 0.5 : 0.12;
+            members.push_back(member);
+        }
+    }
+};
+
+// A burst of stage tasks: an owner on a small VM can't keep up with the tasks of all nodes, so that they take it for unavailable, and
+// several nodes schedule the same instances. Every group has an owner on a large VM, and no such VM owns many more groups than another.
+TEST(Owners, BurstsOfTasksAreScheduledByTheLargeVms)
+{
+    std::map<std::string, int> owned;
+    for (const auto &[service, groups] : planOwners(services, members, 4)) {
+        for (const auto &candidates : groups) {
+            LONGS_EQUAL(4, static_cast<long>(candidates.size()));
+            CHECK(candidates.front().cores > 0.4);
+            ++owned[candidates.front().name];
+        }
+    }
+    for (const auto &[name, count] : owned) {
+        CHECK(count <= 2); // seven groups over six large VMs, two for each data centre
+    }
+}
+
+// A data centre that is cut off schedules its own instances. All candidates of a group are members of the data centre of its instances.
+TEST(Owners, ADataCentreThatIsCutOffOwnsItsInstances)
+{
+    const auto plan = planOwners(services, members, 4);
+    for (std::size_t group = 0; group < 3; ++group) {
+        for (const MemberRecord &candidate : plan.at("a").at(group)) {
+            STRCMP_EQUAL(("dc" + std::to_string(group)).c_str(), candidate.dataCentre.c_str());
+        }
+    }
+    for (MemberRecord &member : members) { // without members there, other data centres own the group
+        member.dataCentre = member.dataCentre == "dc1" ? "dc2" : member.dataCentre;
+    }
+    LONGS_EQUAL(4, static_cast<long>(planOwners(services, members, 4).at("a").at(1).size()));
+}
+
+// Guards against nodes that schedule the same instances because a member that left has changed the owners of other groups.
+TEST(Owners, AMemberThatLeavesMovesFewGroups)
+{
+    const auto before = planOwners(services, members, 4);
+    for (MemberRecord &leaving : members) {
+        leaving.state = MemberState::Left;
+        int moved = 0;
+        for (const auto &[service, groups] : planOwners(services, members, 4)) {
+            for (std::size_t group = 0; group < groups.size(); ++group) {
+                CHECK(groups[group].front().name != leaving.name);
+                moved += groups[group].front().name != before.at(service).at(group).front().name ? 1 : 0;
+            }
         }
-        CHECK(instanceGroupOf(instances, "elsewhere", groups) < std::min<std::size_t>(groups, 5));
+        leaving.state = MemberState::Alive;
+        CHECK(moved <= 3);
     }
 }
 
@@ -517,7 +584,7 @@
     FakePeers peers;
     MemberRecord self;
     self.name = "n1";
-    self.cores = 0.001; // a member's weight in the choice of owners is the square of its cores: this one is hardly ever chosen
+    self.cores = 0.001; // members with less than half of the largest cores come last
     MemberTable members(clock, MembershipSettings{}, self);
     MemberRecord other;
     other.name = "n2";
