A new owner allows for results that it doesn't know of

The latches of two tests were destroyed while calls still waited at them (one run took 20 s); they outlive the pool now.

--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -127,6 +127,15 @@
     return 1.0 + (state.slowness - 1.0) * std::exp2(-halfLives);
 }
 
+std::size_t StageScheduler::freeResultBytes(const InstanceState &state, const StageCapacity &capacity, TimePoint now) const
+{
+    const double halfLives = std::chrono::duration<double>(now - state.unknownAt) / std::chrono::duration<double>(m_settings.unknownResultsHalfLife);
+    const auto unknown = static_cast<std::size_t>(static_cast<double>(state.unknownBytes) * std::exp2(-halfLives));
+    const std::size_t used = state.storedBytes + state.reservedBytes + unknown;
+    const auto usable = static_cast<std::size_t>(static_cast<double>(capacity.resultCapacityBytes) * m_settings.usableStorageShare);
+    return usable > used ? usable - used : 1; // 0 would mean that no limit is stated
+}
+
 void StageScheduler::failRun(const Ref<StageRun> &run, ErrorCode code)
 {
     run->fail(code);
@@ -209,9 +218,7 @@
         InstanceState &state = m_instanceStates[instance->id];
         StageInstanceView view{instance->dataCentre, slowness, 0};
         if (capacity.resultCapacityBytes > 0) {
-            const std::size_t used = state.storedBytes + state.reservedBytes;
-            const auto usable = static_cast<std::size_t>(static_cast<double>(capacity.resultCapacityBytes) * m_settings.usableStorageShare);
-            view.freeResultBytes = usable > used ? usable - used : 1; // not 0, which would mean that no limit is stated
+            view.freeResultBytes = freeResultBytes(state, capacity, now);
         }
         std::vector<BatchPick> batch = planBatch(queue.entries, view, earliestFree, capacity.maxBatch, now, m_settings.batches);
         if (!batch.empty()) {
@@ -352,7 +359,12 @@
     release(unused);
     if (storageFull) {
         const Lock lock(m_mutex);
-        m_instanceStates[dispatched.instance.id].blockedUntil = m_dependencies.clock.now() + m_settings.busyBackoff;
+        const TimePoint now = m_dependencies.clock.now();
+        InstanceState &state = m_instanceStates[dispatched.instance.id];
+        state.blockedUntil = now + m_settings.busyBackoff;
+        const std::size_t known = state.storedBytes + state.reservedBytes;
+        state.unknownBytes = dispatched.capacity.resultCapacityBytes - std::min(known, dispatched.capacity.resultCapacityBytes);
+        state.unknownAt = now;
     }
     requeue(key, repeated, !storageFull);
 }
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -366,6 +366,9 @@
     // declared time.
     double callTimeoutFactor = 6;
     std::chrono::milliseconds callTimeoutBase{600}; // fixed part of the timeout of a call
+    // An instance that has no storage for a result although this node knows of free storage holds results that this node doesn't know of, for
+    // example those that a former owner had made there. They are taken to be released with this half-life.
+    std::chrono::milliseconds unknownResultsHalfLife{300};
     std::chrono::milliseconds slownessHalfLife{3000}; // after a measurement, an instance's slowness moves back towards 1 with this half-life
 };
 
@@ -390,6 +393,8 @@
         TimePoint measuredAt{}; // when the slowness was measured
         std::size_t reservedBytes = 0; // results of the running calls, approximate
         std::size_t storedBytes = 0; // results made and not yet released, approximate
+        std::size_t unknownBytes = 0; // estimated size of further results, at the moment unknownAt
+        TimePoint unknownAt{};
         // Expiry time and handle, in the order in which the calls ended. Results that were released in the meantime are still listed.
         std::deque<std::pair<TimePoint, std::string>> storedResults;
     };
@@ -413,6 +418,7 @@
         std::size_t leftWaiting = 0; // pieces still in the queue
     };
     double slownessOf(const InstanceState &state, TimePoint now) const;
+    std::size_t freeResultBytes(const InstanceState &state, const StageCapacity &capacity, TimePoint now) const; // not 0
     void recordResultLocked(const std::string &instance, const std::string &handle, std::size_t bytes, Duration life);
     void removeResultLocked(const std::string &handle);
     void expireResultsLocked(InstanceState &state, TimePoint now);
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -419,6 +419,9 @@
     StageDependencies dependencies{clock, deployments, instances, channel, retryBudget, releaser, pool, timers, metrics};
     StageScheduler scheduler{dependencies};
     Ref<WakeupSignal> progress = makeRef<WakeupSignal>();
+    // Latches of calls to `channel`. They outlive the pool's threads, which may still be in a call when a test's body has ended.
+    Latch called{1};
+    Latch proceed{1};
 
     void setup() override
     {
@@ -521,6 +524,33 @@
     CHECK(run->outcome()->has_value());
 }
 
+// A new owner doesn't know of the results that the former one had made: while an instance has no storage, it isn't called again and again,
+// since each such call costs the instance its time.
+TEST(Scheduler, AnInstanceFullOfAFormerOwnersResultsIsSpared)
+{
+    ServiceSpec service;
+    service.name = "s";
+    service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 1000, seconds(4)};
+    (void)deployments.install(makeRef<Deployment>(2, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
+    const TimePoint freeAt = clock.now() + milliseconds(900);
+    channel.answer = [this, freeAt](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, UpstreamFailure> {
+        BatchReply reply = handlesFor(instance, pieces);
+        if (clock.now() < freeAt) {
+            reply.outcomes.assign(pieces.size(), PieceOutcome{{}, PieceError::ResultStorageFull});
+        }
+        return reply;
+    };
+    StageTask task = makeTask("a", 1);
+    task.resultBytes = 400;
+    task.target = clock.now() + seconds(60);
+    task.deadline = clock.now() + seconds(60);
+    const auto run = makeRef<StageRun>(task, progress);
+    scheduler.submit(run);
+    CHECK(awaitEnd(run));
+    CHECK(run->outcome()->has_value());
+    CHECK(channel.calls <= 6); // without the estimate one call each 60 ms: 15
+}
+
 // Guards against useless retries when the results of an earlier stage are gone.
 TEST(Scheduler, AMissingInputEndsTheRun)
 {
@@ -535,8 +565,7 @@
 // Guards against a caller that waits for a task that cannot meet its target, as a larger task takes up the only slot.
 TEST(Scheduler, ATaskThatWouldBeLateIsShedAtOnce)
 {
-    Latch proceed(1);
-    channel.answer = [&proceed](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, UpstreamFailure> {
+    channel.answer = [this](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, UpstreamFailure> {
         (void)proceed.wait(TestTimeout);
         return handlesFor(instance, pieces);
     };
@@ -555,9 +584,7 @@
 // Guards against results that fill an instance's storage: the run is cancelled while its call is under way.
 TEST(Scheduler, AResultOfACancelledRunIsReleased)
 {
-    Latch called(1);
-    Latch proceed(1);
-    channel.answer = [&](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, UpstreamFailure> {
+    channel.answer = [this](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, UpstreamFailure> {
         called.countDown();
         (void)proceed.wait(TestTimeout);
         return handlesFor(instance, pieces);
