--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -144,7 +144,7 @@
     , m_readinessHandler(m_deployments, m_leaving)
     , m_peerHandler(m_scheduler,
                     RelayedTables{{platform::OperatorTable, &m_deploymentCache}, {platform::ServersTable, &m_instanceCache}, {MembersTable, &m_memberCache}},
-                    m_metrics)
+                    m_leaving, m_metrics)
 {
     m_instances.setChangeListener([this] {
         m_scheduler.instancesChanged();
@@ -224,8 +224,8 @@
 {
     RankedMutex mutex(LockRank::Leaf);
     std::condition_variable_any neverNotified;
-    Lock lock(mutex);
     while (!done() && m_clock.now() < time) {
+        Lock lock(mutex);
         neverNotified.wait_for(lock, StopCheckInterval);
     }
 }
@@ -234,10 +234,11 @@
 {
     const TimePoint stopRequested = m_clock.now();
     const auto idle = [this] {
-        return m_callerServer->activeRequests() == 0 && m_peerServer->activeRequests() == 0;
+        return m_callerServer->connectionCount() == 0 && m_peerServer->activeRequests() == 0;
     };
     logEvent(LogLevel::Info, "node.stopping", {{"running", static_cast<std::uint64_t>(m_service.runningCount())}});
     m_leaving = true;
+    m_members.updateSelf(MemberState::Leaving, Revision{}); // from now on this node owns no instance group and is no relay
     m_callerServer->beginClosing();
     m_pool.post([this] {
         if (const auto removed = m_store->removeRow(MembersTable, m_settings.node, AnnounceTimeout); !removed) {
--- /dev/null
+++ b/src/forwarding/events.cpp
@@ -0,0 +1,35 @@
+#include "forwarding/forwarding.h"
+
+namespace vanillanotch
+{
+
+EventScan scanEvents(std::string_view part)
+{
+    constexpr std::string_view IdField = "id:";
+    EventScan scan;
+    std::optional<std::string> id; // of the event that is being scanned
+    for (std::size_t begin = 0; begin < part.size();) {
+        const std::size_t end = part.find('\n', begin);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        std::string_view line = part.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        if (line.empty()) {
+            scan.completeBytes = begin;
+            if (id) {
+                scan.lastId = std::move(id);
+                id.reset();
+            }
+        } else if (line.substr(0, IdField.size()) == IdField) {
+            line.remove_prefix(IdField.size());
+            id = line.substr(!line.empty() && line.front() == ' ' ? 1 : 0);
+        }
+    }
+    return scan;
+}
+
+} // namespace vanillanotch
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -10,6 +10,7 @@
 //   [CODEC]     RequestCodec: converts between HTTP headers and these types
 //   [RETRIES]   ServiceRetryBudget: limits how many calls to a service this node repeats
 //   [ESTIMATES] EngineTimeEstimator: time until an engine's first event; StatedDeadlines: time that a caller spent on earlier tries
+//   [EVENTS]    scanEvents: complete events of a stream
 //   [SERVICE]   ForwardService: entry point for the front end
 //
 // Rules this aggregate enforces:
@@ -189,6 +190,17 @@
     std::map<std::string, std::deque<std::chrono::milliseconds>> m_recent; // rounded deadlines, the newest last, by route
 };
 
+//-----------------------------------------------------------------------------
+// [EVENTS]
+//-----------------------------------------------------------------------------
+
+// The complete events at the beginning of a part of an event stream. An empty line ends an event; lines end with LF or CR LF.
+struct EventScan {
+    std::size_t completeBytes = 0; // of the complete events; the bytes after them belong to an event that isn't complete yet
+    std::optional<std::string> lastId; // value of the last line "id:" of the complete events; nullopt: they have none
+};
+EventScan scanEvents(std::string_view part);
+
 //-----------------------------------------------------------------------------
 // [SERVICE]
 //-----------------------------------------------------------------------------
@@ -196,10 +208,11 @@
 struct ForwardSettings {
     std::chrono::milliseconds answerMargin{25}; // sending the final answer starts at the latest this long before the request's deadline
     std::chrono::milliseconds minTimeLeft{10}; // no further attempt at a server is made with less time left until the deadline
-    // A resumable stream without an event for this long is resumed at another server. A pause of more than 400 ms between two events already counts as late.
+    // A resumable stream without a complete event for this long is resumed at another server, if the retry budget allows it; else it goes on.
     std::chrono::milliseconds streamSilenceLimit{1500};
-    // Shortest timeout for the head of a server's reply to a repeatable request; after the timeout the request is sent to another server. The
-    // last attempt waits until the deadline.
+    std::chrono::milliseconds streamOverrun{250}; // a stream whose events go on beyond its deadline is ended this long after it
+    // Shortest timeout for the head of a server's reply to a repeatable request; after the timeout the request is sent to another server, if
+    // the retry budget allows it. The last attempt waits until the deadline.
     std::chrono::milliseconds minFirstReplyTimeout{500};
     // The same timeout as a multiple of RouteSpec::targetLatency; the longer of this and minFirstReplyTimeout applies.
     double firstReplyTargetFactor = 1.2;
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/run.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillanotch
 {
@@ -185,6 +186,9 @@
 
 bool ForwardRun::mayRepeat(AttemptOutcome outcome)
 {
+    if (std::exchange(m_repetitionGranted, false)) {
+        return !m_exchange.cancelled() && remaining() >= m_settings.minTimeLeft;
+    }
     const bool allowed = outcome == AttemptOutcome::NotRun || m_route->repeatable();
     const bool cannotSucceed = m_lastError == ErrorCode::InputsGone || m_lastError == ErrorCode::NoFitServer;
     if (m_exchange.cancelled() || !allowed || cannotSucceed || remaining() < m_settings.minTimeLeft) {
@@ -199,6 +203,15 @@
     return m_sentCount < limit && m_dependencies.retryBudget.tryTake(m_service);
 }
 
+// A server has been silent for a while. True: the request may go to another server, and the retry budget has been charged for that.
+// False: silence is no reason to give up the only answer that may still come, so this attempt goes on until the deadline.
+bool ForwardRun::grantRepetition()
+{
+    m_lastError = ErrorCode::ServerTimeout;
+    m_repetitionGranted = mayRepeat(AttemptOutcome::Unknown);
+    return m_repetitionGranted;
+}
+
 unsigned ForwardRun::ownTokens() const
 {
     return m_request.prompt.empty() ? 0 : m_request.prompt.back().tokens;
@@ -255,7 +268,11 @@
         return handleFailure(opened.error(), *lease, began);
     }
     ++m_sentCount;
-    const auto head = call.exchange(m_dependencies.codec.encodeCall(prepareCall(instance)), firstReplyLimit(), m_exchange);
+    const TimePoint replyLimit = firstReplyLimit();
+    auto head = call.exchange(m_dependencies.codec.encodeCall(prepareCall(instance)), replyLimit, m_exchange);
+    if (!head && head.error().code == ErrorCode::ServerTimeout && replyLimit < m_deadline && !grantRepetition()) {
+        head = call.awaitHead(m_deadline, m_exchange);
+    }
     if (!head) {
         return handleFailure(head.error(), *lease, began);
     }
@@ -331,25 +348,16 @@
 // [STREAMS]
 //-----------------------------------------------------------------------------
 
-// Sends the complete events in `buffer` to the caller and removes them from it; an event ends with an empty line. A stream that breaks
-// within an event can thus be resumed at another server after the last complete event. `complete`: the body has ended, so all of `buffer`
-// is sent. Returns false when the caller has disconnected.
-bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, bool complete)
+// Sends the first `bytes` of `buffer` to the caller and removes them from it. Only complete events are sent before the end of the stream, so
+// that a stream that breaks within an event can be resumed at another server after the last complete one. `lastId`: see EventScan. Returns
+// false when the caller has disconnected.
+bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId)
 {
-    const std::size_t end = buffer.rfind("\n\n");
-    const std::size_t completeBytes = complete ? buffer.size() : end == std::string::npos ? 0 : end + 2;
-    if (completeBytes == 0) {
+    if (bytes == 0) {
         return true;
     }
-    const std::string_view events = std::string_view(buffer).substr(0, completeBytes);
-    if (const std::size_t id = events.rfind("id:"); id != std::string_view::npos && (id == 0 || events[id - 1] == '\n')) {
-        std::string_view value = events.substr(id + 3);
-        value = value.substr(0, value.find('\n'));
-        while (!value.empty() && (value.front() == ' ' || value.back() == '\r')) {
-            value = value.front() == ' ' ? value.substr(1) : value.substr(0, value.size() - 1);
-        }
-        m_lastEventId = value;
-    }
+    const std::string_view events = std::string_view(buffer).substr(0, bytes);
+    m_lastEventId = lastId ? std::move(*lastId) : m_lastEventId;
     const TimePoint sendLimit = m_deadline + m_settings.answerMargin;
     bool callerConnected = false;
     if (!m_streamStarted) {
@@ -361,7 +369,7 @@
     } else {
         callerConnected = m_exchange.streamBytes(events, sendLimit);
     }
-    buffer.erase(0, completeBytes);
+    buffer.erase(0, bytes);
     return callerConnected;
 }
 
@@ -371,22 +379,33 @@
         m_weightsVersion = facts.weightsVersion;
     }
     std::string buffer;
-    TimePoint nextDataLimit = m_streamStarted ? m_dependencies.clock.now() + m_settings.streamSilenceLimit : firstReplyLimit();
-    for (;;) {
-        const bool resumable = m_route->resumable && m_sentCount < m_route->maxAttempts;
-        const auto complete = call.readBody(buffer, resumable ? std::min(nextDataLimit, m_deadline) : m_deadline, m_exchange);
-        if (!complete) {
-            return handleFailure(complete.error(), lease, began);
+    // When the stream counts as silent. Only a complete event moves it: a server may be stuck although it sends a byte now and then.
+    TimePoint silentAt = m_streamStarted ? m_dependencies.clock.now() + m_settings.streamSilenceLimit : firstReplyLimit();
+    bool mayMove = m_route->resumable && m_sentCount < m_route->maxAttempts;
+    for (bool complete = false; !complete;) {
+        const auto read = call.readBody(buffer, mayMove ? std::min(silentAt, m_deadline) : m_deadline, m_exchange);
+        if (!read && read.error().code != ErrorCode::ServerTimeout) {
+            return handleFailure(read.error(), lease, began);
         }
-        if (buffer.size() > PartialEventLimit) {
-            return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
+        complete = read && *read;
+        const EventScan scan = scanEvents(buffer);
+        if (complete && call.bodyEndsWithConnection() && scan.completeBytes < buffer.size()) {
+            return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began); // it broke off within an event
         }
-        if (!forwardEvents(buffer, head, began, *complete)) {
+        if (!forwardEvents(buffer, head, began, complete ? buffer.size() : scan.completeBytes, scan.lastId)) {
             return handleFailure(UpstreamFailure{ErrorCode::CallerDisconnected, true, false}, lease, began);
         }
-        nextDataLimit = m_dependencies.clock.now() + m_settings.streamSilenceLimit;
-        if (*complete) {
-            break;
+        if (buffer.size() > PartialEventLimit) {
+            return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
+        }
+        const TimePoint now = m_dependencies.clock.now();
+        if (scan.completeBytes > 0 && now < m_deadline + m_settings.streamOverrun) {
+            silentAt = now + m_settings.streamSilenceLimit;
+        } else if (!complete && (now >= m_deadline || (mayMove && now >= silentAt))) {
+            mayMove = now < m_deadline && grantRepetition();
+            if (mayMove || now >= m_deadline) {
+                return handleFailure(UpstreamFailure{ErrorCode::ServerTimeout, true, false}, lease, began);
+            }
         }
     }
     if (!m_streamStarted) { // the stream ended without any event
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -58,13 +58,14 @@
     void runAttempts();
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
+    bool grantRepetition();
     unsigned ownTokens() const; // tokens of the prompt's last part, which belongs to this request or its session
     ServerCall prepareCall(const InstanceSpec &instance) const;
     TimePoint firstReplyLimit() const;
     AttemptOutcome readReply(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began);
-    bool forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, bool complete);
+    bool forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId);
     AttemptOutcome handleFailure(const UpstreamFailure &failure, InstanceLease &lease, TimePoint began);
 
     // [ANSWERS]
@@ -108,6 +109,7 @@
     std::set<std::string> m_tried; // ids of the instances that were chosen in earlier attempts
     unsigned m_sentCount = 0; // attempts that connected to a server, so that the request may have been sent
     bool m_mayHaveRun = false; // some server may have run the request
+    bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
     ErrorCode m_lastError = ErrorCode::NoFitServer;
     std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -148,9 +148,10 @@
     return std::make_unique<HttpStagePeerChannel>(settings);
 }
 
-PeerHandler::PeerHandler(StageScheduler &stages, RelayedTables relayed, MetricsRegistry &metrics)
+PeerHandler::PeerHandler(StageScheduler &stages, RelayedTables relayed, const std::atomic<bool> &leaving, MetricsRegistry &metrics)
     : m_stages(stages)
     , m_relayed(std::move(relayed))
+    , m_leaving(leaving)
     , m_metrics(metrics)
 {
 }
@@ -169,7 +170,10 @@
 {
     const TimePoint until = std::chrono::steady_clock::now() + PeerReplyTimeout;
     Headers headers;
-    if (exchange.path() == StageTaskPath && exchange.head().method == "POST") {
+    if (m_leaving && (exchange.path() == StageTaskPath || exchange.path() == RelayTablePath)) {
+        headers.add("Content-Type", "application/json");
+        (void)exchange.reply(200, headers, describeError(ErrorCode::PeerUnavailable), until);
+    } else if (exchange.path() == StageTaskPath && exchange.head().method == "POST") {
         serveStageTask(exchange);
     } else if (exchange.path() == ReleasePath && exchange.head().method == "POST") {
         serveRelease(exchange);
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -24,7 +24,8 @@
 class PeerHandler final : public FrontHandler
 {
 public:
-    PeerHandler(StageScheduler &stages, RelayedTables relayed, MetricsRegistry &metrics);
+    // `leaving`: set when this node is about to stop; then it takes no further work, and other nodes turn to others.
+    PeerHandler(StageScheduler &stages, RelayedTables relayed, const std::atomic<bool> &leaving, MetricsRegistry &metrics);
     void serve(FrontExchange &exchange) override;
     std::string describeError(ErrorCode code) override;
     FrontLimits limits() override;
@@ -36,6 +37,7 @@
 
     StageScheduler &m_stages;
     const RelayedTables m_relayed;
+    const std::atomic<bool> &m_leaving;
     MetricsRegistry &m_metrics;
 };
 
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -131,6 +131,9 @@
         auto head = parseReplyHead(std::string_view(received).substr(0, end + 4));
         received.erase(0, end + 4);
         if (head && head->status >= FirstInterimStatus && head->status < FirstFinalStatus) {
+            if (++m_interimReplies > m_settings.maxInterimReplies) {
+                return fail(ErrorCode::InvalidReply, "expected the reply after a few interim replies; more of them came");
+            }
             continue;
         }
         return head;
@@ -228,6 +231,9 @@
         if (*complete) {
             return body;
         }
+        if (std::chrono::steady_clock::now() >= until) {
+            return tl::unexpected(failure(ErrorCode::ServerTimeout)); // bytes still come, but too late
+        }
     }
 }
 
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -19,6 +19,16 @@
 constexpr Duration ErrorReplyTimeout = std::chrono::seconds(1); // for sending the reply to a request that could not be read
 constexpr Duration ExpiryCheckInterval = std::chrono::seconds(1); // time between two searches for connections that were idle too long
 constexpr std::size_t MaxEventsPerWait = 64; // most events taken by one epoll_wait()
+// While the server closes, a connection without any request yet is kept this long after it was accepted.
+constexpr Duration FirstRequestGrace = std::chrono::seconds(1);
+constexpr Duration ClosingCheckInterval = std::chrono::milliseconds(100); // as ExpiryCheckInterval, while the server closes
+
+// True when bytes have arrived that were not received yet.
+bool hasArrivedBytes(int descriptor)
+{
+    char byte = 0;
+    return ::recv(descriptor, &byte, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
+}
 
 } // namespace
 
@@ -37,6 +47,7 @@
     bool disconnected = false; // the caller disconnected, did not take a reply in time, or its connection was aborted
     bool idle = false; // true: the event thread owns it; guarded by the server's mutex
     TimePoint idleSince{}; // default value: it was never idle, so it isn't registered with epoll yet; guarded by the server's mutex
+    bool used = false; // a request was received or begun on it; guarded by the server's mutex
 };
 
 //-----------------------------------------------------------------------------
@@ -59,13 +70,14 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string FrontExchange::encodeHead(int status, const Headers &headers) const
+std::string FrontExchange::encodeHead(int status, const Headers &headers)
 {
+    m_closeAfterReply = m_closeAfterReply || m_server.closing();
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\n";
     for (const HeaderField &field : headers.all()) {
         text += field.name + ": " + field.value + "\r\n";
     }
-    if (m_closeAfterReply || m_server.closing()) {
+    if (m_closeAfterReply) {
         text += "Connection: close\r\n";
     }
     return text;
@@ -244,7 +256,7 @@
         }
         if (!m_accepting || std::chrono::steady_clock::now() >= nextExpiryCheck) {
             closeExpired();
-            nextExpiryCheck = std::chrono::steady_clock::now() + ExpiryCheckInterval;
+            nextExpiryCheck = std::chrono::steady_clock::now() + (m_accepting ? ExpiryCheckInterval : ClosingCheckInterval);
         }
     }
 }
@@ -278,6 +290,7 @@
         }
         connection = found->second.get();
         connection->idle = false;
+        connection->used = true;
     }
     ++m_activeRequests;
     m_pool.post([this, connection] {
@@ -313,17 +326,28 @@
     }
 }
 
+std::size_t FrontServer::connectionCount() const
+{
+    const Lock lock(m_mutex);
+    return m_connections.size();
+}
+
 void FrontServer::closeExpired()
 {
-    const Duration limit = m_accepting ? Duration(m_handler.limits().idleTimeout) : Duration::zero();
+    if (!m_accepting && !m_listenerClosed) {
+        accept(); // connections that the system has accepted already would be reset when the listener is closed
+        m_listener.close();
+        m_listenerClosed = true;
+    }
+    const Duration idleTimeout = m_handler.limits().idleTimeout;
     const TimePoint now = std::chrono::steady_clock::now();
     const Lock lock(m_mutex);
     for (auto it = m_connections.begin(); it != m_connections.end();) {
         const FrontConnection &connection = *it->second;
-        it = connection.idle && now - connection.idleSince >= limit ? m_connections.erase(it) : std::next(it);
-    }
-    if (!m_accepting) {
-        m_listener.close();
+        const Duration limit = m_accepting ? idleTimeout : connection.used ? Duration::zero() : FirstRequestGrace;
+        // A request that has arrived is served: the event thread is about to hear of it.
+        const bool expired = connection.idle && now - connection.idleSince >= limit && !hasArrivedBytes(connection.descriptor);
+        it = expired ? m_connections.erase(it) : std::next(it);
     }
 }
 
@@ -460,7 +484,8 @@
     if (unfinished && !connection.disconnected) {
         connection.io.abort();
     }
-    return !unfinished && !connection.disconnected && !exchange.m_closeAfterReply && !m_closing;
+    // Also while the server closes, a connection is closed here only if its reply announced that: the caller may have sent its next request.
+    return !unfinished && !connection.disconnected && !exchange.m_closeAfterReply;
 }
 
 } // namespace vanillanotch
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -219,6 +219,7 @@
     std::chrono::seconds keepAliveInterval{1}; // TCP_KEEPINTVL: time between two probes
     int keepAliveProbes = 2; // TCP_KEEPCNT: this many unanswered probes end the connection
     std::size_t maxHeadBytes = 64 * 1024; // largest head of a reply, bytes
+    unsigned maxInterimReplies = 16; // largest number of interim replies (1xx) before the reply itself
 };
 
 // Why a call to a server failed.
@@ -246,6 +247,11 @@
     tl::expected<ReplyHead, UpstreamFailure> awaitHead(TimePoint until, CancellationWatch &cancellation);
     // Waits for more of the body and appends it to `out`, decoded. True: the body is complete; false: call it again for the rest.
     tl::expected<bool, UpstreamFailure> readBody(std::string &out, TimePoint until, CancellationWatch &cancellation);
+    // True when only the end of the connection marks the end of the body, so that a body that broke off can look complete.
+    bool bodyEndsWithConnection() const
+    {
+        return m_framing.kind == BodyKind::UntilClose;
+    }
     // Waits for the whole body and returns it, decoded. InvalidReply: the body is longer than `limit` bytes.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation);
 
@@ -269,6 +275,7 @@
     ChunkDecoder m_chunks;
     std::size_t m_bodyRead = 0; // bytes of the body that were read so far; used only for BodyKind::Length
     bool m_bodyComplete = false; // the whole body has been read
+    unsigned m_interimReplies = 0; // number of interim replies that were received
 };
 
 //-----------------------------------------------------------------------------
@@ -331,7 +338,7 @@
 
 private:
     friend class FrontServer;
-    std::string encodeHead(int status, const Headers &headers) const;
+    std::string encodeHead(int status, const Headers &headers); // also decides whether the connection is closed after the reply
     bool send(std::string_view bytes, TimePoint until);
 
     FrontServer &m_server;
@@ -364,7 +371,9 @@
     FrontServer(std::string name, const std::string &address, FrontHandler &handler, GrowingPool &pool);
     ~FrontServer();
     void beginClosing(); // from now on replies carry "Connection: close", and each connection is closed after its reply
-    void closeIdle(); // has the event thread close the listener and all connections without a request being received or served; returns at once
+    // Has the event thread accept the connections that wait, close the listener, and close all connections on which no request has arrived;
+    // returns at once. A connection that was never used is kept a little longer, since its first request may be on its way.
+    void closeIdle();
     void stop(); // ends the event thread; call it only after the pool has finished all requests of this server
     bool closing() const
     {
@@ -374,6 +383,7 @@
     {
         return m_activeRequests;
     }
+    std::size_t connectionCount() const;
     std::string address() const; // IP:port as bound
 
 private:
@@ -401,8 +411,9 @@
     std::atomic<bool> m_closing{false};
     std::atomic<bool> m_accepting{true};
     std::atomic<bool> m_stopping{false};
+    bool m_listenerClosed = false; // used by the event thread only
     std::atomic<std::size_t> m_activeRequests{0};
-    RankedMutex m_mutex{LockRank::Connections};
+    mutable RankedMutex m_mutex{LockRank::Connections};
     std::map<int, std::unique_ptr<FrontConnection>> m_connections; // by descriptor
     std::thread m_eventThread; // waits for new connections and for idle ones that become readable
 };
--- /dev/null
+++ b/tests/unit/forwarding_test.cpp
@@ -0,0 +1,651 @@
+// Forwarding against backend servers in trouble, byte by byte: second copies of an answer, answers that break off, lost answers, slow and
+// stalled streams, bytes without end. The servers are scripts on loopback sockets; node and caller are the real transport.
+#include "forwarding/forwarding.h"
+#include "platform/platform.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <Poco/Net/ServerSocket.h>
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <thread>
+
+using namespace vanillanotch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr milliseconds RouteTimeout{2500};
+constexpr milliseconds AnswerBound{500}; // time beyond RouteTimeout by which each request must have ended
+constexpr std::size_t MaxKeptBody = 1024 * 1024; // a caller forgets a longer streamed body; only endless ones are
+constexpr long MemoryBoundKb = 24 * 1024; // by how much the process may grow through one server's bytes
+
+// A connection of the node, as the script of a server sees it.
+class ServerConnection
+{
+public:
+    explicit ServerConnection(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    std::string request; // the request's head
+    bool send(std::string_view bytes) // false: the node has closed the connection
+    {
+        while (!bytes.empty()) {
+            const ssize_t count = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (count <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+        return true;
+    }
+    // Sends the bytes again and again until the node closes the connection or `limit` has passed; true: it was closed.
+    bool sendUntilClosed(const std::string &bytes, Duration pause, Duration limit)
+    {
+        const TimePoint until = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < until) {
+            if (!send(bytes)) {
+                return true;
+            }
+            wait(pause);
+        }
+        return false;
+    }
+    void wait(Duration time) // ends early when the node closes the connection
+    {
+        pollfd entry{m_descriptor, POLLRDHUP, 0};
+        (void)::poll(&entry, 1, pollTimeout(std::chrono::steady_clock::now() + time).count());
+    }
+    void reset()
+    {
+        const linger resetOnClose{1, 0};
+        (void)::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+    }
+    std::string header(const std::string &name) const
+    {
+        const std::size_t at = request.find("\r\n" + name + ": ");
+        if (at == std::string::npos) {
+            return {};
+        }
+        const std::size_t begin = at + name.size() + 4;
+        return request.substr(begin, request.find("\r\n", begin) - begin);
+    }
+    std::string head(const std::string &fields) const // of a successful reply to this request
+    {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + header("X-Attempt-Id") + "\r\nX-Server-Seal: s\r\n" + fields + "\r\n";
+    }
+
+private:
+    const int m_descriptor;
+};
+
+// A backend server that runs `script` for each connection, after it has received the head of a request.
+class ScriptedServer
+{
+public:
+    std::function<void(ServerConnection &)> script;
+    std::atomic<int> requests{0};
+
+    ScriptedServer()
+    {
+        m_listener.bind(Poco::Net::SocketAddress("127.0.0.1:0"), false, false);
+        m_listener.listen(64);
+        m_acceptor = std::thread([this] {
+            for (;;) {
+                const int descriptor = ::accept(m_listener.impl()->sockfd(), nullptr, nullptr);
+                if (descriptor < 0 || m_stopping) {
+                    return;
+                }
+                m_workers.emplace_back([this, descriptor] {
+                    serve(descriptor);
+                });
+            }
+        });
+    }
+    ~ScriptedServer()
+    {
+        m_stopping = true;
+        (void)::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
+        m_acceptor.join();
+        for (std::thread &worker : m_workers) {
+            worker.join();
+        }
+    }
+    std::string address() const
+    {
+        return m_listener.address().toString();
+    }
+
+private:
+    void serve(int descriptor)
+    {
+        ServerConnection connection(descriptor);
+        std::array<char, 4096> buffer{};
+        while (connection.request.find("\r\n\r\n") == std::string::npos) {
+            const ssize_t count = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+            if (count <= 0) {
+                ::close(descriptor);
+                return;
+            }
+            connection.request.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+        ++requests;
+        script(connection);
+        ::close(descriptor);
+    }
+
+    Poco::Net::ServerSocket m_listener;
+    std::atomic<bool> m_stopping{false};
+    std::vector<std::thread> m_workers;
+    std::thread m_acceptor;
+};
+
+class NoStages final : public StageExecutor, public ResultSink
+{
+public:
+    void submit(const Ref<StageRun> &run) override
+    {
+        run->fail(ErrorCode::Overloaded);
+    }
+    void release(const std::vector<std::string> & /*handles*/) override
+    {
+    }
+};
+
+class FixedBudget final : public RetryBudget
+{
+public:
+    std::atomic<int> left{100};
+    void recordFirstCall(const std::string & /*service*/) override
+    {
+    }
+    bool tryTake(const std::string & /*service*/) override
+    {
+        return left-- > 0;
+    }
+};
+
+class ServiceHandler final : public FrontHandler
+{
+public:
+    explicit ServiceHandler(ForwardService &service)
+        : m_service(service)
+    {
+    }
+    void serve(FrontExchange &exchange) override
+    {
+        m_service.serve(exchange);
+    }
+    std::string describeError(ErrorCode code) override
+    {
+        return describeRefusal(code);
+    }
+    FrontLimits limits() override
+    {
+        return FrontLimits{};
+    }
+
+private:
+    ForwardService &m_service;
+};
+
+struct CallerAnswer {
+    int status = 0;
+    std::string body; // decoded
+    bool complete = false; // the body was received to its end
+    Duration took{};
+};
+
+// A caller's connection that stays open from request to request, as far as the node allows it.
+class Caller
+{
+public:
+    explicit Caller(const std::string &address)
+        : m_connection(Poco::Net::StreamSocket(Poco::Net::SocketAddress(address)))
+    {
+    }
+    CallerAnswer call(const std::string &method, const std::string &route, const std::string &attempt)
+    {
+        const TimePoint begun = std::chrono::steady_clock::now();
+        const std::string request = method + " /" + route + "/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 9000\r\n\r\n";
+        std::string_view unsent = request;
+        (void)m_connection.send(unsent);
+        CallerAnswer answer;
+        std::string &received = m_connection.received();
+        std::optional<BodyFraming> framing;
+        ChunkDecoder chunks;
+        for (bool ended = false; !ended && !answer.complete;) {
+            pollfd entry{m_connection.descriptor(), POLLIN, 0};
+            (void)::poll(&entry, 1, 10000);
+            const IoState state = m_connection.receive();
+            ended = state == IoState::Closed || state == IoState::Reset || std::chrono::steady_clock::now() - begun > seconds(10);
+            const std::size_t headEnd = received.find("\r\n\r\n");
+            if (!framing && headEnd != std::string::npos) {
+                const auto head = parseReplyHead(std::string_view(received).substr(0, headEnd + 4));
+                received.erase(0, headEnd + 4);
+                answer.status = head->status;
+                framing = *replyFraming(*head);
+            }
+            if (framing && framing->kind == BodyKind::Chunked) {
+                (void)chunks.feed(received, answer.body);
+                answer.complete = chunks.complete();
+                if (answer.body.size() > MaxKeptBody) {
+                    answer.body.clear();
+                }
+            } else if (framing) {
+                const std::size_t taken = std::min(received.size(), framing->length - answer.body.size());
+                answer.body.append(received, 0, taken);
+                received.erase(0, taken);
+                answer.complete = answer.body.size() == framing->length;
+            }
+        }
+        answer.took = std::chrono::steady_clock::now() - begun;
+        return answer;
+    }
+
+private:
+    Connection m_connection;
+};
+
+RouteSpec makeRoute(const std::string &name, RequestKind kind, bool resumable, unsigned attempts)
+{
+    RouteSpec route;
+    route.name = name;
+    route.host = "h";
+    route.prefix = "/" + name + "/";
+    route.kind = kind;
+    route.resumable = resumable;
+    route.services = {WeightedService{name, 1}};
+    route.timeout = RouteTimeout;
+    route.targetLatency = milliseconds(300);
+    route.maxAttempts = attempts;
+    return route;
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: text " + std::to_string(id) + "\n\n";
+}
+
+std::string chunk(const std::string &data)
+{
+    std::string text;
+    appendChunk(text, data);
+    return text;
+}
+
+long peakMemoryKb()
+{
+    rusage usage{};
+    (void)::getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+} // namespace
+
+TEST_GROUP(Forwarding)
+{
+    SystemClock clock;
+    DeploymentTable deployments{FreshnessSettings{}};
+    std::unique_ptr<InstanceTable> instances;
+    std::unique_ptr<RequestCodec> codec = platform::makeRequestCodec();
+    NoStages stages;
+    FixedBudget budget;
+    EngineTimeEstimator engineTimes;
+    StatedDeadlines statedDeadlines;
+    std::unique_ptr<ChoicePolicy> choice = makeLeastOutstandingChoice();
+    UpstreamSettings upstream;
+    MetricsRegistry metrics;
+    std::unique_ptr<ForwardService> service;
+    std::unique_ptr<ServiceHandler> handler;
+    GrowingPool pool{64};
+    std::unique_ptr<FrontServer> front;
+    std::unique_ptr<ScriptedServer> first = std::make_unique<ScriptedServer>();
+    std::unique_ptr<ScriptedServer> second = std::make_unique<ScriptedServer>();
+
+    void setup() override
+    {
+        instances = std::make_unique<InstanceTable>(clock, InstanceSettings{});
+        std::vector<RouteSpec> routes = {makeRoute("once", RequestKind::NonIdempotent, false, 1), makeRoute("again", RequestKind::Idempotent, false, 2),
+                                         makeRoute("stream", RequestKind::Streaming, false, 1), makeRoute("resume", RequestKind::Streaming, true, 2),
+                                         makeRoute("sound", RequestKind::Idempotent, false, 2)};
+        std::vector<ServiceSpec> services;
+        for (const RouteSpec &route : routes) {
+            services.push_back(ServiceSpec{route.name, false, 0, 0, std::nullopt});
+        }
+        CHECK(deployments.install(makeRef<Deployment>(1, std::move(routes), std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
+        deployments.confirmNewest(suspendAwareNow());
+        service = std::make_unique<ForwardService>(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes,
+                                                                       statedDeadlines, *choice, *choice, upstream, metrics},
+                                                   ForwardSettings{});
+        handler = std::make_unique<ServiceHandler>(*service);
+        front = std::make_unique<FrontServer>("callers", "127.0.0.1:0", *handler, pool);
+    }
+    void teardown() override
+    {
+        front->stop();
+        pool.stop();
+        front.reset();
+        first.reset();
+        second.reset();
+    }
+    // Registers the first server, and the second one after it if wanted, for the service of the route.
+    void serve(const std::string &route, bool both = false)
+    {
+        std::vector<InstanceSpec> specs;
+        specs.push_back(InstanceSpec{"i1", route, first->address(), "dc1", 64, false, 1});
+        if (both) {
+            specs.push_back(InstanceSpec{"i2", route, second->address(), "dc1", 64, false, 1});
+        }
+        instances->synchronise(specs, false);
+    }
+};
+
+// A server sends its answer twice, the second copy at once or late. No caller gets it, also not on a connection that is used again.
+TEST(Forwarding, ASecondCopyOfAnAnswerReachesNobody)
+{
+    for (const milliseconds delay : {milliseconds(0), milliseconds(150)}) {
+        first->script = [delay](ServerConnection &connection) {
+            const std::string body = "answer to " + connection.header("X-Attempt-Id");
+            const std::string answer = connection.head("Content-Length: " + std::to_string(body.size()) + "\r\nKeep-Alive: timeout=30\r\n") + body;
+            (void)connection.send(answer);
+            connection.wait(delay);
+            (void)connection.send(answer);
+            connection.wait(seconds(1));
+        };
+        serve("again");
+        Caller caller(front->address());
+        for (int i = 0; i < 4; ++i) {
+            const std::string attempt = "a" + std::to_string(i);
+            const CallerAnswer answer = caller.call("GET", "again", attempt);
+            LONGS_EQUAL(200, answer.status);
+            STRCMP_EQUAL(("answer to " + attempt).c_str(), answer.body.c_str());
+        }
+    }
+}
+
+// An answer that breaks off never looks complete: neither a whole one nor one that was begun, whatever marks its end.
+TEST(Forwarding, AnAnswerThatBreaksOffIsNeverComplete)
+{
+    struct Break {
+        const char *route;
+        std::function<std::string(const ServerConnection &)> sent;
+        bool reset = false;
+    };
+    const std::string lengthField = "Content-Length: 20\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string events = "Content-Type: text/event-stream\r\n";
+    const std::vector<Break> breaks = {
+        {"once",
+         [](const ServerConnection & /*c*/) {
+             return std::string();
+         }},
+        {"once",
+         [](const ServerConnection & /*c*/) {
+             return std::string();
+         },
+         true},
+        {"once",
+         [](const ServerConnection &c) {
+             return c.head("Content-Length: 20\r\n").substr(0, 40);
+         }},
+        {"once",
+         [&](const ServerConnection &c) {
+             return c.head(lengthField);
+         }},
+        {"once",
+         [&](const ServerConnection &c) {
+             return c.head(lengthField) + "0123456789";
+         }},
+        {"once",
+         [&](const ServerConnection &c) {
+             return c.head(chunked) + "14\r\n01234";
+         }},
+        {"once",
+         [&](const ServerConnection &c) {
+             return c.head(chunked) + chunk("0123456789");
+         }},
+        {"once",
+         [&](const ServerConnection &c) {
+             return c.head(chunked) + chunk("0123456789") + "0\r\n";
+         }},
+        {"once",
+         [](const ServerConnection &c) {
+             return c.head("") + "0123456789";
+         },
+         true},
+        {"stream",
+         [&](const ServerConnection &c) {
+             return c.head(events + chunked) + chunk(event(1)) + chunk(event(2));
+         }},
+        {"stream",
+         [&](const ServerConnection &c) {
+             return c.head(events + chunked) + chunk(event(1)) + chunk("id: 2\nda");
+         }},
+        {"stream",
+         [&](const ServerConnection &c) {
+             return c.head(events) + event(1) + "id: 2\ndata: te";
+         }},
+        {"stream",
+         [&](const ServerConnection &c) {
+             return c.head(events) + event(1) + event(2);
+         },
+         true},
+    };
+    for (std::size_t i = 0; i < breaks.size(); ++i) {
+        const Break &broken = breaks[i];
+        first->script = [&broken](ServerConnection &connection) {
+            (void)connection.send(broken.sent(connection));
+            if (broken.reset) {
+                connection.wait(milliseconds(50)); // the bytes arrive before the reset
+                connection.reset();
+            }
+        };
+        serve(broken.route);
+        const int before = first->requests;
+        Caller caller(front->address());
+        const CallerAnswer answer = caller.call("POST", broken.route, "a" + std::to_string(i));
+        const std::string label = "break " + std::to_string(i);
+        CHECK_TEXT(!(answer.complete && answer.status == 200), label.c_str());
+        // The server may have run the request: it isn't sent again, and the caller isn't told that it did not run.
+        CHECK_TEXT(answer.status == 502 || (answer.status == 200 && !answer.complete), label.c_str());
+        LONGS_EQUAL_TEXT(1, first->requests - before, label.c_str());
+    }
+}
+
+// An answer whose end only the connection marks is complete when the connection ends in order.
+TEST(Forwarding, AnAnswerThatEndsWithItsConnectionIsComplete)
+{
+    first->script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Type: text/event-stream\r\n") + event(1) + event(2));
+    };
+    serve("stream");
+    Caller caller(front->address());
+    const CallerAnswer answer = caller.call("POST", "stream", "a1");
+    LONGS_EQUAL(200, answer.status);
+    CHECK(answer.complete);
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), answer.body.c_str());
+}
+
+// An answer that is lost after the run: a request that must not be repeated runs once, and nobody says that it didn't run. One that may be
+// repeated is answered by the next server.
+TEST(Forwarding, ALostAnswerIsNeitherRepeatedNorDenied)
+{
+    for (const bool reset : {false, true}) {
+        first->script = [reset](ServerConnection &connection) {
+            if (reset) {
+                connection.reset();
+            }
+        };
+        second->script = [](ServerConnection &connection) {
+            (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+        };
+        serve("once");
+        const int before = first->requests;
+        CallerAnswer answer = Caller(front->address()).call("POST", "once", "a1");
+        LONGS_EQUAL(1, first->requests - before);
+        LONGS_EQUAL(502, answer.status);
+        serve("again", true);
+        answer = Caller(front->address()).call("GET", "again", "a2");
+        LONGS_EQUAL(200, answer.status);
+    }
+}
+
+// A stream that is slow but sound goes on when it can't be moved: here its pause is longer than streamSilenceLimit, and the retry budget is
+// used up. The same holds for an answer that is late to begin.
+TEST(Forwarding, ASlowSoundAnswerIsNotCut)
+{
+    budget.left = 0;
+    first->script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(event(1)));
+        connection.wait(milliseconds(1900));
+        (void)connection.send(chunk(event(2)) + std::string(LastChunk));
+    };
+    serve("resume");
+    const CallerAnswer stream = Caller(front->address()).call("POST", "resume", "a1");
+    CHECK(stream.complete);
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), stream.body.c_str());
+    first->script = [](ServerConnection &connection) {
+        connection.wait(milliseconds(1200)); // longer than minFirstReplyTimeout
+        (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+    };
+    serve("again");
+    const CallerAnswer answer = Caller(front->address()).call("GET", "again", "a2");
+    LONGS_EQUAL(200, answer.status);
+    LONGS_EQUAL(2, first->requests);
+}
+
+// A stalled stream that sends a byte now and then is moved like one that sends nothing, after its last complete event.
+TEST(Forwarding, AStalledStreamThatDripsBytesIsMoved)
+{
+    std::atomic<bool> stalled{false};
+    const auto script = [&stalled](ServerConnection &connection) {
+        const std::string last = connection.header("Last-Event-Id");
+        (void)connection.send(connection.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+        if (!last.empty()) {
+            STRCMP_EQUAL("1", last.c_str());
+            (void)connection.send(chunk(event(2)) + std::string(LastChunk));
+        } else if (!stalled.exchange(true)) {
+            (void)connection.send(chunk(event(1)) + chunk("id: 2\ndata: "));
+            CHECK(connection.sendUntilClosed(chunk("x"), milliseconds(100), seconds(4)));
+        }
+    };
+    first->script = script;
+    second->script = script;
+    serve("resume", true);
+    const CallerAnswer answer = Caller(front->address()).call("POST", "resume", "a1");
+    CHECK(answer.complete);
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), answer.body.c_str());
+    CHECK(answer.took < milliseconds(2200));
+}
+
+// A stalled stream that can't be moved ends at the deadline, and doesn't look complete.
+TEST(Forwarding, AStalledStreamEndsAtItsDeadline)
+{
+    first->script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(event(1)));
+        CHECK(connection.sendUntilClosed(chunk(":"), milliseconds(50), RouteTimeout + AnswerBound));
+    };
+    serve("stream");
+    const CallerAnswer answer = Caller(front->address()).call("POST", "stream", "a1");
+    CHECK_FALSE(answer.complete);
+    CHECK(answer.took < RouteTimeout + AnswerBound);
+}
+
+// Bytes that are no answer come without end, in a head or a body. The node closes the connection, tells its caller the truth in time,
+// doesn't grow, and serves others meanwhile.
+TEST(Forwarding, BytesWithoutEndAreCutOff)
+{
+    struct Flood {
+        const char *name;
+        const char *route;
+        std::string begin; // after the head of a reply, if `headed`
+        std::string repeated;
+        bool headed = true;
+        std::string fields;
+    };
+    const std::string block(8192, 'x');
+    std::string lines;
+    std::string interim;
+    std::string trailers;
+    std::string events;
+    for (int i = 0; i < 200; ++i) {
+        lines += "X-Field: y\r\n";
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+        trailers += "X-Trailer: y\r\n";
+        events += event(i);
+    }
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<Flood> floods = {
+        {"status line", "once", "HTTP/1.1 200 ", block, false, ""},
+        {"no protocol", "once", "", block, false, ""},
+        {"header lines", "once", "HTTP/1.1 200 OK\r\n", lines, false, ""},
+        {"interim replies", "once", "", interim, false, ""},
+        {"chunk extension", "once", "5;", block, true, chunked},
+        {"chunks", "once", "", chunk(block), true, chunked},
+        {"trailers", "once", chunk("12345") + "0\r\n", trailers, true, chunked},
+        {"body without length", "once", "", block, true, ""},
+        {"body beyond its length", "once", "12345", block, true, "Content-Length: 5\r\n"},
+        {"event without end", "stream", "data: ", block, true, ""},
+        {"chunked event without end", "stream", chunk("data: "), chunk(block), true, chunked},
+        {"events without end", "stream", "", chunk(events), true, chunked},
+        {"empty lines", "stream", "", std::string(8192, '\n'), true, ""},
+        {"resumable event without end", "resume", "data: ", block, true, ""},
+    };
+    second->script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+    };
+    for (const Flood &flood : floods) {
+        std::atomic<bool> closed{false};
+        first->script = [&](ServerConnection &connection) {
+            (void)connection.send((flood.headed ? connection.head(flood.fields) : std::string()) + flood.begin);
+            closed = connection.sendUntilClosed(flood.repeated, milliseconds(0), RouteTimeout + AnswerBound + seconds(1));
+        };
+        instances->synchronise(
+            {InstanceSpec{"i1", flood.route, first->address(), "dc1", 64, false, 1}, InstanceSpec{"i2", "sound", second->address(), "dc1", 64, false, 1}},
+            false);
+        const long memoryBefore = peakMemoryKb();
+        CallerAnswer answer;
+        std::thread caller([&] {
+            answer = Caller(front->address()).call("POST", flood.route, "a1");
+        });
+        for (int i = 0; i < 5; ++i) {
+            const CallerAnswer other = Caller(front->address()).call("GET", "sound", "b" + std::to_string(i));
+            LONGS_EQUAL_TEXT(200, other.status, flood.name);
+            CHECK_TEXT(other.took < milliseconds(400), flood.name);
+        }
+        caller.join();
+        const bool beyondLength = std::string_view(flood.name) == "body beyond its length";
+        CHECK_TEXT(beyondLength == (answer.status == 200 && answer.complete), flood.name); // the answer itself was whole there
+        CHECK_TEXT(answer.status == 200 || answer.status == 502 || answer.status == 504, flood.name);
+        CHECK_TEXT(answer.took < RouteTimeout + AnswerBound, flood.name);
+        CHECK_TEXT(peakMemoryKb() - memoryBefore < MemoryBoundKb, flood.name);
+        const TimePoint until = std::chrono::steady_clock::now() + seconds(1);
+        while (!closed && std::chrono::steady_clock::now() < until) {
+            pollfd none{-1, 0, 0};
+            (void)::poll(&none, 1, 5);
+        }
+        CHECK_TEXT(closed, flood.name);
+    }
+}
+
+TEST_GROUP(Events){};
+
+// Guards against streams that are resumed after the wrong event: the id of an event is that of its line "id:", not a text within its data,
+// and an event counts only when it is complete. Lines may end with CR LF.
+TEST(Events, OnlyCompleteEventsAndTheirOwnIdsCount)
+{
+    const std::string two = "id: 1\ndata: a\n\nid: 2\ndata: the id: 9\nvalue: id: 8\n\n";
+    const EventScan scan = scanEvents(two + "id: 3\ndata: b\n");
+    LONGS_EQUAL(static_cast<long>(two.size()), static_cast<long>(scan.completeBytes));
+    STRCMP_EQUAL("2", scan.lastId->c_str());
+    const std::string lines = "id:7\r\ndata: a\r\n\r\n";
+    LONGS_EQUAL(static_cast<long>(lines.size()), static_cast<long>(scanEvents(lines).completeBytes));
+    STRCMP_EQUAL("7", scanEvents(lines).lastId->c_str());
+    CHECK_FALSE(scanEvents("data: a\n\n").lastId.has_value());
+    LONGS_EQUAL(0, static_cast<long>(scanEvents("id: 1\ndata: a\n").completeBytes));
+}
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -90,6 +90,53 @@
     }
 };
 
+// A planned stop under load: requests that have just arrived when the server closes, on new connections and on used ones, are answered.
+TEST(Transport, RequestsThatHaveArrivedAreAnsweredWhenTheServerCloses)
+{
+    constexpr std::string_view Request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto awaitReply = [](Connection &connection) {
+        const TimePoint until = std::chrono::steady_clock::now() + TestTimeout;
+        for (IoState state = IoState::WouldBlock; connection.received().find("GET /a") == std::string::npos && std::chrono::steady_clock::now() < until;) {
+            if (state == IoState::Closed || state == IoState::Reset) {
+                return false;
+            }
+            pollfd entry{connection.descriptor(), POLLIN, 0};
+            (void)::poll(&entry, 1, 100);
+            state = connection.receive();
+        }
+        return connection.received().find("GET /a") != std::string::npos;
+    };
+    for (int round = 0; round < 20; ++round) {
+        FrontServer closing("closing", "127.0.0.1:0", handler, pool);
+        std::vector<std::unique_ptr<Connection>> callers;
+        for (int i = 0; i < 16; ++i) {
+            callers.push_back(std::make_unique<Connection>(Poco::Net::StreamSocket(Poco::Net::SocketAddress(closing.address()))));
+            const bool used = i % 2 == 0;
+            if (used) {
+                std::string_view bytes = Request;
+                (void)callers.back()->send(bytes);
+                CHECK(awaitReply(*callers.back()));
+                callers.back()->received().clear();
+            }
+        }
+        for (const auto &caller : callers) {
+            std::string_view bytes = Request;
+            (void)caller->send(bytes);
+        }
+        closing.closeIdle();
+        for (const auto &caller : callers) {
+            CHECK(awaitReply(*caller));
+        }
+        const TimePoint until = std::chrono::steady_clock::now() + TestTimeout;
+        while (closing.connectionCount() > 0 && std::chrono::steady_clock::now() < until) {
+            pollfd none{-1, 0, 0};
+            (void)::poll(&none, 1, 5);
+        }
+        LONGS_EQUAL(0, static_cast<long>(closing.connectionCount()));
+        closing.stop();
+    }
+}
+
 // Guards against request smuggling: two programs may disagree where such a request ends, and then read part of it as another request.
 TEST(Transport, AmbiguousFramingGetsAnImmediate400AndTheFollowingRequestIsNotServed)
 {
