vanillanotchd's HTTP client: replies that break off, second copies, bytes without end

Bodies are now read by their own framing, with the strict chunk decoder of the transport library. - A second copy of a reply that had been read ahead stayed in the connection and was the next call's reply (backend calls discarded it by its attempt id; calls to the platform's store and the tool had no such check). Such a connection isn't used again. - Bytes without end in a head, interim replies, a chunk's extension or trailers held a call beyond its deadline: POCO limits each read, not their sum. The socket of a call now ends its reads at the deadline and after a number of bytes. - A stalled stream with a byte now and then counted as alive: only tokens count. - While the server closes, a connection is closed only when its reply announced it.

--- a/src/backend/http_channel.cpp
+++ b/src/backend/http_channel.cpp
@@ -91,9 +91,14 @@
             m_errorCode = ErrorCode::AttemptMismatch;
             return false;
         }
+        ++m_tokens;
         m_callerDisconnected = !m_listener.token(token.text);
         return !m_callerDisconnected;
     }
+    std::optional<std::size_t> delivered() const override
+    {
+        return m_tokens;
+    }
     std::optional<ErrorCode> errorCode() const
     {
         return m_errorCode;
@@ -106,6 +111,7 @@
 private:
     const StageCall &m_call;
     StageListener &m_listener;
+    std::size_t m_tokens = 0;
     bool m_done = false; // the engine has sent the end mark "[DONE]": the text is complete
     bool m_callerDisconnected = false;
     // Why this reader cancelled the call; nullopt: the reader has not cancelled it, or did so because the caller disconnected.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,9 +1,11 @@
 #include "http/http.h"
 #include "http/stream.h"
+#include "transport/transport.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/String.h>
 
 #include <netinet/tcp.h>
@@ -17,6 +19,7 @@
 
 namespace
 {
+constexpr std::size_t MaxHeadBytes = 256 * 1024; // most bytes of a reply's head, interim replies included
 constexpr Duration CancelCheckInterval = std::chrono::milliseconds(250); // time between two checks whether the listener cancels the call
 
 // Returns the duration as POCO's type; at least 1 ms.
@@ -39,6 +42,43 @@
 }
 } // namespace
 
+// A socket whose receiving ends at a point in time and after a number of bytes. POCO waits at most its timeout for each read, so that a peer
+// that goes on sending could otherwise hold a thread for ever, for example with interim replies or the extension of a chunk's size.
+class BoundedSocketImpl final : public Poco::Net::StreamSocketImpl
+{
+public:
+    void setBounds(TimePoint until, std::size_t bytes)
+    {
+        m_until = until;
+        m_bytesLeft = bytes;
+    }
+    using Poco::Net::StreamSocketImpl::receiveBytes;
+    int receiveBytes(void *buffer, int length, int flags) override
+    {
+        const Duration left = timeLeft(m_until);
+        if (left <= Duration::zero() || m_bytesLeft == 0 || !poll(timespan(left), SELECT_READ)) {
+            throw Poco::TimeoutException("the reply has not ended within its bounds");
+        }
+        const int limit = static_cast<int>(std::min<std::size_t>(static_cast<std::size_t>(length), m_bytesLeft));
+        const int count = StreamSocketImpl::receiveBytes(buffer, limit, flags);
+        m_bytesLeft -= static_cast<std::size_t>(std::max(count, 0));
+        return count;
+    }
+
+private:
+    TimePoint m_until = TimePoint::max();
+    std::size_t m_bytesLeft = 0;
+};
+
+class BoundedSocket final : public Poco::Net::StreamSocket
+{
+public:
+    BoundedSocket()
+        : StreamSocket(new BoundedSocketImpl) // POCO takes ownership
+    {
+    }
+};
+
 // A POCO session that gives access to the bytes it has read ahead.
 class HttpConnection final : public Poco::Net::HTTPClientSession
 {
@@ -60,6 +100,10 @@
     {
         return socket().impl()->sockfd();
     }
+    void setReceiveBounds(TimePoint until, std::size_t bytes)
+    {
+        static_cast<BoundedSocketImpl *>(socket().impl())->setBounds(until, bytes);
+    }
     std::string takeBuffered()
     {
         std::string bytes(static_cast<std::size_t>(std::max(buffered(), 0)), '\0');
@@ -88,6 +132,10 @@
     {
         return m_listener.cancelled();
     }
+    std::optional<std::size_t> delivered() const override
+    {
+        return m_listener.delivered();
+    }
     ReadResult read() override
     {
         // Checked before bytes are read: passing them on to a caller whose socket accepts none would block this worker thread and all streams that it reads.
@@ -118,6 +166,10 @@
     {
         return m_outcome;
     }
+    bool hasSurplus() const
+    {
+        return m_decoder.hasSurplus();
+    }
 
 private:
     ReadResult take(std::string_view bytes)
@@ -181,9 +233,9 @@
         }
     }
 
-    bool reusable() const
+    bool reusable()
     {
-        return m_replyComplete && m_keepAlive;
+        return m_replyComplete && m_keepAlive && !m_surplus && !m_connection.hasBuffered();
     }
 
 private:
@@ -252,8 +304,9 @@
     {
         const Duration headerTimeout = std::min(timeLeft(m_deadline), std::max(m_request.receiveTimeout, m_gapTimeout));
         m_connection.socket().setReceiveTimeout(timespan(headerTimeout));
+        m_connection.setReceiveBounds(std::chrono::steady_clock::now() + headerTimeout, MaxHeadBytes);
         Poco::Net::HTTPResponse incoming;
-        std::istream &stream = m_connection.receiveResponse(incoming);
+        (void)m_connection.receiveResponse(incoming);
         HttpReply reply;
         reply.status = incoming.getStatus();
         for (const auto &[name, value] : incoming) {
@@ -263,7 +316,7 @@
             return tl::unexpected(failure(ErrorCode::CallerDisconnected, "cancelled after the headers"));
         }
         const bool streamed = m_listener != nullptr && incoming.getContentType().rfind("text/event-stream", 0) == 0;
-        const Result<void> read = streamed ? readLines(incoming.getChunkedTransferEncoding()) : readAll(stream, incoming, reply.body);
+        const Result<void> read = streamed ? readLines(incoming.getChunkedTransferEncoding()) : readAll(incoming, reply.body);
         if (!read) {
             return tl::unexpected(failure(read.error().code, read.error().detail));
         }
@@ -272,35 +325,59 @@
         return reply;
     }
 
-    Result<void> readAll(std::istream &stream, const Poco::Net::HTTPResponse &incoming, std::string &body)
+    // Reads the body by its framing. POCO's streams aren't used for it: they end in the same way when a chunked body is complete and when it
+    // has broken off.
+    Result<void> readAll(const Poco::Net::HTTPResponse &incoming, std::string &body)
     {
-        std::array<char, 16384> buffer{};
+        const bool chunked = incoming.getChunkedTransferEncoding();
+        const bool withoutBody = m_request.method == "HEAD" || incoming.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT
+            || incoming.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+        const bool hasLength = withoutBody || (!chunked && incoming.hasContentLength());
+        const auto length = withoutBody ? std::size_t{0} : static_cast<std::size_t>(std::max<Poco::Int64>(0, incoming.getContentLength64()));
+        ChunkDecoder chunks;
+        std::string received = m_connection.takeBuffered();
         for (;;) {
-            const bool whole = incoming.hasContentLength() && static_cast<Poco::Int64>(body.size()) >= incoming.getContentLength64();
-            if (!whole && stream.rdbuf()->in_avail() <= 0) {
-                if (auto ready = awaitBytes(m_gapTimeout); !ready) {
-                    return ready;
+            if (chunked && !withoutBody) {
+                if (const auto fed = chunks.feed(received, body); !fed) {
+                    return fail(ErrorCode::InvalidReply, fed.error().detail);
                 }
+            } else {
+                const std::size_t taken = hasLength ? std::min(received.size(), length - body.size()) : received.size();
+                body.append(received, 0, taken);
+                received.erase(0, taken);
             }
-            const std::streamsize available = std::max<std::streamsize>(stream.rdbuf()->in_avail(), 1);
-            stream.read(buffer.data(), std::min<std::streamsize>(available, buffer.size()));
-            body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
             if (body.size() > m_maxReplyBytes) {
                 return fail(ErrorCode::InvalidReply, "the reply is longer than the limit");
             }
-            if (!stream) {
-                break;
+            if (hasLength ? body.size() == length : chunked && chunks.complete()) {
+                m_surplus = !received.empty();
+                return {};
             }
+            if (auto ready = awaitBytes(m_gapTimeout); !ready) {
+                return ready;
+            }
+            std::array<char, 16384> buffer{};
+            const ssize_t count = ::recv(m_connection.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (count == 0 && !hasLength && !chunked) {
+                return {};
+            }
+            if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR)) {
+                return fail(ErrorCode::ConnectionLost, "the reply was cut short");
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
         }
-        if (incoming.hasContentLength() && static_cast<Poco::Int64>(body.size()) != incoming.getContentLength64()) {
-            return fail(ErrorCode::ConnectionLost, "the reply was cut short");
-        }
-        return {};
     }
 
     Result<void> readLines(bool chunked)
     {
         StreamedReply reply(m_connection, *m_listener, EventLineDecoder(chunked, m_maxReplyBytes));
+        const auto outcome = readStream(reply);
+        m_surplus = reply.hasSurplus();
+        return outcome;
+    }
+
+    Result<void> readStream(StreamedReply &reply)
+    {
         if (reply.takeBuffered() == StreamSource::ReadResult::Ended) {
             return reply.outcome();
         }
@@ -314,13 +391,17 @@
             }
         }
         // This thread reads the rest when there are no worker threads, or when the caller is so slow that a worker would delay other streams.
+        TimePoint silentAt = std::chrono::steady_clock::now() + m_gapTimeout;
         for (;;) {
-            if (auto ready = awaitBytes(m_gapTimeout); !ready) {
+            if (auto ready = awaitBytes(timeLeft(silentAt)); !ready) {
                 return ready;
             }
+            const auto before = reply.delivered();
             if (reply.readNow() == StreamSource::ReadResult::Ended) {
                 return reply.outcome();
             }
+            const bool progress = !before || reply.delivered() > before;
+            silentAt = progress ? std::chrono::steady_clock::now() + m_gapTimeout : silentAt;
         }
     }
 
@@ -335,6 +416,7 @@
     bool m_maybeSent = false;
     bool m_replyComplete = false;
     bool m_keepAlive = false;
+    bool m_surplus = false; // further bytes came after the reply: they belong to no request, so the connection isn't used again
     bool m_callerHasData = false;
 };
 
@@ -408,7 +490,7 @@
     if (!pooled) {
         try {
             const Poco::Net::SocketAddress target(address);
-            Poco::Net::StreamSocket socket;
+            BoundedSocket socket;
             socket.connect(target, timespan(std::min<Duration>(m_settings.connectTimeout, timeLeft(deadline))));
             socket.setNoDelay(true);
             connection = std::make_unique<HttpConnection>(socket);
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -111,6 +111,12 @@
     virtual void flush()
     {
     }
+    // Number of useful parts of the reply that onLine() has got so far. While it doesn't grow, the stream counts as silent, although
+    // bytes may come. nullopt: any byte counts.
+    virtual std::optional<std::size_t> delivered() const
+    {
+        return std::nullopt;
+    }
 };
 
 class HttpConnection;
@@ -122,10 +128,10 @@
 public:
     explicit HttpClient(HttpClientSettings settings = {});
     ~HttpClient();
-    // `address`: IP:port. `deadline` limits the whole call, `gapTimeout` each wait for further bytes of the reply's body. `listener` may be
-    // nullptr. Errors: ConnectFailed, ConnectionLost, ServerTimeout (a wait took too long), DeadlineExceeded, InvalidReply (the reply, or a line
-    // of a streamed one, is longer than maxReplyBytes; or a streamed reply has invalid chunked coding), CallerDisconnected (the caller disconnected, or the
-    // listener cancelled the call).
+    // `address`: IP:port. `deadline` limits the whole call, `gapTimeout` each wait for further bytes of the reply's body (for a streamed reply
+    // see HttpReplyListener::delivered()). `listener` may be nullptr. Errors: ConnectFailed, ConnectionLost, ServerTimeout (a wait took too long),
+    // DeadlineExceeded, InvalidReply (the reply, or a line of a streamed one, is longer than maxReplyBytes; or a streamed reply has invalid chunked coding),
+    // CallerDisconnected (the caller disconnected, or the listener cancelled the call).
     tl::expected<HttpReply, HttpFailure> call(const std::string &address, const HttpClientRequest &request, TimePoint deadline,
                                               Duration gapTimeout = std::chrono::seconds(2), HttpReplyListener *listener = nullptr);
     // Closes the idle connections to the address. Call it after a connection to the address has failed or stalled, as the idle ones may be dead as well.
@@ -226,8 +232,10 @@
     void addIdle(const Poco::Net::StreamSocket &socket);
     void removeIdle(const Poco::Net::StreamSocket &socket);
     void closeIdle();
+    void shutdownIdleLocked(Poco::Net::StreamSocket socket);
 
     std::atomic<bool> m_closing{false};
+    bool m_idleClosed = false; // closeIdle() was called; guarded by m_mutex
     std::atomic<int> m_activeRequests{0};
     RankedMutex m_mutex{LockRank::Connections};
     std::condition_variable_any m_requestEnded; // notified when a request has been served
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -227,7 +227,8 @@
         serve(*request, response);
         m_server.m_watchdog.disarm(m_watchdogToken);
         session.setKeepAlive(response.getKeepAlive());
-        return response.getKeepAlive() && !m_server.m_closing;
+        // Also while the server closes, a connection is closed only if its reply announced that: the caller may have sent its next request.
+        return response.getKeepAlive();
     }
 
     // Call it before the connection is closed: reads and discards what the peer still sends, until the peer has closed its side or LingerLimit has
@@ -395,6 +396,9 @@
 {
     const Lock lock(m_mutex);
     m_idleSockets.insert(socket);
+    if (m_idleClosed) {
+        shutdownIdleLocked(socket);
+    }
 }
 
 void HttpServer::removeIdle(const Poco::Net::StreamSocket &socket)
@@ -403,15 +407,21 @@
     m_idleSockets.erase(socket);
 }
 
+void HttpServer::shutdownIdleLocked(Poco::Net::StreamSocket socket)
+{
+    try {
+        socket.shutdownReceive(); // a request that has arrived already is still read
+    } catch (const Poco::Exception &exception) {
+        logEvent(LogLevel::Debug, "http.already_closed", {{"listener", m_settings.name}, {"detail", exception.displayText()}});
+    }
+}
+
 void HttpServer::closeIdle()
 {
     const Lock lock(m_mutex);
-    for (Poco::Net::StreamSocket socket : m_idleSockets) {
-        try {
-            socket.shutdownReceive(); // a request that has arrived already is still read
-        } catch (const Poco::Exception &) {
-            continue; // the peer closed first
-        }
+    m_idleClosed = true;
+    for (const Poco::Net::StreamSocket &socket : m_idleSockets) {
+        shutdownIdleLocked(socket);
     }
 }
 
--- a/src/http/stream.cpp
+++ b/src/http/stream.cpp
@@ -16,6 +16,7 @@
 namespace
 {
 constexpr std::size_t MaxSizeLineBytes = 256; // longest size line of a chunk, bytes, extensions included
+constexpr std::size_t MaxTrailerBytes = 8 * 1024; // longest trailer section, bytes
 constexpr Duration CancelCheckInterval = std::chrono::seconds(1); // time between two checks whether a StreamSource is cancelled
 
 // Moves bytes up to the next line end from `bytes` to the end of `line`. True: the line is complete; its line end has been removed
@@ -54,12 +55,31 @@
     return {};
 }
 
-void EventLineDecoder::takeTrailer(std::string_view &bytes)
+Result<void> EventLineDecoder::takeTrailer(std::string_view &bytes)
 {
-    if (takeLine(bytes, m_trailerLine)) {
+    const std::size_t before = bytes.size();
+    const bool whole = takeLine(bytes, m_trailerLine);
+    m_trailerBytes += before - bytes.size();
+    if (m_trailerBytes > MaxTrailerBytes) {
+        return fail(ErrorCode::InvalidReply, "the trailers of the reply are longer than the limit");
+    }
+    if (whole) {
         m_state = m_trailerLine.empty() ? State::Done : State::Trailer;
         m_trailerLine.clear();
     }
+    return {};
+}
+
+// Takes the line end after the data of a chunk.
+Result<void> EventLineDecoder::takeDataEnd(std::string_view &bytes)
+{
+    const char byte = bytes.front();
+    bytes.remove_prefix(1);
+    if (byte != '\r' && byte != '\n') {
+        return fail(ErrorCode::InvalidReply, "a chunk is longer than its size");
+    }
+    m_state = byte == '\n' ? State::Size : State::DataEnd;
+    return {};
 }
 
 Result<void> EventLineDecoder::takeData(std::string_view bytes, HttpReplyListener &listener)
@@ -103,21 +123,21 @@
             }
             break;
         }
-        case State::DataEnd: {
-            const std::size_t end = bytes.find('\n');
-            bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + 1);
-            if (end != std::string_view::npos) {
-                m_state = State::Size;
+        case State::DataEnd:
+            if (auto taken = takeDataEnd(bytes); !taken) {
+                return taken;
             }
             break;
-        }
         case State::Trailer:
-            takeTrailer(bytes);
+            if (auto taken = takeTrailer(bytes); !taken) {
+                return taken;
+            }
             break;
         case State::Done:
             break;
         }
     }
+    m_surplus = m_surplus || !bytes.empty();
     return {};
 }
 
@@ -186,10 +206,14 @@
         }
         stream->reading = true;
     }
+    const auto before = stream->source.delivered();
     const StreamSource::ReadResult result = stream->source.read();
+    const bool progress = !before || stream->source.delivered() > before;
     const Lock lock(stream->mutex);
     stream->reading = false;
-    stream->lastReadAt = std::chrono::steady_clock::now();
+    if (progress) {
+        stream->lastProgressAt = std::chrono::steady_clock::now();
+    }
     if (result != StreamSource::ReadResult::More) {
         stream->end = result;
     }
@@ -204,7 +228,7 @@
     while (!stream.end) {
         const TimePoint now = std::chrono::steady_clock::now();
         const bool deadlinePassed = now >= deadline;
-        const bool silent = now - stream.lastReadAt >= gapTimeout;
+        const bool silent = now - stream.lastProgressAt >= gapTimeout;
         lock.unlock();
         const bool isCancelled = !deadlinePassed && !silent && stream.source.cancelled();
         lock.lock();
@@ -221,7 +245,7 @@
             }
             return isCancelled ? fail(ErrorCode::CallerDisconnected) : fail(ErrorCode::ServerTimeout, "the stream went silent");
         }
-        const TimePoint next = std::min({deadline, stream.lastReadAt + gapTimeout, now + CancelCheckInterval});
+        const TimePoint next = std::min({deadline, stream.lastProgressAt + gapTimeout, now + CancelCheckInterval});
         stream.changed.wait_until(lock, next, [&stream] {
             return stream.end.has_value();
         });
--- a/src/http/stream.h
+++ b/src/http/stream.h
@@ -29,6 +29,10 @@
     {
         return m_state == State::Done;
     }
+    bool hasSurplus() const // further bytes came after the last chunk and the trailers
+    {
+        return m_surplus;
+    }
     bool chunked() const
     {
         return m_chunked;
@@ -38,13 +42,16 @@
     enum class State { Size, Data, DataEnd, Trailer, Done };
     Result<void> takeSizeLine(std::string_view &bytes);
     Result<void> takeData(std::string_view bytes, HttpReplyListener &listener);
-    void takeTrailer(std::string_view &bytes);
+    Result<void> takeDataEnd(std::string_view &bytes);
+    Result<void> takeTrailer(std::string_view &bytes);
 
     bool m_chunked;
+    bool m_surplus = false;
     std::size_t m_lineLimit; // bytes
     State m_state = State::Size;
     std::string m_sizeLine;
     std::string m_trailerLine;
+    std::size_t m_trailerBytes = 0;
     std::size_t m_chunkLeft = 0;
     std::string m_line;
 };
@@ -61,6 +68,7 @@
     virtual ~StreamSource() = default;
     virtual int descriptor() = 0;
     virtual ReadResult read() = 0; // reads the bytes that are available, without waiting, and passes them on
+    virtual std::optional<std::size_t> delivered() const = 0; // see HttpReplyListener::delivered()
     virtual bool cancelled() = 0; // true: the call was cancelled, so the reply need not be read any further
 };
 
@@ -74,7 +82,7 @@
     StreamReaderPool &operator=(const StreamReaderPool &) = delete;
 
     // Has a worker read the stream, and waits until the stream has ended (returns Ended) or a read returned SlowCaller (returns it as well). Errors:
-    // ServerTimeout (nothing came for `gapTimeout`), DeadlineExceeded, CallerDisconnected (the source was cancelled).
+    // ServerTimeout (nothing useful came for `gapTimeout`), DeadlineExceeded, CallerDisconnected (the source was cancelled).
     Result<StreamSource::ReadResult> run(StreamSource &source, TimePoint deadline, Duration gapTimeout);
 
 private:
@@ -89,7 +97,7 @@
         bool reading = false; // a worker is inside source.read()
         bool abandoned = false; // the thread that made the call no longer waits: workers must not read any more
         std::optional<StreamSource::ReadResult> end; // nullopt: still being read
-        TimePoint lastReadAt = std::chrono::steady_clock::now(); // initially the time at which the wait began
+        TimePoint lastProgressAt = std::chrono::steady_clock::now(); // initially the time at which the wait began
     };
     void runWorker(int epoll);
     void readStream(std::uint64_t id);
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,159 @@
+// A backend server that is a script on a loopback socket, for tests of what a server in trouble sends, byte by byte.
+#pragma once
+
+#include "transport/transport.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <thread>
+
+namespace vanillanotch::test
+{
+
+// A connection of the node, as the script of a server sees it.
+class ServerConnection
+{
+public:
+    explicit ServerConnection(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    std::string request; // the request's head
+    bool send(std::string_view bytes) // false: the node has closed the connection
+    {
+        while (!bytes.empty()) {
+            const ssize_t count = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (count <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+        return true;
+    }
+    // Sends the bytes again and again until the node closes the connection or `limit` has passed; true: it was closed.
+    bool sendUntilClosed(const std::string &bytes, Duration pause, Duration limit)
+    {
+        const TimePoint until = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < until) {
+            if (!send(bytes)) {
+                return true;
+            }
+            wait(pause);
+        }
+        return false;
+    }
+    void wait(Duration time) // ends early when the node closes the connection
+    {
+        pollfd entry{m_descriptor, POLLRDHUP, 0};
+        (void)::poll(&entry, 1, pollTimeout(std::chrono::steady_clock::now() + time).count());
+    }
+    void reset()
+    {
+        const linger resetOnClose{1, 0};
+        (void)::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+    }
+    std::string header(const std::string &name) const
+    {
+        const std::size_t at = request.find("\r\n" + name + ": ");
+        if (at == std::string::npos) {
+            return {};
+        }
+        const std::size_t begin = at + name.size() + 4;
+        return request.substr(begin, request.find("\r\n", begin) - begin);
+    }
+    std::string head(const std::string &fields) const // of a successful reply to this request
+    {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + header("X-Attempt-Id") + "\r\nX-Server-Seal: s\r\n" + fields + "\r\n";
+    }
+
+private:
+    const int m_descriptor;
+};
+
+// A backend server that runs `script` for each connection, after it has received the head of a request.
+class ScriptedServer
+{
+public:
+    std::function<void(ServerConnection &)> script;
+    std::atomic<int> requests{0};
+
+    ScriptedServer()
+    {
+        m_listener.bind(Poco::Net::SocketAddress("127.0.0.1:0"), false, false);
+        m_listener.listen(64);
+        m_acceptor = std::thread([this] {
+            for (;;) {
+                const int descriptor = ::accept(m_listener.impl()->sockfd(), nullptr, nullptr);
+                if (descriptor < 0 || m_stopping) {
+                    return;
+                }
+                m_workers.emplace_back([this, descriptor] {
+                    serve(descriptor);
+                });
+            }
+        });
+    }
+    ~ScriptedServer()
+    {
+        m_stopping = true;
+        (void)::shutdown(m_listener.impl()->sockfd(), SHUT_RDWR);
+        m_acceptor.join();
+        for (std::thread &worker : m_workers) {
+            worker.join();
+        }
+    }
+    std::string address() const
+    {
+        return m_listener.address().toString();
+    }
+
+private:
+    void serve(int descriptor)
+    {
+        ServerConnection connection(descriptor);
+        std::array<char, 4096> buffer{};
+        while (connection.request.find("\r\n\r\n") == std::string::npos) {
+            const ssize_t count = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+            if (count <= 0) {
+                ::close(descriptor);
+                return;
+            }
+            connection.request.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+        ++requests;
+        script(connection);
+        ::close(descriptor);
+    }
+
+    Poco::Net::ServerSocket m_listener;
+    std::atomic<bool> m_stopping{false};
+    std::vector<std::thread> m_workers;
+    std::thread m_acceptor;
+};
+
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: text " + std::to_string(id) + "\n\n";
+}
+
+inline std::string chunk(const std::string &data)
+{
+    std::string text;
+    appendChunk(text, data);
+    return text;
+}
+
+inline long peakMemoryKb()
+{
+    rusage usage{};
+    (void)::getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+} // namespace vanillanotch::test
--- /dev/null
+++ b/tests/unit/http_test.cpp
@@ -0,0 +1,192 @@
+// The HTTP client of vanillanotchd against servers in trouble: bytes without end, stalled streams, second copies of an answer.
+#include "http/http.h"
+#include "scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr milliseconds CallTimeout{1500};
+constexpr milliseconds EndBound{300}; // time beyond CallTimeout by which each call must have ended
+constexpr long MemoryBoundKb = 24 * 1024; // by how much the process may grow through one server's bytes
+
+// Counts the lines "data: ..." of a streamed reply.
+class DataLines final : public HttpReplyListener
+{
+public:
+    bool onLine(std::string_view text) override
+    {
+        m_count += text.rfind("data:", 0) == 0 ? 1 : 0;
+        return true;
+    }
+    std::optional<std::size_t> delivered() const override
+    {
+        return m_count;
+    }
+
+private:
+    std::size_t m_count = 0;
+};
+} // namespace
+
+TEST_GROUP(HttpClients)
+{
+    ScriptedServer server;
+    HttpClient client{clientSettings()};
+
+    static HttpClientSettings clientSettings()
+    {
+        HttpClientSettings settings;
+        settings.maxReplyBytes = 4 * 1024 * 1024;
+        return settings;
+    }
+
+    tl::expected<HttpReply, HttpFailure> call(HttpReplyListener *listener = nullptr, Duration gapTimeout = seconds(1))
+    {
+        HttpClientRequest request;
+        request.path = "/x";
+        request.headers["X-Attempt-Id"] = "a1";
+        return client.call(server.address(), request, std::chrono::steady_clock::now() + CallTimeout, gapTimeout, listener);
+    }
+};
+
+// Bytes that are no answer come without end, in a head or a body: each call ends in time, closes its connection, and doesn't grow.
+TEST(HttpClients, BytesWithoutEndAreCutOff)
+{
+    struct Flood {
+        const char *name;
+        std::string begin;
+        std::string repeated;
+        bool headed = true;
+        std::string fields;
+        milliseconds pause{0};
+    };
+    const std::string block(8192, 'x');
+    std::string lines;
+    std::string interim;
+    std::string trailers;
+    for (int i = 0; i < 200; ++i) {
+        lines += "X-Field: y\r\n";
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+        trailers += "X-Trailer: y\r\n";
+    }
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string events = "Content-Type: text/event-stream\r\n";
+    const std::vector<Flood> floods = {
+        {"status line", "HTTP/1.1 200 ", block, false, ""},
+        {"dripped status line", "HTTP/1.1 200 ", "x", false, "", milliseconds(50)},
+        {"header lines", "HTTP/1.1 200 OK\r\n", lines, false, ""},
+        {"interim replies", "", interim, false, ""},
+        {"chunk extension", "5;", block, true, chunked},
+        {"dripped chunk extension", "5;", "x", true, chunked, milliseconds(50)},
+        {"chunks", "", chunk(block), true, chunked},
+        {"trailers", chunk("12345") + "0\r\n", trailers, true, chunked},
+        {"body without length", "", block, true, ""},
+        {"line of a stream", "data: ", block, true, events},
+        {"trailers of a stream", chunk("data: 1\n\n") + "0\r\n", trailers, true, events + chunked},
+        {"beyond a chunk of a stream", "4\r\ndata", block, true, events + chunked},
+        {"comments of a stream", "", ": x\n", true, events, milliseconds(50)},
+    };
+    for (const Flood &flood : floods) {
+        std::atomic<bool> closed{false};
+        server.script = [&](ServerConnection &connection) {
+            (void)connection.send((flood.headed ? connection.head(flood.fields) : std::string()) + flood.begin);
+            closed = connection.sendUntilClosed(flood.repeated, flood.pause, CallTimeout + seconds(2));
+        };
+        const long memoryBefore = peakMemoryKb();
+        const TimePoint begun = std::chrono::steady_clock::now();
+        DataLines listener;
+        const auto reply = call(&listener);
+        CHECK_TEXT(!reply, flood.name);
+        CHECK_TEXT(reply.error().maybeSent, flood.name);
+        CHECK_TEXT(std::chrono::steady_clock::now() - begun < CallTimeout + EndBound, flood.name);
+        CHECK_TEXT(peakMemoryKb() - memoryBefore < MemoryBoundKb, flood.name);
+        const TimePoint until = std::chrono::steady_clock::now() + seconds(1);
+        while (!closed && std::chrono::steady_clock::now() < until) {
+            pollfd none{-1, 0, 0};
+            (void)::poll(&none, 1, 5);
+        }
+        CHECK_TEXT(closed, flood.name);
+    }
+}
+
+// A reply that breaks off is a failure, whatever marks its end. One without a length is complete when its connection ends in order.
+TEST(HttpClients, AReplyThatBreaksOffIsNeverComplete)
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string events = "Content-Type: text/event-stream\r\n";
+    const std::vector<std::pair<std::string, std::string>> breaks = {
+        {"Content-Length: 20\r\n", "0123456789"},
+        {chunked, ""},
+        {chunked, "14\r\n01234"},
+        {chunked, chunk("0123456789")},
+        {chunked, chunk("0123456789") + "0\r\n"},
+        {events + chunked, chunk("data: 1\n\n")},
+        {events + chunked, chunk("data: 1\n\n") + "0\r\n"},
+    };
+    for (const auto &[fields, body] : breaks) {
+        server.script = [&fields = fields, &body = body](ServerConnection &connection) {
+            (void)connection.send(connection.head(fields) + body);
+        };
+        DataLines listener;
+        const auto reply = call(&listener);
+        CHECK_TEXT(!reply && reply.error().maybeSent, (fields + body).c_str());
+    }
+    server.script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Connection: close\r\n") + "0123456789");
+    };
+    STRCMP_EQUAL("0123456789", call()->body.c_str());
+}
+
+// A stalled stream that sends a byte now and then counts as silent; one that is slow but sends its parts goes on.
+TEST(HttpClients, OnlyUsefulPartsKeepAStreamAlive)
+{
+    const std::string head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    server.script = [&](ServerConnection &connection) {
+        (void)connection.send(connection.head(head) + chunk("data: 1\n\n"));
+        (void)connection.sendUntilClosed(chunk(":\n"), milliseconds(40), seconds(3));
+    };
+    const TimePoint begun = std::chrono::steady_clock::now();
+    DataLines stalled;
+    const auto cut = call(&stalled, milliseconds(400));
+    CHECK(!cut && cut.error().code == ErrorCode::ServerTimeout);
+    CHECK(std::chrono::steady_clock::now() - begun < milliseconds(900));
+    server.script = [&](ServerConnection &connection) {
+        (void)connection.send(connection.head(head));
+        for (int i = 0; i < 4; ++i) {
+            connection.wait(milliseconds(300));
+            (void)connection.send(chunk("data: 1\n\n"));
+        }
+        (void)connection.send(LastChunk);
+    };
+    DataLines slow;
+    CHECK(call(&slow, milliseconds(400)).has_value());
+    LONGS_EQUAL(4, static_cast<long>(*slow.delivered()));
+}
+
+// A second copy of an answer, at once or late: the connection that has it is not used for the next call.
+TEST(HttpClients, ASecondCopyOfAnAnswerReachesNobody)
+{
+    std::atomic<int> number{0};
+    std::atomic<int> i{0};
+    server.script = [&](ServerConnection &connection) {
+        const std::string body = "answer " + std::to_string(++number);
+        const std::string answer = connection.head("Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+        (void)connection.send(answer);
+        connection.wait(milliseconds(i * 20));
+        (void)connection.send(answer);
+        connection.wait(milliseconds(300));
+    };
+    for (i = 0; i <= 4; ++i) {
+        const auto reply = call();
+        CHECK(reply.has_value());
+        STRCMP_EQUAL(("answer " + std::to_string(number)).c_str(), reply->body.c_str());
+        pollfd none{-1, 0, 0};
+        (void)::poll(&none, 1, 40); // some of the second copies come while the connection is idle
+    }
+}
