--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -95,6 +95,61 @@
     CHECK(cluster->foreignInputLines().empty());
 }
 
+// A node is killed, and while it is gone a key is withdrawn and a server leaves. The node comes back while the store is slow to answer, or
+// silent: neither the key nor the server is in use again, not even for a moment.
+TEST(Entry, ARestartBringsBackNeitherAWithdrawnKeyNorAServerThatLeft)
+{
+    for (const bool silent : {false, true}) {
+        const std::string oldKey = silent ? "key-2" : "key-1";
+        const std::string newKey = silent ? "key-3" : "key-2";
+        const std::size_t leaving = silent ? 4 : 0; // the two servers of the service plain; the process goes on running
+        cluster->node(0).sendSignal(SIGKILL);
+        (void)cluster->node(0).wait();
+        cluster->writeConfiguration({newKey});
+        if (silent) {
+            cluster->addServer("plain", "plain"); // the last one of the service is leaving
+        }
+        cluster->removeServerEntry(leaving);
+        const std::size_t executedBefore = cluster->executions().size();
+        if (silent) {
+            cluster->controlStore("mode=silent");
+        }
+        cluster->restartNode(0);
+        const TimePoint until = std::chrono::steady_clock::now() + seconds(4);
+        std::vector<std::string> withOldKey;
+        while (std::chrono::steady_clock::now() < until) {
+            EntryCall call = makeCall(CallKind::Idempotent);
+            call.apiKey = oldKey;
+            call.deadline = milliseconds(500);
+            const int status = callEntry(cluster->callerAddress(0), call).status;
+            CHECK(status == 0 || status == 401 || status == 503);
+            withOldKey.push_back(call.attempt);
+            std::this_thread::sleep_for(milliseconds(40));
+            if (silent && until - std::chrono::steady_clock::now() < seconds(2)) {
+                cluster->controlStore("mode=ok");
+            }
+        }
+        EntryCall call = makeCall(CallKind::Idempotent);
+        call.apiKey = newKey;
+        CHECK(eventually(
+            [&] {
+                return callEntry(cluster->callerAddress(0), call).status == 200;
+            },
+            seconds(10)));
+        for (int i = 0; i < 20; ++i) {
+            EntryCall served = makeCall(CallKind::Idempotent);
+            served.apiKey = newKey;
+            LONGS_EQUAL(200, callEntry(cluster->callerAddress(0), served).status);
+        }
+        const std::vector<Execution> executed = cluster->executions();
+        CHECK(executed.size() >= executedBefore + 20);
+        for (std::size_t i = executedBefore; i < executed.size(); ++i) {
+            CHECK(std::find(withOldKey.begin(), withOldKey.end(), executed[i].attempt) == withOldKey.end());
+            CHECK(executed[i].instance != cluster->serverId(leaving));
+        }
+    }
+}
+
 // A request with a key that no client account has must be refused (401) before anything is executed.
 TEST(Entry, UnknownKeyIsRefusedAndNotExecuted)
 {
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -86,6 +86,10 @@
     void setServerLink(std::size_t serverIndex, const std::string &mode) const;
     void removeServerEntry(std::size_t serverIndex); // deletes the server's row in the store, as the platform does when a server is silent for some time
 
+    std::string serverId(std::size_t serverIndex) const // id of the instance, as in its row of the store and in executions()
+    {
+        return m_servers.at(serverIndex).id;
+    }
     std::size_t nodeCount() const
     {
         return m_nodes.size();
