Requests are refused before their first stage when a later one is full; work goes to the group that waits least

Owners state in their replies how long a new task waits; each node remembers it for 1.5 s (StageBacklog, wouldBeLate: no network). Before: a request was refused at its second stage, after the first one had worked for it, and a full data centre's work stayed there while its neighbours were idle.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -21,9 +21,8 @@
 // Pause after each answer with changes of the table of backend servers. Rows of servers that come or leave within the pause are in one
 // answer. The pause is far below the time for which a leaving server still accepts calls.
 constexpr std::chrono::milliseconds ServersCoalesceInterval{300};
-// The pause after each answer with changes of the members' table. It is longer, because all nodes start together, so that the rows of many
-// come within a short time. A late answer does no harm: a call to a node that has died fails anyway.
-constexpr std::chrono::milliseconds MembersCoalesceInterval{1500};
+constexpr std::chrono::milliseconds MembersCoalesceInterval{
+    300}; // the same for the members' table: all nodes start together, so that the rows of many come within a short time
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -47,6 +47,10 @@
     bool mayStart(std::size_t stage) const;
     bool hasSuccessor(std::size_t stage) const;
     Duration timeOfSuccessors(std::size_t stage) const;
+    Duration timeOfPredecessors(std::size_t stage) const;
+    Duration declaredTime(std::size_t stage) const;
+    TimePoint targetOf(std::size_t stage) const;
+    bool wouldBeLate() const;
     StageTask taskFor(std::size_t stage, unsigned pieces) const;
     StepResult collectResults();
     void choosePreferredDataCentre();
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -21,6 +21,9 @@
     m_stages.assign(m_route->stages.size(), StageState{});
     m_progress = makeRef<WakeupSignal>();
     choosePreferredDataCentre();
+    if (wouldBeLate()) {
+        return fail(ErrorCode::Overloaded);
+    }
     for (;;) {
         submitReady();
         const bool done = std::all_of(m_stages.begin(), m_stages.end(), [](const StageState &stage) {
@@ -91,27 +94,61 @@
     return true;
 }
 
-// Declared time of the longest chain of stages that depend on `stage`. Assumes that each stage of the chain runs its pieces in one call, and
-// counts that call as at least a full batch. A stage without pieces counts as taking no time.
+// Declared time of one call with the pieces of the stage; counts at least a full batch. Zero for a stage without pieces.
+Duration ForwardRun::declaredTime(std::size_t stage) const
+{
+    const ServiceSpec *service = m_deployment->service(m_route->stages[stage].service);
+    const unsigned pieces = stage < m_request.pieces.size() ? m_request.pieces[stage] : 0;
+    if (service == nullptr || !service->stage || pieces == 0) {
+        return {};
+    }
+    return service->stage->fixedCallTime + service->stage->pieceTime * std::max<std::size_t>(pieces, service->stage->maxBatch);
+}
+
+// Declared time of the longest chain of stages that depend on `stage`. Assumes that each stage of the chain runs its pieces in one call.
 Duration ForwardRun::timeOfSuccessors(std::size_t stage) const
 {
     Duration longest{};
     for (std::size_t next = 0; next < m_stages.size(); ++next) {
-        const StageStep &step = m_route->stages[next];
-        if (std::find(step.dependsOn.begin(), step.dependsOn.end(), stage) == step.dependsOn.end()) {
-            continue;
+        const auto &dependsOn = m_route->stages[next].dependsOn;
+        if (std::find(dependsOn.begin(), dependsOn.end(), stage) != dependsOn.end()) {
+            longest = std::max(longest, declaredTime(next) + timeOfSuccessors(next));
         }
-        const ServiceSpec *service = m_deployment->service(step.service);
-        const unsigned pieces = next < m_request.pieces.size() ? m_request.pieces[next] : 0;
-        Duration own{};
-        if (service != nullptr && service->stage && pieces > 0) {
-            own = service->stage->fixedCallTime + service->stage->pieceTime * std::max<std::size_t>(pieces, service->stage->maxBatch);
+    }
+    return longest;
+}
+
+// Declared time of the longest chain of stages that `stage` depends on.
+Duration ForwardRun::timeOfPredecessors(std::size_t stage) const
+{
+    Duration longest{};
+    for (const std::size_t before : m_route->stages[stage].dependsOn) {
+        if (before < stage) { // a configuration with a cycle has no first stage, and its requests end at their deadlines
+            longest = std::max(longest, declaredTime(before) + timeOfPredecessors(before));
         }
-        longest = std::max(longest, own + timeOfSuccessors(next));
     }
     return longest;
 }
 
+TimePoint ForwardRun::targetOf(std::size_t stage) const
+{
+    return m_target - timeOfSuccessors(stage) - m_dependencies.engineTimeEstimator.estimate(m_service, ownTokens()) - m_settings.engineMargin;
+}
+
+// True when the work that waits at the instances of some stage leaves too little time for this request.
+bool ForwardRun::wouldBeLate() const
+{
+    std::vector<ChainStep> chain;
+    for (std::size_t stage = 0; stage < m_stages.size(); ++stage) {
+        const Duration own = declaredTime(stage);
+        if (own > Duration::zero()) {
+            const Duration wait = m_dependencies.stages.expectedWait(m_route->stages[stage].service, m_preferredDataCentre);
+            chain.push_back(ChainStep{timeOfPredecessors(stage), wait, own, targetOf(stage)});
+        }
+    }
+    return vanillanotch::wouldBeLate(chain, m_dependencies.clock.now(), ShedSettings{});
+}
+
 StageTask ForwardRun::taskFor(std::size_t stage, unsigned pieces) const
 {
     const StageStep &step = m_route->stages[stage];
@@ -123,7 +160,7 @@
     task.inputs = handlesOf(step.dependsOn);
     task.pieceKey = task.inputs.empty() ? m_request.pieceKey : std::string();
     task.resultBytes = step.resultBytes;
-    task.target = m_target - timeOfSuccessors(stage) - m_dependencies.engineTimeEstimator.estimate(m_service, ownTokens()) - m_settings.engineMargin;
+    task.target = targetOf(stage);
     task.deadline = m_deadline;
     task.priority = m_priority;
     task.endsChain = !task.inputs.empty() && !hasSuccessor(stage);
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -85,23 +85,30 @@
     {
     }
 
-    Result<std::vector<std::string>> run(const std::string &peerAddress, const StageTask &task, TimePoint now, Duration checkInterval,
-                                         CancellationWatch &canceller, const std::function<bool()> &alive) override
+    StageTaskReply run(const std::string &peerAddress, const StageTask &task, TimePoint now, Duration checkInterval, CancellationWatch &canceller,
+                       const std::function<bool()> &alive) override
     {
         const auto reply =
             callPeer(m_settings, PeerCall{peerAddress, StageTaskPath, encodeTask(task, now), now + checkInterval, task.deadline}, canceller, alive);
+        StageTaskReply result;
         if (!reply) {
-            return fail(reply.error().code == ErrorCode::CallerDisconnected ? ErrorCode::CallerDisconnected : ErrorCode::PeerUnavailable);
+            result.handles = fail(reply.error().code == ErrorCode::CallerDisconnected ? ErrorCode::CallerDisconnected : ErrorCode::PeerUnavailable);
+            return result;
         }
         try {
             const Json json = Json::parse(*reply);
+            if (json.contains("wait_ms")) {
+                result.expectedWait = std::chrono::milliseconds(json.at("wait_ms").get<std::int64_t>());
+            }
             if (json.contains("error")) {
-                return fail(static_cast<ErrorCode>(json.at("error").get<int>()));
+                result.handles = fail(static_cast<ErrorCode>(json.at("error").get<int>()));
+            } else {
+                result.handles = json.at("handles").get<std::vector<std::string>>();
             }
-            return json.at("handles").get<std::vector<std::string>>();
         } catch (const Json::exception &exception) {
-            return fail(ErrorCode::PeerUnavailable, exception.what());
+            result.handles = fail(ErrorCode::PeerUnavailable, exception.what());
         }
+        return result;
     }
 
     Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) override
@@ -201,6 +208,8 @@
         return;
     }
     const TimePoint deadline = task->deadline;
+    const std::string service = task->service;
+    const InstanceGroup group = task->group;
     const auto progress = makeRef<WakeupSignal>();
     const auto run = makeRef<StageRun>(std::move(*task), progress);
     m_stages.submit(run);
@@ -213,8 +222,9 @@
             outcome = run->outcome();
         }
     }
-    const std::string body = *outcome ? Json{{"handles", **outcome}}.dump() : describeError(outcome->error().code);
-    const bool delivered = exchange.reply(200, headers, body, std::chrono::steady_clock::now() + PeerReplyTimeout);
+    Json body = *outcome ? Json{{"handles", **outcome}} : Json{{"error", static_cast<int>(outcome->error().code)}};
+    body["wait_ms"] = toMilliseconds(m_stages.expectedWait(service, group)).count();
+    const bool delivered = exchange.reply(200, headers, body.dump(), std::chrono::steady_clock::now() + PeerReplyTimeout);
     if (!delivered && *outcome) {
         m_stages.release(**outcome);
     }
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -152,21 +152,33 @@
     }));
 }
 
-// The group of the data centre; when it can probably not be reached, the next one that can.
-InstanceGroup OwnerStageExecutor::groupFor(const std::string &service, const std::string &dataCentre)
+InstanceGroup OwnerStageExecutor::preferredGroup(const OwnerPlan &plan, const std::string &service, const std::string &dataCentre) const
+{
+    InstanceGroup group;
+    if (const auto found = plan.services.find(service); found != plan.services.end()) {
+        group.count = found->second.groups;
+        group.index = instanceGroupOf(found->second.dataCentres, dataCentre, group.count);
+    }
+    return group;
+}
+
+// The group of the data centre, or one where the task waits much less. When that can probably not be reached, the next one that can.
+InstanceGroup OwnerStageExecutor::groupFor(const std::string &service, const std::string &dataCentre, std::size_t crossDataCentreBytes)
 {
     const Ref<const OwnerPlan> plan = currentPlan();
-    const auto found = plan->services.find(service);
-    if (found == plan->services.end()) {
-        return InstanceGroup{};
+    InstanceGroup group = preferredGroup(*plan, service, dataCentre);
+    const auto candidates = plan->candidates.find(service);
+    if (group.count < 2 || candidates == plan->candidates.end()) {
+        return group;
+    }
+    {
+        const Lock lock(m_mutex);
+        const Duration advantage = crossDataCentreBytes < m_settings.largeTransferBytes ? m_settings.groupAdvantage : m_settings.largeTransferAdvantage;
+        group.index = m_backlog.groupFor(service, group, advantage, m_dependencies.clock.now());
     }
-    InstanceGroup group;
-    group.count = found->second.groups;
-    group.index = instanceGroupOf(found->second.dataCentres, dataCentre, group.count);
-    const auto &candidates = plan->candidates.at(service);
     for (std::size_t step = 0; step < group.count; ++step) {
         const std::size_t index = (group.index + step) % group.count;
-        if (pausedCandidates(candidates.at(index)) < m_settings.unreachableCandidates) {
+        if (pausedCandidates(candidates->second.at(index)) < m_settings.unreachableCandidates) {
             group.index = index;
             break;
         }
@@ -174,6 +186,16 @@
     return group;
 }
 
+Duration OwnerStageExecutor::expectedWait(const std::string &service, const std::string &dataCentre)
+{
+    const InstanceGroup group = groupFor(service, dataCentre, 0);
+    if (!ownerOf(service, group)) {
+        return m_local.expectedWait(service, group);
+    }
+    const Lock lock(m_mutex);
+    return m_backlog.expectedWait(service, group, m_dependencies.clock.now());
+}
+
 std::optional<MemberRecord> OwnerStageExecutor::ownerOf(const std::string &service, const InstanceGroup &group)
 {
     const Ref<const OwnerPlan> plan = currentPlan();
@@ -200,7 +222,7 @@
 
 void OwnerStageExecutor::dispatchToOwner(const Ref<StageRun> &run, unsigned ownersLeft)
 {
-    run->assignGroup(groupFor(run->task().service, run->task().dataCentre));
+    run->assignGroup(groupFor(run->task().service, run->task().dataCentre, run->task().crossDataCentreBytes));
     const bool runHere = m_assignment == StageAssignment::EachNode || ownersLeft == 0;
     const auto owner = runHere ? std::nullopt : ownerOf(run->task().service, run->task().group);
     if (!owner) {
@@ -240,9 +262,14 @@
 {
     RunCancellation cancellation(*run);
     const TimePoint now = m_dependencies.clock.now();
-    const auto handles = m_peers.run(owner.peerAddress, run->task(), now, m_settings.peerSilenceLimit, cancellation, [this, &owner] {
+    const auto reply = m_peers.run(owner.peerAddress, run->task(), now, m_settings.peerSilenceLimit, cancellation, [this, &owner] {
         return alive(owner);
     });
+    if (reply.expectedWait) {
+        const Lock lock(m_mutex);
+        m_backlog.record(run->task().service, run->task().group, *reply.expectedWait, m_dependencies.clock.now());
+    }
+    const auto &handles = reply.handles;
     if (handles) {
         recordReply(owner.name);
     }
@@ -307,8 +334,9 @@
     std::map<std::string, std::pair<std::string, std::vector<std::string>>> byPeer; // by member name: peer address and handles
     for (std::string &handle : unused) {
         const auto producer = m_dependencies.instances.findByAddress(addressOfHandle(handle));
-        const auto owner = producer && m_assignment != StageAssignment::EachNode ? ownerOf(producer->service, groupFor(producer->service, producer->dataCentre))
-                                                                                 : std::nullopt;
+        const auto owner = producer && m_assignment != StageAssignment::EachNode
+            ? ownerOf(producer->service, preferredGroup(*currentPlan(), producer->service, producer->dataCentre))
+            : std::nullopt;
         if (owner) {
             byPeer[owner->name].first = owner->peerAddress;
             byPeer[owner->name].second.push_back(std::move(handle));
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -47,6 +47,23 @@
     dispatch(keyOf(task));
 }
 
+Duration StageScheduler::expectedWait(const std::string &service, const InstanceGroup &group) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_queues.find({service, group.index, group.count});
+    return found == m_queues.end() ? Duration::zero() : found->second.onTimeWait;
+}
+
+Duration StageScheduler::expectedWait(const std::string &service, const std::string & /*dataCentre*/)
+{
+    const Lock lock(m_mutex);
+    Duration longest{};
+    for (const auto &[key, queue] : m_queues) {
+        longest = std::get<0>(key) == service ? std::max(longest, queue.onTimeWait) : longest;
+    }
+    return longest;
+}
+
 std::size_t StageScheduler::waitingPieces() const
 {
     const Lock lock(m_mutex);
@@ -171,6 +188,11 @@
         m_dependencies.metrics.counter("vanillanotch_stage_shed_total").add();
         runs.push_back(shed.run);
     }
+    std::size_t onTimePieces = 0;
+    for (const PendingPieces &pending : queue.entries) {
+        onTimePieces += pending.run->task().target > now ? pending.pieces.size() : 0;
+    }
+    queue.onTimeWait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(onTimePieces) / throughput.piecesPerSecond));
     return runs;
 }
 
@@ -178,6 +200,7 @@
 {
     const TimePoint now = m_dependencies.clock.now();
     if (queue.entries.empty()) {
+        queue.onTimeWait = Duration::zero();
         return {};
     }
     std::vector<std::pair<double, const InstanceSpec *>> freeInstances; // slowness and instance, the fastest first
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -120,6 +120,8 @@
 public:
     virtual ~StageExecutor() = default;
     virtual void submit(const Ref<StageRun> &run) = 0; // doesn't block
+    // How long a new task of the service that prefers the data centre would wait for its turn; zero: not at all, or not known.
+    virtual Duration expectedWait(const std::string &service, const std::string &dataCentre) = 0;
 };
 
 //-----------------------------------------------------------------------------
@@ -161,17 +163,22 @@
     virtual Result<void> release(const std::string &address, const std::vector<std::string> &handles, TimePoint until) = 0;
 };
 
+struct StageTaskReply {
+    Result<std::vector<std::string>> handles = fail(ErrorCode::PeerUnavailable); // of the results, by piece, or the error with which the run failed
+    std::optional<Duration> expectedWait; // of a new task at the owner; nullopt: not stated
+};
+
 // Sends one stage task to another node, which runs all of it.
 class StagePeerChannel
 {
 public:
     virtual ~StagePeerChannel() = default;
-    // Blocks until the peer has answered; returns the handles of the results by piece, or the error with which the run failed there.
+    // Blocks until the peer has answered.
     // CallerDisconnected: the run was cancelled here. PeerUnavailable: the call failed. The task's target and deadline are sent as the
     // time that is left at `now`.
     // After each `silenceLimit` without an answer `alive` is called; when it returns false, the call ends with PeerUnavailable.
-    virtual Result<std::vector<std::string>> run(const std::string &peerAddress, const StageTask &task, TimePoint now, Duration silenceLimit,
-                                                 CancellationWatch &cancellation, const std::function<bool()> &alive) = 0;
+    virtual StageTaskReply run(const std::string &peerAddress, const StageTask &task, TimePoint now, Duration silenceLimit, CancellationWatch &cancellation,
+                               const std::function<bool()> &alive) = 0;
     virtual Result<void> release(const std::string &peerAddress, const std::vector<std::string> &handles, TimePoint until) = 0;
     virtual bool isAlive(const std::string &peerAddress, TimePoint until) = 0; // liveness check: true if the peer answers before `until`
 };
@@ -280,6 +287,39 @@
 std::vector<BatchPick> planBatch(std::vector<PendingPieces> &queue, const StageInstanceView &view, const EarliestFreeTimes &earliestFree, std::size_t maxBatch,
                                  TimePoint now, const BatchSettings &settings);
 
+// What this node knows of the work that waits at the owners of instance groups. Not thread-safe.
+class StageBacklog
+{
+public:
+    void record(const std::string &service, const InstanceGroup &group, Duration wait, TimePoint now);
+    // The recorded wait, less the time since then; zero: nothing was recorded within MaxAge.
+    Duration expectedWait(const std::string &service, const InstanceGroup &group, TimePoint now) const;
+    // The group that a task of the service is to go to: `preferred`, or the one with the shortest wait if that is shorter by more than
+    // `advantage`.
+    std::size_t groupFor(const std::string &service, const InstanceGroup &preferred, Duration advantage, TimePoint now) const;
+
+    static constexpr std::chrono::milliseconds MaxAge{1500};
+
+private:
+    struct Record {
+        Duration wait{};
+        TimePoint at{};
+    };
+    std::map<std::tuple<std::string, std::size_t, std::size_t>, Record> m_records; // by service, index and count of the group
+};
+
+// One stage of a request, as input to wouldBeLate().
+struct ChainStep {
+    Duration before{}; // declared time of the stages before it
+    Duration wait{}; // expected wait for its turn
+    Duration own{}; // declared time of its call
+    TimePoint target{}; // as StageTask::target
+};
+
+// True when a stage of the chain would be refused as late under the conditions of ShedSettings: then the request is refused before its
+// first stage, so that no work is done for it in vain.
+bool wouldBeLate(const std::vector<ChainStep> &chain, TimePoint now, const ShedSettings &settings);
+
 //-----------------------------------------------------------------------------
 // [RESULTS]
 //-----------------------------------------------------------------------------
@@ -379,6 +419,8 @@
 public:
     StageScheduler(StageDependencies dependencies, SchedulerSettings settings = {});
     void submit(const Ref<StageRun> &run) override;
+    Duration expectedWait(const std::string &service, const std::string &dataCentre) override; // in the queues of all groups, whatever the data centre
+    Duration expectedWait(const std::string &service, const InstanceGroup &group) const; // of a new task that isn't late
     void instancesChanged(); // to be called when instances may have become usable; plans all queues that have waiting pieces
     void release(const std::vector<std::string> &handles); // releases results at their instances, whichever node's task made them
     void onReleased(const std::vector<std::string> &handles) override;
@@ -407,6 +449,7 @@
 
         std::vector<PendingPieces> entries;
         bool recheckScheduled = false; // a timer will plan the queue again
+        Duration onTimeWait{}; // expected time for the pieces whose target has not passed, when the queue was planned last
         ThroughputMeter throughput;
     };
     using QueueKey = std::tuple<std::string, std::size_t, std::size_t>; // service, index and count of the instance group
@@ -454,6 +497,11 @@
     std::chrono::milliseconds maxPeerBackoff{16000};
     // A group this many of whose candidates failed a short time ago can probably not be reached at all; its tasks go to another group.
     std::size_t unreachableCandidates = 2;
+    // A task goes to another group than that of its preferred data centre when it would wait this much less there. Work whose results or
+    // inputs are large stays for longer, since their transfer is costly.
+    std::chrono::milliseconds groupAdvantage{250};
+    std::chrono::milliseconds largeTransferAdvantage{700};
+    std::size_t largeTransferBytes = 500'000;
     std::chrono::milliseconds planLifetime{300}; // how long an OwnerPlan is used before it is made anew from the members and instances
     std::chrono::milliseconds releaseInterval{10}; // handles of results to be released are collected for this long, then sent in one call to each owner
     // Timeout of a release call to an owner. If the call fails, this node releases the results itself; those that are still not
@@ -492,6 +540,7 @@
     OwnerStageExecutor(StageDependencies dependencies, StageScheduler &local, StagePeerChannel &peers, MemberTable &members, StageAssignment assignment,
                        OwnerSettings settings = {});
     void submit(const Ref<StageRun> &run) override;
+    Duration expectedWait(const std::string &service, const std::string &dataCentre) override;
     void release(const std::vector<std::string> &handles) override;
 
 private:
@@ -502,7 +551,8 @@
     };
     Ref<const OwnerPlan> currentPlan();
     std::size_t pausedCandidates(const std::vector<MemberRecord> &candidates) const; // how many of them failed a short time ago
-    InstanceGroup groupFor(const std::string &service, const std::string &dataCentre);
+    InstanceGroup groupFor(const std::string &service, const std::string &dataCentre, std::size_t crossDataCentreBytes);
+    InstanceGroup preferredGroup(const OwnerPlan &plan, const std::string &service, const std::string &dataCentre) const;
     std::optional<MemberRecord> ownerOf(const std::string &service, const InstanceGroup &group); // nullopt: this node is the owner
     void dispatchToOwner(const Ref<StageRun> &run, unsigned ownersLeft); // `ownersLeft`: number of owners that may still be tried
     void flush();
@@ -518,6 +568,7 @@
     const OwnerSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::StageOwners};
     Ref<const OwnerPlan> m_plan;
+    StageBacklog m_backlog; // of the groups that other nodes own
     struct PeerState {
         TimePoint pausedUntil{}; // it gets no task before this time
         unsigned failures = 0; // in a row
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -48,7 +48,7 @@
     for (;;) {
         if (step()) {
             m_nextPause = m_settings.initialBackoff;
-            pause(m_settings.coalesceInterval);
+            pause(m_changed ? Duration(m_settings.coalesceInterval) : Duration::zero());
         } else {
             pause(backOff());
         }
@@ -137,6 +137,7 @@
         m_listener.changes(*rows, asOf, afterOutage);
     }
     m_version = std::max(m_version.value_or(0), rows->version);
+    m_changed = !rows->rows.empty();
     return true;
 }
 
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -81,7 +81,9 @@
 
 struct WatchSettings {
     std::chrono::milliseconds longPollWait{2800}; // how long the store may hold a request for changes while there are none
-    std::chrono::milliseconds coalesceInterval{0}; // pause after each answer, so that changes made in this time come in one answer
+    // Pause after an answer with changes, so that further changes made in this time come in one answer. Counts toward the age of the copies
+    // that followers get, so it must be well below SourceSettings::maxDataAge.
+    std::chrono::milliseconds coalesceInterval{0};
     std::chrono::milliseconds replyTimeout{1200}; // timeout of a call, in addition to the wait; a slow store takes 250 ms to reply
     std::chrono::milliseconds initialBackoff{150}; // longest pause after a first failure; doubles with each further one, up to `maxBackoff`
     std::chrono::milliseconds maxBackoff{700}; // longest pause of all, so a store that works again is noticed within this time
@@ -150,6 +152,7 @@
     StoreClockMapping m_storeClock;
     std::optional<std::uint64_t> m_version; // version of the last answer; nullopt: the whole table must be read
     Duration m_nextPause{}; // longest time that backOff() may return next
+    bool m_changed = false; // the last answer had rows
     bool m_unreachable = false; // the last call to the store failed
     std::mt19937_64 m_generator{std::random_device{}()};
     RankedMutex m_mutex{LockRank::Leaf};
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -31,6 +31,10 @@
     {
         run->fail(ErrorCode::Overloaded);
     }
+    Duration expectedWait(const std::string & /*service*/, const std::string & /*dataCentre*/) override
+    {
+        return {};
+    }
     void release(const std::vector<std::string> & /*handles*/) override
     {
     }
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -305,6 +305,40 @@
     }
 }
 
+TEST_GROUP(Backlog){};
+
+// A burst of requests with a chain of stages whose second one is full: they are refused before the first stage, so that nothing is done for
+// them in vain. A short wait, or one that leaves enough time, refuses nobody.
+TEST(Backlog, ABurstAtALaterStageRefusesRequestsBeforeTheirFirst)
+{
+    const auto chainWith = [](milliseconds wait) {
+        return std::vector<ChainStep>{{milliseconds(0), milliseconds(0), milliseconds(300), Now + milliseconds(1500)},
+                                      {milliseconds(300), wait, milliseconds(400), Now + milliseconds(1900)},
+                                      {milliseconds(700), milliseconds(0), milliseconds(400), Now + milliseconds(2300)}};
+    };
+    CHECK_FALSE(wouldBeLate(chainWith(milliseconds(0)), Now, ShedSettings{}));
+    CHECK_FALSE(wouldBeLate(chainWith(milliseconds(1100)), Now, ShedSettings{}));
+    CHECK(wouldBeLate(chainWith(milliseconds(1300)), Now, ShedSettings{}));
+    CHECK_FALSE(wouldBeLate(chainWith(milliseconds(450)), Now + milliseconds(1200), ShedSettings{})); // late already, but not for want of capacity
+}
+
+// One data centre gets a burst while its neighbours are idle: tasks go to a neighbour when they wait much less there.
+TEST(Backlog, WorkOfAFullDataCentreGoesToAnIdleNeighbour)
+{
+    StageBacklog backlog;
+    const InstanceGroup preferred{1, 3};
+    LONGS_EQUAL(1, static_cast<long>(backlog.groupFor("s", preferred, milliseconds(250), Now)));
+    backlog.record("s", preferred, milliseconds(900), Now);
+    backlog.record("s", InstanceGroup{0, 3}, milliseconds(300), Now);
+    backlog.record("s", InstanceGroup{2, 3}, milliseconds(100), Now);
+    LONGS_EQUAL(2, static_cast<long>(backlog.groupFor("s", preferred, milliseconds(250), Now)));
+    LONGS_EQUAL(1, static_cast<long>(backlog.groupFor("s", preferred, milliseconds(1000), Now)));
+    LONGS_EQUAL(1, static_cast<long>(backlog.groupFor("other", preferred, milliseconds(250), Now)));
+    // The wait shrinks as the work is done, and is forgotten when it is old.
+    CHECK(backlog.expectedWait("s", preferred, Now + milliseconds(400)) == milliseconds(500));
+    CHECK(backlog.expectedWait("s", preferred, Now + StageBacklog::MaxAge + milliseconds(1)) == milliseconds(0));
+}
+
 TEST_GROUP(StageRuns){};
 
 // Guards against a second result that replaces the first, and against results in the order of their arrival.
@@ -387,11 +421,15 @@
 public:
     std::atomic<int> receivedTasks{0};
     std::atomic<bool> unavailable{false};
-    Result<std::vector<std::string>> run(const std::string & /*peer*/, const StageTask &stageTask, TimePoint /*now*/, Duration /*silenceLimit*/,
-                                         CancellationWatch & /*canceller*/, const std::function<bool()> & /*alive*/) override
+    StageTaskReply run(const std::string & /*peer*/, const StageTask &stageTask, TimePoint /*now*/, Duration /*silenceLimit*/,
+                       CancellationWatch & /*canceller*/, const std::function<bool()> & /*alive*/) override
     {
         ++receivedTasks;
-        return unavailable ? Result<std::vector<std::string>>(fail(ErrorCode::PeerUnavailable)) : std::vector<std::string>(stageTask.pieces, "peer:1/r");
+        StageTaskReply reply;
+        if (!unavailable) {
+            reply.handles = std::vector<std::string>(stageTask.pieces, "peer:1/r");
+        }
+        return reply;
     }
     Result<void> release(const std::string & /*peer*/, const std::vector<std::string> & /*handles*/, TimePoint /*until*/) override
     {
