--- a/src/forwarding/events.cpp
+++ b/src/forwarding/events.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forwarding.h"
 
+#include <utility>
+
 namespace vanillanotch
 {
 
@@ -21,8 +23,7 @@
         if (line.empty()) {
             scan.completeBytes = begin;
             if (id) {
-                scan.lastId = std::move(id);
-                id.reset();
+                scan.lastId = std::exchange(id, std::nullopt);
             }
         } else if (line.substr(0, IdField.size()) == IdField) {
             line.remove_prefix(IdField.size());
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -139,14 +139,27 @@
 bool ForwardRun::wouldBeLate() const
 {
     std::vector<ChainStep> chain;
+    std::vector<std::size_t> stages; // of the chain's steps
     for (std::size_t stage = 0; stage < m_stages.size(); ++stage) {
         const Duration own = declaredTime(stage);
         if (own > Duration::zero()) {
             const Duration wait = m_dependencies.stages.expectedWait(m_route->stages[stage].service, m_preferredDataCentre);
             chain.push_back(ChainStep{timeOfPredecessors(stage), wait, own, targetOf(stage)});
+            stages.push_back(stage);
         }
     }
-    return vanillanotch::wouldBeLate(chain, m_dependencies.clock.now(), ShedSettings{});
+    const TimePoint now = m_dependencies.clock.now();
+    const auto late = lateStep(chain, now, ShedSettings{});
+    if (late) {
+        logEvent(LogLevel::Info, "request.late_on_arrival",
+                 {{"request", m_request.attemptId},
+                  {"service", m_route->stages[stages[*late]].service},
+                  {"data_centre", m_preferredDataCentre},
+                  {"wait_ms", chain[*late].wait},
+                  {"target_in_ms", chain[*late].target - now}});
+        m_dependencies.metrics.counter("vanillanotch_late_on_arrival_total").add();
+    }
+    return late.has_value();
 }
 
 StageTask ForwardRun::taskFor(std::size_t stage, unsigned pieces) const
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -371,7 +371,7 @@
     Result<void> readLines(bool chunked)
     {
         StreamedReply reply(m_connection, *m_listener, EventLineDecoder(chunked, m_maxReplyBytes));
-        const auto outcome = readStream(reply);
+        auto outcome = readStream(reply);
         m_surplus = reply.hasSurplus();
         return outcome;
     }
--- a/src/stages/backlog.cpp
+++ b/src/stages/backlog.cpp
@@ -33,11 +33,12 @@
     return best;
 }
 
-bool wouldBeLate(const std::vector<ChainStep> &chain, TimePoint now, const ShedSettings &settings)
+std::optional<std::size_t> lateStep(const std::vector<ChainStep> &chain, TimePoint now, const ShedSettings &settings)
 {
-    return std::any_of(chain.begin(), chain.end(), [&](const ChainStep &step) {
+    const auto late = std::find_if(chain.begin(), chain.end(), [&](const ChainStep &step) {
         return step.wait > settings.waitThreshold && now + step.before + step.wait + step.own > step.target;
     });
+    return late == chain.end() ? std::nullopt : std::optional(static_cast<std::size_t>(late - chain.begin()));
 }
 
 } // namespace vanillanotch
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -13,6 +13,7 @@
 //   [TASKS]     StageTask, StageRun: the work of one stage for one request, and its execution
 //   [CHANNEL]   StageChannel: one call to one instance for several pieces; StagePeerChannel: calls to other nodes
 //   [BATCHES]   planBatch: which waiting pieces an instance gets next; shedLate: which ones are refused
+//   [BACKLOG]   StageBacklog: how long tasks wait at other nodes; lateStep: which requests are refused before their first stage
 //   [RESULTS]   ResultReleaser: releases results that are no longer needed
 //   [SCHEDULER] StageScheduler: queues of pieces, and the state of the instances that this node schedules
 //   [OWNERS]    OwnerStageExecutor: one node schedules each service or instance group; the other nodes send their tasks to it
@@ -287,6 +288,10 @@
 std::vector<BatchPick> planBatch(std::vector<PendingPieces> &queue, const StageInstanceView &view, const EarliestFreeTimes &earliestFree, std::size_t maxBatch,
                                  TimePoint now, const BatchSettings &settings);
 
+//-----------------------------------------------------------------------------
+// [BACKLOG]
+//-----------------------------------------------------------------------------
+
 // What this node knows of the work that waits at the owners of instance groups. Not thread-safe.
 class StageBacklog
 {
@@ -308,7 +313,7 @@
     std::map<std::tuple<std::string, std::size_t, std::size_t>, Record> m_records; // by service, index and count of the group
 };
 
-// One stage of a request, as input to wouldBeLate().
+// One stage of a request, as input to lateStep().
 struct ChainStep {
     Duration before{}; // declared time of the stages before it
     Duration wait{}; // expected wait for its turn
@@ -316,9 +321,9 @@
     TimePoint target{}; // as StageTask::target
 };
 
-// True when a stage of the chain would be refused as late under the conditions of ShedSettings: then the request is refused before its
-// first stage, so that no work is done for it in vain.
-bool wouldBeLate(const std::vector<ChainStep> &chain, TimePoint now, const ShedSettings &settings);
+// Index of the first step that would be refused as late under the conditions of ShedSettings; nullopt: none. Such a request is refused
+// before its first stage, so that no work is done for it in vain.
+std::optional<std::size_t> lateStep(const std::vector<ChainStep> &chain, TimePoint now, const ShedSettings &settings);
 
 //-----------------------------------------------------------------------------
 // [RESULTS]
--- a/src/watch/sources.cpp
+++ b/src/watch/sources.cpp
@@ -25,6 +25,7 @@
         }
     }
     std::vector<std::pair<std::uint64_t, std::string>> shuffled;
+    shuffled.reserve(primaries.size());
     for (const auto &[dataCentre, primary] : primaries) {
         shuffled.emplace_back(stableHash(self.name + "/" + dataCentre), primary.second->peerAddress);
     }
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -316,10 +316,10 @@
                                       {milliseconds(300), wait, milliseconds(400), Now + milliseconds(1900)},
                                       {milliseconds(700), milliseconds(0), milliseconds(400), Now + milliseconds(2300)}};
     };
-    CHECK_FALSE(wouldBeLate(chainWith(milliseconds(0)), Now, ShedSettings{}));
-    CHECK_FALSE(wouldBeLate(chainWith(milliseconds(1100)), Now, ShedSettings{}));
-    CHECK(wouldBeLate(chainWith(milliseconds(1300)), Now, ShedSettings{}));
-    CHECK_FALSE(wouldBeLate(chainWith(milliseconds(450)), Now + milliseconds(1200), ShedSettings{})); // late already, but not for want of capacity
+    CHECK_FALSE(lateStep(chainWith(milliseconds(0)), Now, ShedSettings{}).has_value());
+    CHECK_FALSE(lateStep(chainWith(milliseconds(1100)), Now, ShedSettings{}).has_value());
+    CHECK(lateStep(chainWith(milliseconds(1300)), Now, ShedSettings{}) == std::optional<std::size_t>(1));
+    CHECK_FALSE(lateStep(chainWith(milliseconds(450)), Now + milliseconds(1200), ShedSettings{}).has_value()); // late already, but not for want of capacity
 }
 
 // One data centre gets a burst while its neighbours are idle: tasks go to a neighbour when they wait much less there.
