--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -1,5 +1,5 @@
 // vanillanotch transport library: strict HTTP/1.1 over non-blocking sockets. Every wait has a time limit. vanillanotch-entryd calls
-// and serves through it; vanillanotchd and the command-line tool use the http library (http/http.h) instead.
+// and serves through it; vanillanotchd and the command-line tool use the http library (http/http.h), which decodes chunked bodies with it.
 //
 // Index of sections:
 //   [MESSAGES]  parsing of heads, headers and body framing; an ambiguous message is an error
