vanillanotchd: silence ends a call only if another one would be allowed

A call to a stage that must not be repeated, or for which the retry budget is used up, was given up after 2 s between two tokens, and the caller got a failure instead of the answer that was still coming. The budget is asked before the call, without taking from it.

--- a/src/pipeline/pipeline.cpp
+++ b/src/pipeline/pipeline.cpp
@@ -93,21 +93,29 @@
 
     bool tryTake(const RetryInput &input) override
     {
-        if (input.attempts >= m_maxAttempts || input.requiredTime > input.remaining) {
-            return false;
-        }
         const Lock lock(m_mutex);
-        if (m_budget < 1) {
+        if (!allowsLocked(input)) {
             return false;
         }
         m_budget -= 1;
         return true;
     }
 
+    bool wouldAllow(const RetryInput &input) const override
+    {
+        const Lock lock(m_mutex);
+        return allowsLocked(input);
+    }
+
 private:
+    bool allowsLocked(const RetryInput &input) const
+    {
+        return input.attempts < m_maxAttempts && input.requiredTime <= input.remaining && m_budget >= 1;
+    }
+
     int m_maxAttempts;
     double m_maxBudget; // largest budget, in retries
-    RankedMutex m_mutex{LockRank::Estimates};
+    mutable RankedMutex m_mutex{LockRank::Estimates};
     double m_budget; // retries that may still be made
 };
 } // namespace
--- a/src/pipeline/pipeline.h
+++ b/src/pipeline/pipeline.h
@@ -100,6 +100,7 @@
     // Adds `share` retries (usually a fraction of one) to the budget. Call it before the first attempt of each stage of a request.
     virtual void countFirstAttempt(double share) = 0;
     virtual bool tryTake(const RetryInput &input) = 0; // true: a retry is allowed, and one was taken from the budget; false: don't retry
+    virtual bool wouldAllow(const RetryInput &input) const = 0; // as tryTake(), but takes nothing
 };
 
 // Each first attempt adds a fraction of a retry to a budget, and each retry takes one from it, so that retries can't multiply the load
--- a/src/request/run.cpp
+++ b/src/request/run.cpp
@@ -309,6 +309,11 @@
     if (failure.reusedConnection && failure.code == ErrorCode::ConnectionLost && attempts <= 1) {
         return true; // the server has probably closed the idle connection: this retry isn't taken from the retry budget
     }
+    return m_dependencies.retries.tryTake(retryInput(index, attempts));
+}
+
+RetryInput RequestRun::retryInput(std::size_t index, int attempts) const
+{
     RetryInput input;
     input.attempts = attempts;
     input.remaining = remaining();
@@ -316,7 +321,7 @@
     // be too high, and a late answer costs no more than a refusal.
     input.requiredTime = m_dependencies.estimates.expectedFrom(m_pipeline, index) / 2;
     input.retryShare = m_input.request->configuration().preset().retryShare;
-    return m_dependencies.retries.tryTake(input);
+    return input;
 }
 
 RequestRun::StepResult RequestRun::runStage(std::size_t index)
@@ -363,7 +368,7 @@
 // [ATTEMPTS]
 //-----------------------------------------------------------------------------
 
-StageCall RequestRun::prepareCall(const StageSpec &stage, const BackendServerSpec &server, std::size_t index) const
+StageCall RequestRun::prepareCall(const StageSpec &stage, const BackendServerSpec &server, std::size_t index, int attempts) const
 {
     const Duration expected = m_dependencies.estimates.expected(m_pipeline, stage);
     const Duration later = m_dependencies.estimates.expectedFrom(m_pipeline, index + 1);
@@ -375,13 +380,14 @@
     call.data = &m_data;
     call.idempotencyKey = stage.idempotent ? std::string() : m_input.idempotencyKey;
     call.deadline = m_input.request->deadline();
-    call.tokenTimeout = m_settings.tokenTimeout;
     call.freshConnection = m_freshConnection;
     call.resumeAfterTokens = m_streamedTokens;
-    // An idempotent call times out early, while there is time for another attempt. A non-idempotent one may not be repeated, so it gets
-    // all the time until the deadline.
+    // A call that may be repeated times out early, while there is time for another attempt. Any other one gets all the time until the
+    // deadline: silence is no reason to give up the only answer that may still come.
+    const bool repeatable = stage.idempotent && m_dependencies.retries.wouldAllow(retryInput(index, attempts));
     const Duration early = std::max({Duration(m_settings.minFirstByteTimeout), FirstByteFactor * expected, budget / AttemptsInBudget});
-    call.firstByteTimeout = stage.idempotent ? early : remaining();
+    call.firstByteTimeout = repeatable ? early : remaining();
+    call.tokenTimeout = repeatable ? Duration(m_settings.tokenTimeout) : remaining();
     return call;
 }
 
@@ -406,7 +412,7 @@
         return refuse(lease.error().code, lease.error().detail);
     }
     m_triedServers.insert(lease->server().name);
-    StageCall call = prepareCall(stage, lease->server(), index);
+    StageCall call = prepareCall(stage, lease->server(), index, report.attempts);
     call.attempt = m_input.request->beginAttempt(stage, lease->server().name, m_dependencies.clock.now());
     if (!stage.idempotent) {
         if (auto started = recordStarted(call.attempt); !started) {
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -45,12 +45,13 @@
     // Makes one attempt of a stage. nullopt: it succeeded. A CallFailure: the call failed, and runStage() decides whether to retry it. A
     // refusal ends the request.
     tl::expected<std::optional<CallFailure>, Refusal> attemptStage(std::size_t index, StageReport &report);
-    StageCall prepareCall(const StageSpec &stage, const BackendServerSpec &server, std::size_t index) const;
+    StageCall prepareCall(const StageSpec &stage, const BackendServerSpec &server, std::size_t index, int attempts) const;
     void recordSuccess(const StageSpec &stage, ServerLease &lease, StageReply &reply, StageReport &report, Duration time);
     void recordFailure(const StageSpec &stage, ServerLease &lease, const CallFailure &failure, Duration time);
     // True: the stage may be attempted again. That takes one retry from the retry budget, unless the call probably failed only because
     // the server had closed the idle connection on which it was sent.
     bool mayRetry(const StageSpec &stage, std::size_t index, const CallFailure &failure, int attempts);
+    RetryInput retryInput(std::size_t index, int attempts) const;
     Duration remaining() const; // until the request's deadline
     tl::unexpected<Refusal> refuse(ErrorCode code, std::string detail = {});
     // Releases the idempotency key after a refusal, unless the non-idempotent stage may have been sent.
--- a/tests/unit/decisions_test.cpp
+++ b/tests/unit/decisions_test.cpp
@@ -359,6 +359,26 @@
     CHECK(retries >= 100);
 }
 
+// Guards against slow answers that are given up although no retry is left: before a call, a request asks whether one would be allowed.
+TEST(LimitDecisions, AskingForARetryTakesNone)
+{
+    const auto policy = makeBudgetedRetry(2, 1);
+    RetryInput input;
+    input.attempts = 1;
+    input.remaining = std::chrono::seconds(1);
+    CHECK(policy->wouldAllow(input));
+    CHECK(policy->wouldAllow(input));
+    CHECK(policy->tryTake(input));
+    CHECK_FALSE(policy->wouldAllow(input)); // the budget of one is used up
+    policy->countFirstAttempt(1);
+    CHECK(policy->wouldAllow(input));
+    input.attempts = 2;
+    CHECK_FALSE(policy->wouldAllow(input));
+    input.attempts = 1;
+    input.requiredTime = std::chrono::seconds(2);
+    CHECK_FALSE(policy->wouldAllow(input));
+}
+
 // Guards against a request that crashes one server after the other. A suspect is the fingerprint (digest of client account, pipeline
 // and input) of requests during which servers crashed. Such requests are refused once three different servers have crashed: here this node
 // saw two crash and learns of the third from another node's mark.
