A planned stop answers the requests that wait

A request admitted 1.9 s after SIGTERM waited for its stages when the process left at its limit. Requests admitted during a stop now end before it does; those that still wait for their stages are refused, as not run, 0.4 s before the limit.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -26,6 +26,8 @@
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
+// Before the end of stop(): requests that wait for their stages are refused, and those that were admitted during the stop end.
+constexpr Duration LastRefusalsTime = std::chrono::milliseconds(400);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50); // between two checks for requests that still run
 
 StageAssignment parseStageAssignment(const std::string &name)
@@ -238,6 +240,8 @@
     logEvent(LogLevel::Info, "node.stopping", {{"running", static_cast<std::uint64_t>(m_service.runningCount())}});
     m_leaving = true;
     m_members.updateSelf(MemberState::Leaving, Revision{}); // from now on this node owns no instance group and is no relay
+    const TimePoint end = stopRequested + m_settings.stopLimit - StopMargin;
+    m_service.beginStopping(end - LastRefusalsTime);
     m_callerServer->beginClosing();
     m_pool.post([this] {
         if (const auto removed = m_store->removeRow(MembersTable, m_settings.node, AnnounceTimeout); !removed) {
@@ -249,7 +253,9 @@
         return false;
     });
     m_callerServer->closeIdle();
-    waitUntil(stopRequested + m_settings.stopLimit - StopMargin, idle);
+    waitUntil(end - LastRefusalsTime, idle);
+    m_service.refuseWaiting();
+    waitUntil(end, idle);
     logEvent(LogLevel::Info, "node.stopped", {{"running", static_cast<std::uint64_t>(m_service.runningCount())}, {"took_ms", m_clock.now() - stopRequested}});
 }
 
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -240,12 +240,18 @@
     MetricsRegistry &metrics;
 };
 
+class ForwardRun;
+
 // Thread-safe. serve() handles one request and blocks the calling thread until it has ended.
 class ForwardService
 {
 public:
     ForwardService(ForwardDependencies dependencies, ForwardSettings settings);
     void serve(FrontExchange &exchange);
+    // For a planned stop: requests that are admitted from now on end by `endBy`, whatever their deadlines.
+    void beginStopping(TimePoint endBy);
+    // For the end of a planned stop: refuses the requests that wait for their stages, as not run. Those that a server runs go on.
+    void refuseWaiting();
     std::size_t runningCount() const
     {
         return m_running;
@@ -256,6 +262,9 @@
     const ForwardSettings m_settings;
     std::atomic<std::size_t> m_running{0};
     std::atomic<std::size_t> m_bodyBytes{0};
+    RankedMutex m_mutex{LockRank::Requests};
+    std::optional<TimePoint> m_endBy; // set by beginStopping()
+    std::set<ForwardRun *> m_runs; // that are being executed
 };
 
 // JSON body of a refusal: number and name of the error code.
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -46,13 +46,21 @@
 }
 } // namespace
 
-ForwardRun::ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange)
+ForwardRun::ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, std::optional<TimePoint> endBy)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_exchange(exchange)
+    , m_endBy(endBy)
+    , m_progress(makeRef<WakeupSignal>())
 {
 }
 
+void ForwardRun::refuseWaiting()
+{
+    m_refuseWaiting = true;
+    m_progress->raise();
+}
+
 ForwardRun::~ForwardRun()
 {
     releaseResults();
@@ -101,6 +109,7 @@
     }
     const TimePoint arrived = m_exchange.arrived();
     m_deadline = arrived + std::min(m_request.timeLeft.value_or(DefaultTimeout), m_route->timeout) - m_settings.answerMargin;
+    m_deadline = std::min(m_deadline, m_endBy.value_or(m_deadline));
     // The target counts from the caller's first try, so the time spent on earlier tries is subtracted.
     const auto timeSpent = m_request.timeLeft ? m_dependencies.statedDeadlines.estimateSpent(m_route->name, *m_request.timeLeft) : std::chrono::milliseconds(0);
     m_target = arrived + m_route->targetLatency - timeSpent;
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -19,12 +19,14 @@
 class ForwardRun
 {
 public:
-    ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange);
+    // `endBy`: the request ends by then, whatever its deadline; nullopt: no such limit.
+    ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, std::optional<TimePoint> endBy);
     ~ForwardRun();
     ForwardRun(const ForwardRun &) = delete;
     ForwardRun &operator=(const ForwardRun &) = delete;
 
     void execute();
+    void refuseWaiting(); // see ForwardService; may be called by any thread while execute() runs
 
 private:
     using StepResult = Result<void>;
@@ -105,7 +107,9 @@
     // is earlier.
     TimePoint m_deadline{};
 
-    Ref<WakeupSignal> m_progress;
+    const std::optional<TimePoint> m_endBy;
+    const Ref<WakeupSignal> m_progress; // raised when a stage has ended, and by refuseWaiting()
+    std::atomic<bool> m_refuseWaiting{false};
     std::vector<StageState> m_stages;
     std::string m_preferredDataCentre; // data centre of the engine that will probably be chosen; empty: none is preferred
     TimePoint m_stagesDoneAt{};
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -19,7 +19,6 @@
         return {};
     }
     m_stages.assign(m_route->stages.size(), StageState{});
-    m_progress = makeRef<WakeupSignal>();
     choosePreferredDataCentre();
     if (wouldBeLate()) {
         return fail(ErrorCode::Overloaded);
@@ -36,6 +35,9 @@
         if (auto raised = awaitSignal(*m_progress, m_exchange, m_deadline); !raised) {
             return raised;
         }
+        if (m_refuseWaiting) {
+            return fail(ErrorCode::ShuttingDown);
+        }
         if (auto collected = collectResults(); !collected) {
             return collected;
         }
--- a/src/forwarding/service.cpp
+++ b/src/forwarding/service.cpp
@@ -49,7 +49,33 @@
         m_dependencies.metrics.counter("vanillanotch_overloaded_total").add();
         return;
     }
-    ForwardRun(m_dependencies, m_settings, exchange).execute();
+    std::optional<TimePoint> endBy;
+    {
+        const Lock lock(m_mutex);
+        endBy = m_endBy;
+    }
+    ForwardRun run(m_dependencies, m_settings, exchange, endBy);
+    {
+        const Lock lock(m_mutex);
+        m_runs.insert(&run);
+    }
+    run.execute();
+    const Lock lock(m_mutex);
+    m_runs.erase(&run);
+}
+
+void ForwardService::beginStopping(TimePoint endBy)
+{
+    const Lock lock(m_mutex);
+    m_endBy = endBy;
+}
+
+void ForwardService::refuseWaiting()
+{
+    const Lock lock(m_mutex);
+    for (ForwardRun *run : m_runs) {
+        run->refuseWaiting();
+    }
 }
 
 std::string describeRefusal(ErrorCode code)
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -24,12 +24,14 @@
 constexpr std::size_t MaxKeptBody = 1024 * 1024; // a caller forgets a longer streamed body; only endless ones are
 constexpr long MemoryBoundKb = 24 * 1024; // by how much the process may grow through one server's bytes
 
-class NoStages final : public StageExecutor, public ResultSink
+// Stages that never end.
+class EndlessStages final : public StageExecutor, public ResultSink
 {
 public:
-    void submit(const Ref<StageRun> &run) override
+    std::atomic<int> submitted{0};
+    void submit(const Ref<StageRun> & /*run*/) override
     {
-        run->fail(ErrorCode::Overloaded);
+        ++submitted;
     }
     Duration expectedWait(const std::string & /*service*/, const std::string & /*dataCentre*/) override
     {
@@ -95,7 +97,8 @@
     CallerAnswer call(const std::string &method, const std::string &route, const std::string &attempt)
     {
         const TimePoint begun = std::chrono::steady_clock::now();
-        const std::string request = method + " /" + route + "/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 9000\r\n\r\n";
+        const std::string request =
+            method + " /" + route + "/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 9000\r\nX-Pieces: 1\r\n\r\n";
         std::string_view unsent = request;
         (void)m_connection.send(unsent);
         CallerAnswer answer;
@@ -158,7 +161,7 @@
     DeploymentTable deployments{FreshnessSettings{}};
     std::unique_ptr<InstanceTable> instances;
     std::unique_ptr<RequestCodec> codec = platform::makeRequestCodec();
-    NoStages stages;
+    EndlessStages stages;
     FixedBudget budget;
     EngineTimeEstimator engineTimes;
     StatedDeadlines statedDeadlines;
@@ -178,7 +181,9 @@
         std::vector<RouteSpec> routes = {makeRoute("once", RequestKind::NonIdempotent, false, 1), makeRoute("again", RequestKind::Idempotent, false, 2),
                                          makeRoute("stream", RequestKind::Streaming, false, 1), makeRoute("resume", RequestKind::Streaming, true, 2),
                                          makeRoute("sound", RequestKind::Idempotent, false, 2)};
-        std::vector<ServiceSpec> services;
+        routes.push_back(makeRoute("staged", RequestKind::Streaming, false, 1));
+        routes.back().stages = {StageStep{"stage", {}, 1000}};
+        std::vector<ServiceSpec> services = {ServiceSpec{"stage", false, 0, 0, StageCapacity{1, 0, 4, milliseconds(10), milliseconds(1), 0, seconds(4)}}};
         for (const RouteSpec &route : routes) {
             services.push_back(ServiceSpec{route.name, false, 0, 0, std::nullopt});
         }
@@ -498,6 +503,31 @@
     }
 }
 
+// A planned stop under load: requests that still wait for their stages when the stop ends are refused, as not run, and those that are
+// admitted during the stop end before it does. None is cut off without an answer.
+TEST(Forwarding, APlannedStopAnswersTheRequestsThatWait)
+{
+    serve("staged");
+    CallerAnswer waiting;
+    std::thread early([&] {
+        waiting = Caller(front->address()).call("POST", "staged", "a1");
+    });
+    while (stages.submitted < 1) {
+        pollfd none{-1, 0, 0};
+        (void)::poll(&none, 1, 5);
+    }
+    service->beginStopping(clock.now() + milliseconds(600));
+    const CallerAnswer late = Caller(front->address()).call("POST", "staged", "a2");
+    LONGS_EQUAL(503, late.status);
+    CHECK(late.complete);
+    CHECK(late.took < milliseconds(900));
+    service->refuseWaiting();
+    early.join();
+    LONGS_EQUAL(503, waiting.status);
+    CHECK(waiting.complete);
+    CHECK(waiting.took < milliseconds(1500)); // its own deadline is 2.5 s
+}
+
 TEST_GROUP(Events){};
 
 // Guards against streams that are resumed after the wrong event: the id of an event is that of its line "id:", not a text within its data,
