--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -1,5 +1,5 @@
-// ForwardRun: admission of a request, attempts at servers, answers. Index of sections: [ADMISSION], [ATTEMPTS], [STREAMS], [ANSWERS]. The
-// stages are in run_stages.cpp.
+// ForwardRun: admission of a request, attempts at servers, answers. Index of sections: [ADMISSION], [ATTEMPTS], [ANSWERS]. The stages are in
+// run_stages.cpp, streamed replies in run_streams.cpp.
 #include "forwarding/run.h"
 
 #include <algorithm>
@@ -10,7 +10,6 @@
 
 namespace
 {
-constexpr std::size_t PartialEventLimit = 1024 * 1024; // maximum size of an incomplete event, bytes
 constexpr std::chrono::milliseconds DefaultTimeout{30000}; // time limit when the caller states no deadline; a shorter timeout of the route still applies
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
@@ -353,79 +352,6 @@
     return AttemptOutcome::Answered;
 }
 
-//-----------------------------------------------------------------------------
-// [STREAMS]
-//-----------------------------------------------------------------------------
-
-// Sends the first `bytes` of `buffer` to the caller and removes them from it. Only complete events are sent before the end of the stream, so
-// that a stream that breaks within an event can be resumed at another server after the last complete one. `lastId`: see EventScan. Returns
-// false when the caller has disconnected.
-bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId)
-{
-    if (bytes == 0) {
-        return true;
-    }
-    const std::string_view events = std::string_view(buffer).substr(0, bytes);
-    m_lastEventId = lastId ? std::move(*lastId) : m_lastEventId;
-    const TimePoint sendLimit = m_deadline + m_settings.answerMargin;
-    bool callerConnected = false;
-    if (!m_streamStarted) {
-        m_streamStarted = true;
-        m_firstEventAt = m_dependencies.clock.now();
-        m_dependencies.engineTimeEstimator.record(m_service, ownTokens(), m_firstEventAt - began);
-        callerConnected = m_exchange.beginStream(head.status, m_dependencies.codec.replyHeaders(head), events, sendLimit);
-        releaseResults(); // the engine has read the results of the stages by its first event
-    } else {
-        callerConnected = m_exchange.streamBytes(events, sendLimit);
-    }
-    buffer.erase(0, bytes);
-    return callerConnected;
-}
-
-ForwardRun::AttemptOutcome ForwardRun::relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began)
-{
-    if (!m_streamStarted) {
-        m_weightsVersion = facts.weightsVersion;
-    }
-    std::string buffer;
-    // When the stream counts as silent. Only a complete event moves it: a server may be stuck although it sends a byte now and then.
-    TimePoint silentAt = m_streamStarted ? m_dependencies.clock.now() + m_settings.streamSilenceLimit : firstReplyLimit();
-    bool mayMove = m_route->resumable && m_sentCount < m_route->maxAttempts;
-    for (bool complete = false; !complete;) {
-        const auto read = call.readBody(buffer, mayMove ? std::min(silentAt, m_deadline) : m_deadline, m_exchange);
-        if (!read && read.error().code != ErrorCode::ServerTimeout) {
-            return handleFailure(read.error(), lease, began);
-        }
-        complete = read && *read;
-        const EventScan scan = scanEvents(buffer);
-        if (complete && call.bodyEndsWithConnection() && scan.completeBytes < buffer.size()) {
-            return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began); // it broke off within an event
-        }
-        if (!forwardEvents(buffer, head, began, complete ? buffer.size() : scan.completeBytes, scan.lastId)) {
-            return handleFailure(UpstreamFailure{ErrorCode::CallerDisconnected, true, false}, lease, began);
-        }
-        if (buffer.size() > PartialEventLimit) {
-            return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
-        }
-        const TimePoint now = m_dependencies.clock.now();
-        if (scan.completeBytes > 0 && now < m_deadline + m_settings.streamOverrun) {
-            silentAt = now + m_settings.streamSilenceLimit;
-        } else if (!complete && (now >= m_deadline || (mayMove && now >= silentAt))) {
-            mayMove = now < m_deadline && grantRepetition();
-            if (mayMove || now >= m_deadline) {
-                return handleFailure(UpstreamFailure{ErrorCode::ServerTimeout, true, false}, lease, began);
-            }
-        }
-    }
-    if (!m_streamStarted) { // the stream ended without any event
-        (void)m_exchange.beginStream(head.status, m_dependencies.codec.replyHeaders(head), {}, m_deadline);
-    }
-    lease.finish(InstanceCallOutcome::Succeeded, m_firstEventAt - began, facts.load);
-    m_outcome = ForwardOutcome{head.status, ErrorCode::ServerRejected, true};
-    (void)m_exchange.endStream(m_deadline + m_settings.answerMargin);
-    return AttemptOutcome::Answered;
-}
-
 //-----------------------------------------------------------------------------
 // [ANSWERS]
 //-----------------------------------------------------------------------------
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,3 +1,4 @@
+#include "http/connection.h"
 #include "http/http.h"
 #include "http/stream.h"
 #include "transport/transport.h"
@@ -5,10 +6,8 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/String.h>
 
-#include <netinet/tcp.h>
 #include <poll.h>
 
 #include <algorithm>
@@ -22,18 +21,6 @@
 constexpr std::size_t MaxHeadBytes = 256 * 1024; // most bytes of a reply's head, interim replies included
 constexpr Duration CancelCheckInterval = std::chrono::milliseconds(250); // time between two checks whether the listener cancels the call
 
-// Returns the duration as POCO's type; at least 1 ms.
-Poco::Timespan timespan(Duration duration)
-{
-    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-    return Poco::Timespan(std::max<std::int64_t>(microseconds, 1000));
-}
-
-Duration timeLeft(TimePoint deadline)
-{
-    return deadline - std::chrono::steady_clock::now();
-}
-
 // True when the peer has closed its sending side and all that it sent has been read.
 bool isClosed(int socket)
 {
@@ -42,78 +29,6 @@
 }
 } // namespace
 
-// A socket whose receiving ends at a point in time and after a number of bytes. POCO waits at most its timeout for each read, so that a peer
-// that goes on sending could otherwise hold a thread for ever, for example with interim replies or the extension of a chunk's size.
-class BoundedSocketImpl final : public Poco::Net::StreamSocketImpl
-{
-public:
-    void setBounds(TimePoint until, std::size_t bytes)
-    {
-        m_until = until;
-        m_bytesLeft = bytes;
-    }
-    using Poco::Net::StreamSocketImpl::receiveBytes;
-    int receiveBytes(void *buffer, int length, int flags) override
-    {
-        const Duration left = timeLeft(m_until);
-        if (left <= Duration::zero() || m_bytesLeft == 0 || !poll(timespan(left), SELECT_READ)) {
-            throw Poco::TimeoutException("the reply has not ended within its bounds");
-        }
-        const int limit = static_cast<int>(std::min<std::size_t>(static_cast<std::size_t>(length), m_bytesLeft));
-        const int count = StreamSocketImpl::receiveBytes(buffer, limit, flags);
-        m_bytesLeft -= static_cast<std::size_t>(std::max(count, 0));
-        return count;
-    }
-
-private:
-    TimePoint m_until = TimePoint::max();
-    std::size_t m_bytesLeft = 0;
-};
-
-class BoundedSocket final : public Poco::Net::StreamSocket
-{
-public:
-    BoundedSocket()
-        : StreamSocket(new BoundedSocketImpl) // POCO takes ownership
-    {
-    }
-};
-
-// A POCO session that gives access to the bytes it has read ahead.
-class HttpConnection final : public Poco::Net::HTTPClientSession
-{
-public:
-    using Poco::Net::HTTPClientSession::HTTPClientSession;
-    // True when bytes of the body have been read ahead. A lone CR LF doesn't count: it ends a chunk and is not part
-    // of the body.
-    bool hasBuffered()
-    {
-        constexpr int LineEnd = 2; // bytes
-        const int size = buffered();
-        return size > LineEnd || (size > 0 && peek() != '\r');
-    }
-    void holdPackets(bool hold)
-    {
-        socket().setOption(IPPROTO_TCP, TCP_CORK, hold ? 1 : 0);
-    }
-    int descriptor()
-    {
-        return socket().impl()->sockfd();
-    }
-    void setReceiveBounds(TimePoint until, std::size_t bytes)
-    {
-        static_cast<BoundedSocketImpl *>(socket().impl())->setBounds(until, bytes);
-    }
-    std::string takeBuffered()
-    {
-        std::string bytes(static_cast<std::size_t>(std::max(buffered(), 0)), '\0');
-        for (char &byte : bytes) {
-            byte = static_cast<char>(get());
-        }
-        return bytes;
-    }
-};
-
 // A text/event-stream reply, read as its bytes arrive.
 class StreamedReply final : public StreamSource
 {
