The grace period of an entry that was seen a moment ago counts from then

The node had lost the store to a cut of its own shortly before, so the removal counted as one after an outage: the entry was kept for 1.9 s from when the node learned of it, 0.47 s after the removal. The entry had been seen in the answer before: the period now counts from there. Entries seen last before an outage keep the whole period.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -41,6 +41,7 @@
 
     InstanceTable &m_table;
     Counter &m_invalid; // entries that can't be decoded
+    TimePoint m_asOf{}; // of the latest rows (suspend-aware clock); zero: none yet
 };
 
 // Receives the rows of the members' table, in which each node publishes the address for calls from other nodes, and passes them on to the
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry.h"
 
+#include <utility>
+
 namespace vanillanotch
 {
 
@@ -73,8 +75,9 @@
     return std::move(*spec);
 }
 
-void InstanceListener::snapshot(const StoredRows &rows, TimePoint /*asOf*/, bool afterOutage)
+void InstanceListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage)
 {
+    m_asOf = asOf;
     std::vector<InstanceSpec> all;
     for (const StoredRow &row : rows.rows) {
         if (auto spec = decode(row)) {
@@ -85,12 +88,14 @@
     m_table.synchronise(all, afterOutage);
 }
 
-void InstanceListener::changes(const StoredRows &rows, TimePoint /*asOf*/, bool afterOutage)
+void InstanceListener::changes(const StoredRows &rows, TimePoint asOf, bool afterOutage)
 {
+    // A row that is removed now was still there when the rows before it were read.
+    const Duration seenAgo = suspendAwareNow() - std::exchange(m_asOf, asOf);
     for (const StoredRow &row : rows.rows) {
         if (row.removed) {
             logEvent(LogLevel::Info, "server.removed", {{"instance", row.key}, {"row_version", row.version}, {"after_trouble", afterOutage ? 1 : 0}});
-            m_table.remove(row.key, afterOutage);
+            m_table.remove(row.key, afterOutage, seenAgo);
         } else if (auto spec = decode(row)) {
             logEvent(LogLevel::Info, "server.entry",
                      {{"instance", row.key},
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -89,7 +89,7 @@
     m_lists.clear();
 }
 
-void InstanceTable::removeLocked(const std::string &id, bool registryWasUnreachable, TimePoint now)
+void InstanceTable::removeLocked(const std::string &id, bool registryWasUnreachable, Duration seenAgo, TimePoint now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end()) {
@@ -98,7 +98,8 @@
     m_lists.clear();
     if (registryWasUnreachable && !found->second.spec.draining) {
         if (!found->second.removeAt) {
-            found->second.removeAt = now + m_settings.missingEntryGrace;
+            const bool leftRecently = seenAgo < m_settings.missingEntryGrace;
+            found->second.removeAt = now + m_settings.missingEntryGrace - (leftRecently ? seenAgo : Duration::zero());
         }
         return;
     }
@@ -122,7 +123,7 @@
         }
         const TimePoint now = m_clock.now();
         for (const std::string &id : missing) {
-            removeLocked(id, registryWasUnreachable, now);
+            removeLocked(id, registryWasUnreachable, Duration::max(), now);
         }
         removeExpiredLocked(now);
     }
@@ -142,11 +143,11 @@
     }
 }
 
-void InstanceTable::remove(const std::string &id, bool registryWasUnreachable)
+void InstanceTable::remove(const std::string &id, bool registryWasUnreachable, Duration seenAgo)
 {
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
-    removeLocked(id, registryWasUnreachable, now);
+    removeLocked(id, registryWasUnreachable, seenAgo, now);
     removeExpiredLocked(now);
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -152,8 +152,9 @@
     void synchronise(const std::vector<InstanceSpec> &all, bool registryWasUnreachable);
     void upsert(const InstanceSpec &spec);
     // Removes an entry that is no longer in the registry. If `registryWasUnreachable`, the entry is first kept for missingEntryGrace, unless
-    // its instance is draining. The change listener isn't called.
-    void remove(const std::string &id, bool registryWasUnreachable);
+    // its instance is draining. `seenAgo`: the entry was still in the registry this long ago. When that is less than missingEntryGrace, the
+    // grace counts from then, since the instance may have left as long ago as that. The change listener isn't called.
+    void remove(const std::string &id, bool registryWasUnreachable, Duration seenAgo = Duration::max());
 
     // Takes a slot at the instance that the policy chooses. NoFitServer: the service has no usable instance.
     Result<InstanceLease> acquire(const ChoiceInput &input, ChoicePolicy &policy);
@@ -187,7 +188,7 @@
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     bool usableLocked(const Entry &entry, TimePoint now) const;
     void upsertLocked(const InstanceSpec &spec);
-    void removeLocked(const std::string &id, bool registryWasUnreachable, TimePoint now);
+    void removeLocked(const std::string &id, bool registryWasUnreachable, Duration seenAgo, TimePoint now);
     void removeExpiredLocked(TimePoint now);
     void release(const std::string &id);
 
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -236,6 +236,23 @@
     LONGS_EQUAL(1, static_cast<long>(table->size()));
 }
 
+// A server leaves shortly after this node has the store again, and the node learns of it late: the grace period counts from when the entry
+// was seen last, so that no work is sent for longer than a leaving server may get any. An entry that was seen last before an outage has the
+// whole period.
+TEST(Instances, TheGracePeriodOfARecentlySeenEntryCountsFromThen)
+{
+    for (const bool recently : {true, false}) {
+        table->synchronise({instance("i1")}, false);
+        table->remove("i1", true, recently ? milliseconds(600) : milliseconds(4000));
+        clock.advance(milliseconds(1250));
+        CHECK(table->usable("i1"));
+        clock.advance(milliseconds(100));
+        LONGS_EQUAL(recently ? 0 : 1, table->usable("i1") ? 1 : 0);
+        clock.advance(milliseconds(600));
+        CHECK_FALSE(table->usable("i1"));
+    }
+}
+
 // Guards against calls to an old address: the entry of an earlier start (100) arrives after that of the present one (200).
 TEST(Instances, ADelayedEntryOfAnEarlierStartIsIgnored)
 {
