--- a/src/base/base.h
+++ b/src/base/base.h
@@ -213,16 +213,15 @@
     BackendServers = 30, // BackendServerTable: backend servers with their health and load
     Stages = 31, // StageScheduler: queues of waiting pieces (parts of the work of a stage), slots of instances
     Instances = 32, // InstanceTable: registered instances of services
-    StageOwners = 33, // OwnerStageExecutor: state of the owners, the nodes that schedule stages for others
+    StageOwners = 33, // OwnerStageExecutor: plan and state of the owners, the nodes that schedule stages for others, and the work that waits there
     Accounts = 40, // AccountTable: rates and concurrency of client accounts
-    Requests = 50, // RequestTable: requests in flight
+    Requests = 50, // RequestTable, ForwardService: requests in flight
     Estimates = 60, // measured times, retry budgets and deadlines: StageEstimates, RetryPolicy, ServiceRetryBudget, EngineTimeEstimator, StatedDeadlines
     Suspects = 65, // SuspectTable: requests that were running when backend servers crashed
     Duties = 67, // DutyLease: the lease on a duty (a duty is a task that one node at a time performs)
     Journal = 70, // journal rows that wait for a group commit; no lock has this rank at present
     Costs = 75, // CostTable: costs of requests
-    // TableCache: rows that this node passes on to other nodes. RelayedStore: whether the node through which this node reads the store
-    // has failed recently.
+    // TableCache: rows that this node passes on to other nodes. RelayedStore: which sources of a table have failed a short time ago.
     TableCaches = 76,
     Results = 78, // ResultReleaser: stage results to be released at their instances
     Connections = 80, // pools of idle connections, registered streams and sockets
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t BackgroundWorkers = 1; // threads for the timers' short tasks
 constexpr const char *MembersTable = "members";
 constexpr Duration AnnounceTimeout = std::chrono::seconds(2); // timeout for writing or removing this node's row of the members' table
-constexpr Duration MembersReadLimit = std::chrono::milliseconds(500); // longest time for which the first reads of the other tables wait for that of the members
+// Longest time for which the first reads of the other tables wait for that of the members.
+constexpr Duration MembersReadLimit = std::chrono::milliseconds(500);
 // Pause before this node writes its row again because it is missing; longer than MembersCoalesceInterval and a call to the store.
 constexpr Duration SelfMissingCheckPause = std::chrono::seconds(4);
 constexpr Duration AnnounceRetryPause = std::chrono::milliseconds(700); // pause before a failed write of this node's row is repeated
@@ -21,8 +22,8 @@
 // Pause after each answer with changes of the table of backend servers. Rows of servers that come or leave within the pause are in one
 // answer. The pause is far below the time for which a leaving server still accepts calls.
 constexpr std::chrono::milliseconds ServersCoalesceInterval{300};
-constexpr std::chrono::milliseconds MembersCoalesceInterval{
-    300}; // the same for the members' table: all nodes start together, so that the rows of many come within a short time
+// The same for the members' table: all nodes start together, so that the rows of many come within a short time.
+constexpr std::chrono::milliseconds MembersCoalesceInterval{300};
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
