--- a/review/build.sh
+++ b/review/build.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the cases' scripts start into review/build/. Needs g++ and nlohmann-json3-dev, which the deploy file names.
+# Builds the programs that the cases' scripts start, stand-ins included: review/N/program. Needs g++ and nlohmann-json3-dev, which the deploy
+# file names.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p build
+jobs=()
 for source in [1-5]/case.cpp; do
-    [ -e "$source" ] || continue
-    program=build/case-$(dirname "$source")
-    g++ -std=c++17 -O1 -Wall -Wextra -pthread -Istandins "$source" -o "$program" &
+    g++ -std=c++17 -O1 -Wall -Wextra -pthread -I. "$source" -o "$(dirname "$source")/program" &
+    jobs+=($!)
 done
-for job in $(jobs -p); do
+for job in "${jobs[@]}"; do
     wait "$job"
 done
