A planned stop begins no request that it can't complete

Cause: requests that came during a stop were always passed on; only their deadline was cut down to the end of the stop. Ruled out: that closing the connection after the reply in progress is enough (a request may cross the close, and new connections come until the load balancer has noticed). Related paths: requests whose stages end late in the stop; stage tasks of other nodes, which waited at the stopping node to its end.

Now a request that may outlast the stop is refused at once, as not run: by its deadline once the load balancer has noticed the stop, before that by the usual time of its route, and again before each attempt at a server. Stage tasks go back to their senders.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -27,7 +27,7 @@
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
-// Before the end of stop(): requests that wait for their stages are refused, and those that were admitted during the stop end.
+// Before the end of stop(): requests that wait for their stages are refused, and those that were sent to a server during the stop end.
 constexpr Duration LastRefusalsTime = std::chrono::milliseconds(400);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50); // between two checks for requests that still run
 
@@ -300,7 +300,7 @@
     m_members.updateSelf(MemberState::Leaving, Revision{}); // from now on this node owns no instance group and is no relay
     publishNodes();
     const TimePoint end = stopRequested + m_settings.stopLimit - StopMargin;
-    m_service.beginStopping(end - LastRefusalsTime);
+    m_service.beginStopping(StopWindow{stopRequested + BalancerNoticeTime, end - LastRefusalsTime});
     m_callerServer->beginClosing();
     m_pool.post([this] {
         if (const auto removed = m_store->removeRow(MembersTable, m_settings.node, AnnounceTimeout); !removed) {
@@ -312,6 +312,7 @@
         return false;
     });
     m_callerServer->closeIdle();
+    m_peerHandler.returnTasks();
     waitUntil(end - LastRefusalsTime, idle);
     m_service.refuseWaiting();
     waitUntil(end, idle);
--- a/src/forwarding/estimates.cpp
+++ b/src/forwarding/estimates.cpp
@@ -81,4 +81,43 @@
     return longest - rounded;
 }
 
+//-----------------------------------------------------------------------------
+// RouteTimes
+//-----------------------------------------------------------------------------
+
+RouteTimes::RouteTimes(RouteTimeSettings settings)
+    : m_settings(settings)
+{
+}
+
+void RouteTimes::record(const std::string &route, Duration took)
+{
+    const Lock lock(m_mutex);
+    if (m_recent.size() >= m_settings.maxRoutes && m_recent.find(route) == m_recent.end()) {
+        m_recent.clear();
+    }
+    std::deque<Duration> &recent = m_recent[route];
+    recent.push_back(took);
+    if (recent.size() > m_settings.samplesPerRoute) {
+        recent.pop_front();
+    }
+}
+
+std::optional<Duration> RouteTimes::usualTime(const std::string &route) const
+{
+    std::vector<Duration> times;
+    {
+        const Lock lock(m_mutex);
+        if (const auto found = m_recent.find(route); found != m_recent.end()) {
+            times.assign(found->second.begin(), found->second.end());
+        }
+    }
+    if (times.empty()) {
+        return std::nullopt;
+    }
+    const auto index = static_cast<std::ptrdiff_t>(static_cast<double>(times.size() - 1) * m_settings.usualShare);
+    std::nth_element(times.begin(), times.begin() + index, times.end());
+    return *(times.begin() + index);
+}
+
 } // namespace vanillanotch
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -9,7 +9,9 @@
 //   [TYPES]     CallerRequest, ServerCall, ReplyFacts
 //   [CODEC]     RequestCodec: converts between HTTP headers and these types
 //   [RETRIES]   ServiceRetryBudget: limits how many calls to a service this node repeats
-//   [ESTIMATES] EngineTimeEstimator: time until an engine's first event; StatedDeadlines: time that a caller spent on earlier tries
+//   [ESTIMATES] EngineTimeEstimator: time until an engine's first event; StatedDeadlines: time that a caller spent on earlier tries;
+//               RouteTimes: how long the requests of a route take
+//   [STOP]      StopWindow, PlannedStop: which requests are still taken while this node stops
 //   [EVENTS]    scanEvents: complete events of a stream
 //   [SERVICE]   ForwardService: entry point for the front end
 //
@@ -17,7 +19,8 @@
 //   - a request that must not be repeated is sent again only when the server states that it did not run it;
 //   - a successful reply is returned only if it is complete, belongs to this try of the caller and carries the header by which a backend
 //     server marks its own replies (its seal);
-//   - the statuses 429, 503 and 408 are sent only when the request has not run and will not run.
+//   - the statuses 429, 503 and 408 are sent only when the request has not run and will not run;
+//   - during a planned stop, no request is passed on that would probably still run at the end of the stop.
 #pragma once
 
 #include "base/base.h"
@@ -194,6 +197,47 @@
     std::map<std::string, std::deque<std::chrono::milliseconds>> m_recent; // rounded deadlines, the newest last, by route
 };
 
+struct RouteTimeSettings {
+    std::size_t samplesPerRoute = 64; // number of the latest requests whose times are kept for a route
+    double usualShare = 0.95; // this share of the kept requests took no longer than the usual time
+    std::size_t maxRoutes = 1000; // as StatedDeadlineSettings::maxRoutes
+};
+
+// How long the latest requests of each route took. Thread-safe.
+class RouteTimes
+{
+public:
+    explicit RouteTimes(RouteTimeSettings settings = {});
+    void record(const std::string &route, Duration took);
+    std::optional<Duration> usualTime(const std::string &route) const; // see usualShare; nullopt: no request of the route has ended yet
+
+private:
+    const RouteTimeSettings m_settings;
+    mutable RankedMutex m_mutex{LockRank::Estimates};
+    std::map<std::string, std::deque<Duration>> m_recent; // the newest last, by route
+};
+
+//-----------------------------------------------------------------------------
+// [STOP]
+//-----------------------------------------------------------------------------
+
+struct StopWindow {
+    TimePoint takesUntil{}; // of the requests that arrive later, only those are taken whose deadline is before endBy
+    TimePoint endBy{}; // each request that is taken ends by then
+};
+
+// The planned stop of this node. Thread-safe.
+class PlannedStop
+{
+public:
+    void begin(const StopWindow &window);
+    std::optional<StopWindow> window() const; // nullopt: the node isn't stopping
+
+private:
+    mutable RankedMutex m_mutex{LockRank::Leaf};
+    std::optional<StopWindow> m_window;
+};
+
 //-----------------------------------------------------------------------------
 // [EVENTS]
 //-----------------------------------------------------------------------------
@@ -257,8 +301,9 @@
 public:
     ForwardService(ForwardDependencies dependencies, ForwardSettings settings);
     void serve(FrontExchange &exchange);
-    // For a planned stop: requests that are admitted from now on end by `endBy`, whatever their deadlines.
-    void beginStopping(TimePoint endBy);
+    // For a planned stop: requests that would probably not end within the window are refused, also those that were admitted before and
+    // haven't been sent to a server yet. The others end by its end, whatever their deadlines.
+    void beginStopping(const StopWindow &window);
     // For the end of a planned stop: refuses the requests that wait for their stages, as not run. Those that a server runs go on.
     void refuseWaiting();
     std::size_t runningCount() const
@@ -271,8 +316,10 @@
     const ForwardSettings m_settings;
     std::atomic<std::size_t> m_running{0};
     std::atomic<std::size_t> m_bodyBytes{0};
+    PlannedStop m_stop;
+    RouteTimes m_totalTimes; // from a request's arrival to its end
+    RouteTimes m_serverTimes; // from its first attempt at a server to its end
     RankedMutex m_mutex{LockRank::Requests};
-    std::optional<TimePoint> m_endBy; // set by beginStopping()
     std::set<ForwardRun *> m_runs; // that are being executed
 };
 
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -45,11 +45,11 @@
 }
 } // namespace
 
-ForwardRun::ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, std::optional<TimePoint> endBy)
+ForwardRun::ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, RunContext context)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_exchange(exchange)
-    , m_endBy(endBy)
+    , m_context(context)
     , m_progress(makeRef<WakeupSignal>())
 {
 }
@@ -89,6 +89,9 @@
     }
     if (m_outcome.answeredByServer && !isServerFailure(m_outcome.status)) {
         m_dependencies.crashGuard.recordCompletion(m_dependencies.crashGuard.idle() ? partTraits() : allTraits());
+        const TimePoint now = m_dependencies.clock.now();
+        m_context.totalTimes.record(m_route->name, now - m_exchange.arrived());
+        m_context.serverTimes.record(m_route->name, now - m_stagesDoneAt);
     }
     logOutcome();
 }
@@ -117,7 +120,9 @@
     }
     const TimePoint arrived = m_exchange.arrived();
     m_deadline = arrived + std::min(m_request.timeLeft.value_or(DefaultTimeout), m_route->timeout) - m_settings.answerMargin;
-    m_deadline = std::min(m_deadline, m_endBy.value_or(m_deadline));
+    if (!fitsIntoStop(m_context.totalTimes)) {
+        return fail(ErrorCode::ShuttingDown);
+    }
     // The target counts from the caller's first try, so the time spent on earlier tries is subtracted.
     const auto timeSpent = m_request.timeLeft ? m_dependencies.statedDeadlines.estimateSpent(m_route->name, *m_request.timeLeft) : std::chrono::milliseconds(0);
     m_target = arrived + m_route->targetLatency - timeSpent;
@@ -148,6 +153,19 @@
     return {};
 }
 
+// During a planned stop: whether the request will probably end before the stop does; `times` says how long the rest of it usually takes. Bounds
+// the deadline by the end of the stop.
+bool ForwardRun::fitsIntoStop(const RouteTimes &times)
+{
+    const auto window = m_context.stop.window();
+    if (!window || m_deadline <= window->endBy) {
+        return true;
+    }
+    m_deadline = window->endBy;
+    const Duration usual = times.usualTime(m_route->name).value_or(Duration::zero());
+    return m_exchange.arrived() <= window->takesUntil && m_dependencies.clock.now() + usual <= window->endBy;
+}
+
 void ForwardRun::chooseService()
 {
     double total = 0;
@@ -215,6 +233,10 @@
         if (m_exchange.cancelled()) {
             return;
         }
+        if (!m_streamStarted && !fitsIntoStop(m_context.serverTimes)) {
+            answerFailure(ErrorCode::ShuttingDown);
+            return;
+        }
         if (remaining() < m_settings.minTimeLeft) {
             answerFailure(ErrorCode::DeadlineExceeded);
             return;
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -15,12 +15,18 @@
     bool answeredByServer = false;
 };
 
+// What the requests of a node share beside ForwardDependencies.
+struct RunContext {
+    const PlannedStop &stop;
+    RouteTimes &totalTimes; // see ForwardService
+    RouteTimes &serverTimes;
+};
+
 // Handles one request; execute() blocks the calling thread until the request has ended.
 class ForwardRun
 {
 public:
-    // `endBy`: the request ends by then, whatever its deadline; nullopt: no such limit.
-    ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, std::optional<TimePoint> endBy);
+    ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, RunContext context);
     ~ForwardRun();
     ForwardRun(const ForwardRun &) = delete;
     ForwardRun &operator=(const ForwardRun &) = delete;
@@ -41,6 +47,7 @@
     // [ADMISSION]
     StepResult admit();
     StepResult authenticate();
+    bool fitsIntoStop(const RouteTimes &times);
     void chooseService();
     Result<void> checkCrashes();
     RequestTraits partTraits() const; // without the whole request, whose hash takes time
@@ -112,15 +119,15 @@
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
     TimePoint m_target{}; // by when the answer should be sent, to be within the route's target latency
     // By when sending the answer must have started: ForwardSettings::answerMargin before the caller's deadline or the route's timeout, whichever
-    // is earlier.
+    // is earlier. During a planned stop it isn't later than the end of that.
     TimePoint m_deadline{};
 
-    const std::optional<TimePoint> m_endBy;
+    const RunContext m_context;
     const Ref<WakeupSignal> m_progress; // raised when a stage has ended, and by refuseWaiting()
     std::atomic<bool> m_refuseWaiting{false};
     std::vector<StageState> m_stages;
     std::string m_preferredDataCentre; // data centre of the engine that will probably be chosen; empty: none is preferred
-    TimePoint m_stagesDoneAt{};
+    TimePoint m_stagesDoneAt{}; // when the attempts at servers may begin; zero: not yet
 
     std::optional<QueuePlace> m_queuePlace; // while the request is admitted and wasn't sent yet
     std::set<std::string> m_tried; // ids of the instances that were chosen in earlier attempts
--- a/src/forwarding/service.cpp
+++ b/src/forwarding/service.cpp
@@ -49,12 +49,7 @@
         m_dependencies.metrics.counter("vanillanotch_overloaded_total").add();
         return;
     }
-    std::optional<TimePoint> endBy;
-    {
-        const Lock lock(m_mutex);
-        endBy = m_endBy;
-    }
-    ForwardRun run(m_dependencies, m_settings, exchange, endBy);
+    ForwardRun run(m_dependencies, m_settings, exchange, RunContext{m_stop, m_totalTimes, m_serverTimes});
     {
         const Lock lock(m_mutex);
         m_runs.insert(&run);
@@ -64,10 +59,21 @@
     m_runs.erase(&run);
 }
 
-void ForwardService::beginStopping(TimePoint endBy)
+void ForwardService::beginStopping(const StopWindow &window)
+{
+    m_stop.begin(window);
+}
+
+void PlannedStop::begin(const StopWindow &window)
+{
+    const Lock lock(m_mutex);
+    m_window = window;
+}
+
+std::optional<StopWindow> PlannedStop::window() const
 {
     const Lock lock(m_mutex);
-    m_endBy = endBy;
+    return m_window;
 }
 
 void ForwardService::refuseWaiting()
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -212,15 +212,26 @@
     const InstanceGroup group = task->group;
     const auto progress = makeRef<WakeupSignal>();
     const auto run = makeRef<StageRun>(std::move(*task), progress);
+    {
+        const Lock lock(m_mutex);
+        m_taskSignals.insert(progress.get());
+    }
     m_stages.submit(run);
     std::optional<Result<std::vector<std::string>>> outcome;
     while (!outcome) {
-        if (const auto raised = awaitSignal(*progress, exchange, deadline); !raised) {
-            run->cancel();
-            outcome = tl::unexpected(raised.error());
-        } else {
-            outcome = run->outcome();
+        const auto raised = awaitSignal(*progress, exchange, deadline);
+        outcome = run->outcome();
+        const Lock lock(m_mutex);
+        if (!outcome && (!raised || m_returningTasks)) {
+            outcome = raised ? fail(ErrorCode::PeerUnavailable) : Result<std::vector<std::string>>(tl::unexpected(raised.error()));
         }
+        if (outcome) {
+            m_taskSignals.erase(progress.get());
+        }
+    }
+    if (!*outcome) {
+        run->cancel();
+        m_stages.release(run->takeUnused());
     }
     Json body = *outcome ? Json{{"handles", **outcome}} : Json{{"error", static_cast<int>(outcome->error().code)}};
     body["wait_ms"] = toMilliseconds(m_stages.expectedWait(service, group)).count();
@@ -230,6 +241,15 @@
     }
 }
 
+void PeerHandler::returnTasks()
+{
+    const Lock lock(m_mutex);
+    m_returningTasks = true;
+    for (WakeupSignal *signal : m_taskSignals) {
+        signal->raise();
+    }
+}
+
 void PeerHandler::serveRelease(FrontExchange &exchange)
 {
     Headers headers;
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -29,6 +29,8 @@
     void serve(FrontExchange &exchange) override;
     std::string describeError(ErrorCode code) override;
     FrontLimits limits() override;
+    // For a planned stop: gives the tasks that haven't ended back to the nodes that sent them, which turn to another node.
+    void returnTasks();
 
 private:
     void serveStageTask(FrontExchange &exchange);
@@ -39,6 +41,9 @@
     const RelayedTables m_relayed;
     const std::atomic<bool> &m_leaving;
     MetricsRegistry &m_metrics;
+    RankedMutex m_mutex{LockRank::Requests};
+    std::set<WakeupSignal *> m_taskSignals; // of the tasks that haven't ended
+    bool m_returningTasks = false; // returnTasks() was called
 };
 
 // JSON of the record by which a node describes itself to the other nodes, as it stands in the platform's store. The node's name
--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -5,6 +5,7 @@
 // (X-Attempt-Id) of the call.
 // describeFault() says what is wrong with an answer of status 200; "" means nothing. Other statuses aren't checked.
 #include "entry_cluster.h"
+#include "kept_caller.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -284,6 +285,50 @@
     LONGS_EQUAL(0, cut);
 }
 
+// Guards against streams that a stopping node begins and cuts: callers go on using their connections, on which they were not told of the stop. Each
+// stream takes some 4.5 s, so that a second one can't end within the 8 s of the stop: it must be refused, as not run. Those that run must be complete.
+TEST(Entry, AStoppingNodeRefusesWhatItCannotComplete)
+{
+    cluster->setRouteTimeout(seconds(12));
+    cluster->writeConfiguration({"key-1"});
+    for (std::size_t server = 0; server < cluster->serverCount(); ++server) {
+        cluster->controlServer(server, "slow=25");
+    }
+    std::vector<EntryCall> later;
+    std::vector<std::pair<CallerAnswer, CallerAnswer>> answers(4);
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        later.push_back(makeCall(CallKind::StagedStream));
+        later.back().deadline = seconds(12);
+    }
+    std::this_thread::sleep_for(seconds(2)); // until the nodes have the configuration
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        callers.emplace_back([&, i] {
+            Caller caller(cluster->callerAddress(0));
+            EntryCall call = makeCall(CallKind::StagedStream);
+            call.deadline = seconds(12);
+            answers[i].first = caller.exchange(encodeRequest(call));
+            if (!answers[i].first.closes) {
+                answers[i].second = caller.exchange(encodeRequest(later[i]));
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(2500)); // the streams have begun
+    cluster->node(0).sendSignal(SIGTERM);
+    LONGS_EQUAL(0, cluster->node(0).wait());
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    int refused = 0;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        LONGS_EQUAL(200, answers[i].first.status);
+        CHECK(answers[i].first.complete);
+        refused += answers[i].second.status == 503 && answers[i].second.complete && answers[i].second.closes ? 1 : 0;
+        LONGS_EQUAL(0, static_cast<long>(countExecutions(*cluster, later[i].attempt)));
+    }
+    LONGS_EQUAL(4, refused);
+}
+
 // One of the two nodes, the owner, assigns work to all instances of a stage. If nobody took over from a killed owner, requests
 // with stages would fail for ever. Each node is killed in turn, so that the owner is hit: the other must serve within 10 s.
 TEST(Entry, KilledStageOwnerIsReplaced)
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -36,21 +36,6 @@
 {
     return kind == CallKind::StagedStream || kind == CallKind::ResumableStream;
 }
-
-std::string encodeRequest(const EntryCall &call)
-{
-    static const std::map<CallKind, std::string> RequestLines = {{CallKind::Idempotent, "GET /read/1"},
-                                                                 {CallKind::NonIdempotent, "POST /pay/1"},
-                                                                 {CallKind::StagedStream, "POST /draft/1"},
-                                                                 {CallKind::ResumableStream, "POST /explain/1"}};
-    std::string text = RequestLines.at(call.kind) + " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + call.attempt
-        + "\r\nX-Deadline-Ms: " + std::to_string(call.deadline.count()) + "\r\nAuthorization: Bearer " + call.apiKey + "\r\n";
-    if (isStream(call.kind)) {
-        const std::string pieces = std::to_string(StagePieces);
-        text += "X-Model: m\r\nX-Token-Count: 100,8\r\nX-Prompt-Prefix: aa:80,bb:20\r\nX-Pieces: " + pieces + "," + pieces + "\r\nX-Piece-Key: abc\r\n";
-    }
-    return text + (call.kind == CallKind::Idempotent ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
-}
 } // namespace
 
 std::string freeAddress()
@@ -80,6 +65,21 @@
 // [CALLS]
 //-----------------------------------------------------------------------------
 
+std::string encodeRequest(const EntryCall &call)
+{
+    static const std::map<CallKind, std::string> RequestLines = {{CallKind::Idempotent, "GET /read/1"},
+                                                                 {CallKind::NonIdempotent, "POST /pay/1"},
+                                                                 {CallKind::StagedStream, "POST /draft/1"},
+                                                                 {CallKind::ResumableStream, "POST /explain/1"}};
+    std::string text = RequestLines.at(call.kind) + " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + call.attempt
+        + "\r\nX-Deadline-Ms: " + std::to_string(call.deadline.count()) + "\r\nAuthorization: Bearer " + call.apiKey + "\r\n";
+    if (isStream(call.kind)) {
+        const std::string pieces = std::to_string(StagePieces);
+        text += "X-Model: m\r\nX-Token-Count: 100,8\r\nX-Prompt-Prefix: aa:80,bb:20\r\nX-Pieces: " + pieces + "," + pieces + "\r\nX-Piece-Key: abc\r\n";
+    }
+    return text + (call.kind == CallKind::Idempotent ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
+}
+
 EntryAnswer callEntry(const std::string &address, const EntryCall &call)
 {
     EntryAnswer answer;
@@ -234,10 +234,11 @@
 
 void EntryCluster::writeConfiguration(const std::vector<std::string> &apiKeys)
 {
-    const auto route = [](const std::string &name, const std::string &kind, const std::string &service) {
-        return Json{{"Name", name},       {"Host", "shop.example"}, {"Prefix", "/" + name + "/"}, {"Kind", kind},
-                    {"Service", service}, {"TimeoutMs", 4000},      {"TargetLatencyMs", 500},     {"Priority", 1},
-                    {"MaxAttempts", 2},   {"AllowAnonymous", false}};
+    const auto route = [this](const std::string &name, const std::string &kind, const std::string &service) {
+        return Json{{"Name", name},           {"Host", "shop.example"}, {"Prefix", "/" + name + "/"},
+                    {"Kind", kind},           {"Service", service},     {"TimeoutMs", m_routeTimeout.count()},
+                    {"TargetLatencyMs", 500}, {"Priority", 1},          {"MaxAttempts", 2},
+                    {"AllowAnonymous", false}};
     };
     Json draft = route("draft", "streaming", "engine");
     draft["Stages"] = {Json{{"Service", "first"}, {"After", Json::array()}, {"Bytes", 1000}}, Json{{"Service", "second"}, {"After", {0}}, {"Bytes", 1000}}};
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -37,6 +37,7 @@
     std::optional<double> retryAfter; // value of the header Retry-After, in seconds; nullopt: the reply has none
 };
 
+std::string encodeRequest(const EntryCall &call); // the whole HTTP request
 // Sends the request to a node's caller address. Waits for the answer until 1 s after the deadline of the call.
 EntryAnswer callEntry(const std::string &address, const EntryCall &call);
 // Describes what is wrong with an answer of status 200. Empty: nothing is wrong, or the status isn't 200 (such answers are not checked).
@@ -70,6 +71,10 @@
     // Writes the next version of the configuration to the store: one route for each CallKind, the four services, and one client
     // account that has these API keys.
     void writeConfiguration(const std::vector<std::string> &apiKeys);
+    void setRouteTimeout(std::chrono::milliseconds timeout) // of all routes, in the configurations that are written from now on
+    {
+        m_routeTimeout = timeout;
+    }
     void writeMalformedConfiguration(); // writes text that cannot be decoded as the next version of the configuration
     bool awaitReady(Duration timeout = std::chrono::seconds(30)); // waits until every node is ready and answers a request; false: not within `timeout`
 
@@ -141,6 +146,7 @@
     std::unique_ptr<Process> m_proxy;
     std::vector<NodeEntry> m_nodes;
     std::vector<ServerEntry> m_servers;
+    std::chrono::milliseconds m_routeTimeout{4000};
     std::uint64_t m_version = 0; // version of the configuration that was written last
     unsigned m_startedInstances = 0; // number of instances started so far; part of each instance's id, so that no id is used twice
 };
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -1,6 +1,7 @@
 // Forwarding against backend servers in trouble, byte by byte: second copies of an answer, answers that break off, lost answers, slow and
 // stalled streams, bytes without end. The servers are scripts on loopback sockets; node and caller are the real transport.
 #include "forwarding/forwarding.h"
+#include "kept_caller.h"
 #include "platform/platform.h"
 #include "scripted_server.h"
 
@@ -22,18 +23,35 @@
 constexpr milliseconds RouteTimeout{2500};
 constexpr milliseconds AnswerBound{500}; // time beyond RouteTimeout by which each request must have ended
 constexpr milliseconds OtherRequestBound{300}; // target latency of the routes
-constexpr std::size_t MaxKeptBody = 1024 * 1024; // a caller forgets a longer streamed body; only endless ones are
 constexpr long MemoryBoundKb = 24 * 1024; // by how much the process may grow through one server's bytes
 
-// Stages that never end.
+// Stages of one piece that never end by themselves.
 class EndlessStages final : public StageExecutor, public ResultSink
 {
 public:
     std::atomic<int> submitted{0};
-    void submit(const Ref<StageRun> & /*run*/) override
+    std::atomic<bool> endsAtOnce{false}; // instead
+    void submit(const Ref<StageRun> &run) override
     {
+        if (endsAtOnce) {
+            (void)run->completePiece(0, "127.0.0.1:1/result");
+            return;
+        }
+        const Lock lock(m_mutex);
+        m_runs.push_back(run);
         ++submitted;
     }
+    void endAll()
+    {
+        std::vector<Ref<StageRun>> runs;
+        {
+            const Lock lock(m_mutex);
+            runs.swap(m_runs);
+        }
+        for (const Ref<StageRun> &run : runs) {
+            (void)run->completePiece(0, "127.0.0.1:1/result");
+        }
+    }
     Duration expectedWait(const std::string & /*service*/, const std::string & /*dataCentre*/) override
     {
         return {};
@@ -41,6 +59,10 @@
     void release(const std::vector<std::string> & /*handles*/) override
     {
     }
+
+private:
+    RankedMutex m_mutex{LockRank::Stages};
+    std::vector<Ref<StageRun>> m_runs;
 };
 
 class FixedBudget final : public RetryBudget
@@ -80,69 +102,6 @@
     ForwardService &m_service;
 };
 
-struct CallerAnswer {
-    int status = 0;
-    std::string body; // decoded
-    bool complete = false; // the body was received to its end
-    std::string rest; // bytes of the answer that its framing doesn't allow
-    Duration took{};
-};
-
-// A caller's connection that stays open from request to request, as far as the node allows it.
-class Caller
-{
-public:
-    explicit Caller(const std::string &address)
-        : m_connection(Poco::Net::StreamSocket(Poco::Net::SocketAddress(address)))
-    {
-    }
-    // `fields`: further header lines, each with its end.
-    CallerAnswer call(const std::string &method, const std::string &route, const std::string &attempt, const std::string &fields = {})
-    {
-        const TimePoint begun = std::chrono::steady_clock::now();
-        const std::string request =
-            method + " /" + route + "/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 9000\r\nX-Pieces: 1\r\n" + fields + "\r\n";
-        std::string_view unsent = request;
-        (void)m_connection.send(unsent);
-        CallerAnswer answer;
-        std::string &received = m_connection.received();
-        std::optional<BodyFraming> framing;
-        ChunkDecoder chunks;
-        for (bool ended = false; !ended && !answer.complete;) {
-            pollfd entry{m_connection.descriptor(), POLLIN, 0};
-            (void)::poll(&entry, 1, 10000);
-            const IoState state = m_connection.receive();
-            ended = state == IoState::Closed || state == IoState::Reset || std::chrono::steady_clock::now() - begun > seconds(10);
-            const std::size_t headEnd = received.find("\r\n\r\n");
-            if (!framing && headEnd != std::string::npos) {
-                const auto head = parseReplyHead(std::string_view(received).substr(0, headEnd + 4));
-                received.erase(0, headEnd + 4);
-                answer.status = head->status;
-                framing = *replyFraming(*head);
-            }
-            if (framing && framing->kind == BodyKind::Chunked) {
-                if (!chunks.feed(received, answer.body)) {
-                    answer.rest += std::exchange(received, {});
-                }
-                answer.complete = chunks.complete();
-                if (answer.body.size() > MaxKeptBody) {
-                    answer.body.clear();
-                }
-            } else if (framing) {
-                const std::size_t taken = std::min(received.size(), framing->length - answer.body.size());
-                answer.body.append(received, 0, taken);
-                received.erase(0, taken);
-                answer.complete = answer.body.size() == framing->length;
-            }
-        }
-        answer.took = std::chrono::steady_clock::now() - begun;
-        return answer;
-    }
-
-private:
-    Connection m_connection;
-};
-
 // Shares nothing with other nodes; claims no probes.
 class LocalLedger final : public CrashLedger
 {
@@ -667,7 +626,8 @@
         pollfd none{-1, 0, 0};
         (void)::poll(&none, 1, 5);
     }
-    service->beginStopping(clock.now() + milliseconds(600));
+    const TimePoint stopEnd = clock.now() + milliseconds(600);
+    service->beginStopping(StopWindow{stopEnd, stopEnd});
     const CallerAnswer late = Caller(front->address()).call("POST", "staged", "a2");
     LONGS_EQUAL(503, late.status);
     CHECK(late.complete);
@@ -679,6 +639,93 @@
     CHECK(waiting.took < milliseconds(1500)); // its own deadline is 2.5 s
 }
 
+// Guards against requests that a stopping node passes on and cuts when the stop ends: after the load balancer has noticed the stop, only those are
+// taken whose deadline is before its end, also on kept connections. The others are refused at once, as not run.
+TEST(Forwarding, ALateRequestThatMayOutlastAPlannedStopIsRefused)
+{
+    std::atomic<bool> slow{false};
+    first->script = [&](ServerConnection &connection) {
+        const bool streams = connection.request.find("/stream/") != std::string::npos || connection.request.find("/resume/") != std::string::npos;
+        (void)connection.send(connection.head(streams ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" : "Content-Length: 2\r\n"));
+        for (int i = 1; streams && i <= 4; ++i) {
+            (void)connection.send(chunk(event(i)));
+            connection.wait(slow ? milliseconds(300) : milliseconds(0));
+        }
+        connection.wait(slow && !streams ? milliseconds(1200) : milliseconds(0));
+        (void)connection.send(streams ? std::string(LastChunk) : "ok");
+    };
+    for (const char *route : {"once", "again", "stream", "resume"}) {
+        serve(route);
+        slow = false;
+        service->beginStopping(StopWindow{clock.now(), clock.now() + std::chrono::hours(1)}); // instead of that of the route before
+        Caller kept(front->address());
+        LONGS_EQUAL_TEXT(200, kept.call("POST", route, "a1").status, route);
+        slow = true;
+        const int before = first->requests;
+        service->beginStopping(StopWindow{clock.now(), clock.now() + seconds(1)});
+        const CallerAnswer late = kept.call("POST", route, "a2");
+        LONGS_EQUAL_TEXT(503, late.status, route);
+        CHECK_TEXT(late.complete, route);
+        CHECK_TEXT(late.took < milliseconds(300), route);
+        LONGS_EQUAL_TEXT(0, first->requests - before, route);
+        service->beginStopping(StopWindow{clock.now(), clock.now() + RouteTimeout + seconds(1)});
+        const CallerAnswer inTime = kept.call("POST", route, "a3");
+        LONGS_EQUAL_TEXT(200, inTime.status, route);
+        CHECK_TEXT(inTime.complete, route);
+    }
+}
+
+// The same before the load balancer has noticed the stop: a request is taken if those of its route usually end in time.
+TEST(Forwarding, ARequestThatUsuallyOutlastsTheRestOfAPlannedStopIsRefused)
+{
+    constexpr milliseconds UsualTime{400};
+    first->script = [UsualTime](ServerConnection &connection) {
+        connection.wait(UsualTime);
+        (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+    };
+    serve("once");
+    Caller kept(front->address());
+    for (int i = 0; i < 3; ++i) {
+        LONGS_EQUAL(200, kept.call("POST", "once", "a" + std::to_string(i)).status);
+    }
+    service->beginStopping(StopWindow{clock.now() + seconds(5), clock.now() + UsualTime / 2});
+    const CallerAnswer refused = kept.call("POST", "once", "b1");
+    LONGS_EQUAL(503, refused.status);
+    CHECK(refused.took < UsualTime / 2);
+    LONGS_EQUAL(3, first->requests);
+    service->beginStopping(StopWindow{clock.now() + seconds(5), clock.now() + 4 * UsualTime});
+    LONGS_EQUAL(200, kept.call("POST", "once", "b2").status);
+}
+
+// The same for a request that was admitted before the stop and whose stages end during it: its server would work in vain.
+TEST(Forwarding, ARequestWhoseStagesEndTooLateInAPlannedStopIsNotPassedOn)
+{
+    constexpr milliseconds UsualTime{500};
+    first->script = [UsualTime](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk(event(1)));
+        connection.wait(UsualTime);
+        (void)connection.send(std::string(LastChunk));
+    };
+    serve("staged");
+    stages.endsAtOnce = true;
+    LONGS_EQUAL(200, Caller(front->address()).call("POST", "staged", "a1").status);
+    stages.endsAtOnce = false;
+    CallerAnswer waiting;
+    std::thread caller([&] {
+        waiting = Caller(front->address()).call("POST", "staged", "a2");
+    });
+    while (stages.submitted < 1) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    service->beginStopping(StopWindow{clock.now() + seconds(5), clock.now() + UsualTime + milliseconds(200)});
+    std::this_thread::sleep_for(milliseconds(300));
+    stages.endAll();
+    caller.join();
+    LONGS_EQUAL(503, waiting.status);
+    CHECK(waiting.complete);
+    LONGS_EQUAL(1, first->requests);
+}
+
 // Guards against requests that take down one server after the other: each server that receives the part "dd" ends, whatever else the request
 // holds. Sound requests share the caller and the first part.
 TEST(Forwarding, RequestsWithAPartThatCrashesServersReachThreeServersAtMost)
