Missing entries are awaited from the store's return, not from when its outage is noticed

Cause: a call that the store lost in its silence counted as a failure of the moment at which it timed out, 4.3 s later, and missing entries were then kept for 1.9 s more. Evidence: store.lost call_ms=4300, the removal in the next answer with after_trouble=1. Ruled out: a late next call (answered within 0.1 s). StoreHealth now takes a lost call as evidence of when it was made only, and the answers for all tables as evidence that the store works.

--- a/src/entry/crash_rows.cpp
+++ b/src/entry/crash_rows.cpp
@@ -182,12 +182,12 @@
 }
 } // namespace
 
-void CrashListener::snapshot(const StoredRows &rows, TimePoint /*asOf*/, bool /*afterOutage*/)
+void CrashListener::snapshot(const StoredRows &rows, TimePoint /*asOf*/, Duration /*storeWorksFor*/)
 {
     m_table.apply(decodeRows(rows), true);
 }
 
-void CrashListener::changes(const StoredRows &rows, TimePoint /*asOf*/, bool /*afterOutage*/)
+void CrashListener::changes(const StoredRows &rows, TimePoint /*asOf*/, Duration /*storeWorksFor*/)
 {
     if (!rows.rows.empty()) {
         m_table.apply(decodeRows(rows), false);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -16,8 +16,8 @@
 {
 public:
     DeploymentListener(DeploymentTable &table, MetricsRegistry &metrics);
-    void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
-    void changes(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
+    void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
+    void changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
     // `listener` is called whenever a new version of the configuration has come into force. Set it once, before the first rows come.
     void setInstalledListener(std::function<void()> listener);
 
@@ -33,8 +33,8 @@
 {
 public:
     InstanceListener(InstanceTable &table, MetricsRegistry &metrics);
-    void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
-    void changes(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
+    void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
+    void changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
 
 private:
     std::optional<InstanceSpec> decode(const StoredRow &row); // nullopt: the entry can't be decoded; logged and counted
@@ -56,8 +56,8 @@
     {
         return m_selfListed;
     }
-    void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
-    void changes(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
+    void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
+    void changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
 
 private:
     void remove(const std::string &name);
@@ -102,8 +102,8 @@
 {
 public:
     explicit CrashListener(CrashTable &table);
-    void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
-    void changes(const StoredRows &rows, TimePoint asOf, bool afterOutage) override;
+    void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
+    void changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
 
 private:
     CrashTable &m_table;
@@ -175,7 +175,7 @@
     std::unique_ptr<StateStore> m_store;
     std::unique_ptr<RelayChannel> m_relayChannel;
     RelayedStore m_relayedStore;
-    StoreFailureTracker m_storeFailures;
+    StoreHealth m_storeHealth;
     TableCache m_deploymentCache;
     TableCache m_instanceCache;
     TableCache m_memberCache;
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -1,10 +1,16 @@
 #include "entry/entry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillanotch
 {
 
+namespace
+{
+constexpr Duration MaxLoggedTime = std::chrono::hours(1); // logged for longer times, also when the store has never failed
+}
+
 //-----------------------------------------------------------------------------
 // DeploymentListener
 //-----------------------------------------------------------------------------
@@ -20,13 +26,13 @@
     m_listener = std::move(listener);
 }
 
-void DeploymentListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage)
+void DeploymentListener::snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor)
 {
     m_seen = false;
-    changes(rows, asOf, afterOutage);
+    changes(rows, asOf, storeWorksFor);
 }
 
-void DeploymentListener::changes(const StoredRows &rows, TimePoint asOf, bool /*afterOutage*/)
+void DeploymentListener::changes(const StoredRows &rows, TimePoint asOf, Duration /*storeWorksFor*/)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.key != platform::ConfigurationKey || row.removed) {
@@ -75,7 +81,7 @@
     return std::move(*spec);
 }
 
-void InstanceListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage)
+void InstanceListener::snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor)
 {
     m_asOf = asOf;
     std::vector<InstanceSpec> all;
@@ -84,18 +90,20 @@
             all.push_back(std::move(*spec));
         }
     }
-    logEvent(LogLevel::Info, "servers.read", {{"instances", static_cast<std::uint64_t>(all.size())}, {"after_trouble", afterOutage ? 1 : 0}});
-    m_table.synchronise(all, afterOutage);
+    logEvent(LogLevel::Info, "servers.read",
+             {{"instances", static_cast<std::uint64_t>(all.size())}, {"store_works_ms", std::min<Duration>(storeWorksFor, MaxLoggedTime)}});
+    m_table.synchronise(all, storeWorksFor);
 }
 
-void InstanceListener::changes(const StoredRows &rows, TimePoint asOf, bool afterOutage)
+void InstanceListener::changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor)
 {
     // A row that is removed now was still there when the rows before it were read.
     const Duration seenAgo = suspendAwareNow() - std::exchange(m_asOf, asOf);
     for (const StoredRow &row : rows.rows) {
         if (row.removed) {
-            logEvent(LogLevel::Info, "server.removed", {{"instance", row.key}, {"row_version", row.version}, {"after_trouble", afterOutage ? 1 : 0}});
-            m_table.remove(row.key, afterOutage, seenAgo);
+            logEvent(LogLevel::Info, "server.removed",
+                     {{"instance", row.key}, {"row_version", row.version}, {"store_works_ms", std::min<Duration>(storeWorksFor, MaxLoggedTime)}});
+            m_table.remove(row.key, storeWorksFor, seenAgo);
         } else if (auto spec = decode(row)) {
             logEvent(LogLevel::Info, "server.entry",
                      {{"instance", row.key},
@@ -106,8 +114,7 @@
             m_table.upsert(*spec);
         } else {
             m_table.remove(
-                row.key,
-                false); // the instance's new row can't be decoded, so its address is unknown: its former entry is removed at once, without a grace period
+                row.key); // the instance's new row can't be decoded, so its address is unknown: its former entry is removed at once, without a grace period
         }
     }
 }
@@ -124,9 +131,9 @@
 {
 }
 
-void MemberListener::snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage)
+void MemberListener::snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor)
 {
-    changes(rows, asOf, afterOutage);
+    changes(rows, asOf, storeWorksFor);
     std::set<std::string> listed;
     for (const StoredRow &row : rows.rows) {
         listed.insert(row.key);
@@ -156,7 +163,7 @@
     }
 }
 
-void MemberListener::changes(const StoredRows &rows, TimePoint /*asOf*/, bool /*afterOutage*/)
+void MemberListener::changes(const StoredRows &rows, TimePoint /*asOf*/, Duration /*storeWorksFor*/)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.removed) {
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -150,12 +150,12 @@
               });
           })
     , m_crashListener(m_crashes)
-    , m_deploymentWatch(m_relayedStore, platform::OperatorTable, m_deploymentListener, &m_deploymentCache, m_storeFailures, deploymentWatchSettings(settings),
+    , m_deploymentWatch(m_relayedStore, platform::OperatorTable, m_deploymentListener, &m_deploymentCache, m_storeHealth, deploymentWatchSettings(settings),
                         m_metrics)
-    , m_instanceWatch(m_relayedStore, platform::ServersTable, m_instanceListener, &m_instanceCache, m_storeFailures, instanceWatchSettings(settings), m_metrics)
-    , m_memberWatch(m_relayedStore, MembersTable, m_memberListener, &m_memberCache, m_storeFailures, watchSettings(MembersBound, MembersCoalesceInterval),
+    , m_instanceWatch(m_relayedStore, platform::ServersTable, m_instanceListener, &m_instanceCache, m_storeHealth, instanceWatchSettings(settings), m_metrics)
+    , m_memberWatch(m_relayedStore, MembersTable, m_memberListener, &m_memberCache, m_storeHealth, watchSettings(MembersBound, MembersCoalesceInterval),
                     m_metrics)
-    , m_crashWatch(m_relayedStore, CrashesTable, m_crashListener, &m_crashCache, m_storeFailures,
+    , m_crashWatch(m_relayedStore, CrashesTable, m_crashListener, &m_crashCache, m_storeHealth,
                    watchSettings(settings.recoveryBound, std::chrono::milliseconds(0)), m_metrics)
     , m_forwardHandler(m_service, m_deployments)
     , m_readinessHandler(m_deployments, m_leaving)
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -103,24 +103,24 @@
     clearCachesLocked();
 }
 
-void InstanceTable::removeLocked(const std::string &id, bool registryWasUnreachable, Duration seenAgo, TimePoint now)
+void InstanceTable::removeLocked(const std::string &id, Duration registryWorksFor, Duration seenAgo, TimePoint now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end()) {
         return;
     }
     clearCachesLocked();
-    if (registryWasUnreachable && !found->second.spec.draining) {
+    if (registryWorksFor < m_settings.missingEntryGrace && !found->second.spec.draining) {
         if (!found->second.removeAt) {
-            const bool leftRecently = seenAgo < m_settings.missingEntryGrace;
-            found->second.removeAt = now + m_settings.missingEntryGrace - (leftRecently ? seenAgo : Duration::zero());
+            const Duration leftAgo = seenAgo < m_settings.missingEntryGrace ? seenAgo : Duration::zero();
+            found->second.removeAt = now + m_settings.missingEntryGrace - std::max(registryWorksFor, leftAgo);
         }
         return;
     }
     m_entries.erase(found);
 }
 
-void InstanceTable::synchronise(const std::vector<InstanceSpec> &all, bool registryWasUnreachable)
+void InstanceTable::synchronise(const std::vector<InstanceSpec> &all, Duration registryWorksFor)
 {
     {
         const Lock lock(m_mutex);
@@ -137,7 +137,7 @@
         }
         const TimePoint now = m_clock.now();
         for (const std::string &id : missing) {
-            removeLocked(id, registryWasUnreachable, Duration::max(), now);
+            removeLocked(id, registryWorksFor, Duration::max(), now);
         }
         removeExpiredLocked(now);
     }
@@ -157,11 +157,11 @@
     }
 }
 
-void InstanceTable::remove(const std::string &id, bool registryWasUnreachable, Duration seenAgo)
+void InstanceTable::remove(const std::string &id, Duration registryWorksFor, Duration seenAgo)
 {
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
-    removeLocked(id, registryWasUnreachable, seenAgo, now);
+    removeLocked(id, registryWorksFor, seenAgo, now);
     removeExpiredLocked(now);
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -274,14 +274,14 @@
 public:
     InstanceTable(const Clock &clock, InstanceSettings settings);
 
-    // Takes over `all`, the content of the whole registry: entries that aren't in it are removed as by remove(). `registryWasUnreachable`:
-    // the registry was unreachable until a moment ago, so the instances of missing entries may register again soon.
-    void synchronise(const std::vector<InstanceSpec> &all, bool registryWasUnreachable);
+    // Takes over `all`, the content of the whole registry: entries that aren't in it are removed as by remove().
+    void synchronise(const std::vector<InstanceSpec> &all, Duration registryWorksFor = Duration::max());
     void upsert(const InstanceSpec &spec);
-    // Removes an entry that is no longer in the registry. If `registryWasUnreachable`, the entry is first kept for missingEntryGrace, unless
-    // its instance is draining. `seenAgo`: the entry was still in the registry this long ago. When that is less than missingEntryGrace, the
+    // Removes an entry that is no longer in the registry. `registryWorksFor`: the registry has been working for at least this long since an outage.
+    // When that is less than missingEntryGrace, the instance may register again soon: unless it is draining, its entry is kept for the rest of that
+    // time. `seenAgo`: the entry was still in the registry this long ago. When that is less than missingEntryGrace, the
     // grace counts from then, since the instance may have left as long ago as that. The change listener isn't called.
-    void remove(const std::string &id, bool registryWasUnreachable, Duration seenAgo = Duration::max());
+    void remove(const std::string &id, Duration registryWorksFor = Duration::max(), Duration seenAgo = Duration::max());
 
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
@@ -363,7 +363,7 @@
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
     void upsertLocked(const InstanceSpec &spec);
-    void removeLocked(const std::string &id, bool registryWasUnreachable, Duration seenAgo, TimePoint now);
+    void removeLocked(const std::string &id, Duration registryWorksFor, Duration seenAgo, TimePoint now);
     void removeExpiredLocked(TimePoint now);
     void release(const std::string &id, TimePoint begun);
     void recordReply(const std::string &id, TimePoint begun, const std::optional<ReportedLoad> &load);
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -54,13 +54,13 @@
     return pause;
 }
 
-TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, StoreFailureTracker &storeFailures,
-                       WatchSettings settings, MetricsRegistry &metrics)
+TableWatch::TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, StoreHealth &storeHealth, WatchSettings settings,
+                       MetricsRegistry &metrics)
     : m_store(store)
     , m_table(std::move(table))
     , m_listener(listener)
     , m_cache(cache)
-    , m_storeFailures(storeFailures)
+    , m_storeHealth(storeHealth)
     , m_settings(settings)
     , m_calls(metrics.counter("vanillanotch_store_calls_total", "table=\"" + m_table + "\""))
     , m_failures(metrics.counter("vanillanotch_store_failures_total", "table=\"" + m_table + "\""))
@@ -114,16 +114,34 @@
     }
 }
 
-void StoreFailureTracker::recordFailure()
+void StoreHealth::recordFailure(TimePoint failingAt)
 {
     const Lock lock(m_mutex);
-    m_lastFailure = suspendAwareNow();
+    m_failingAt = std::max(m_failingAt, failingAt);
+    m_answers.erase(m_answers.begin(), m_answers.upper_bound(m_failingAt));
 }
 
-bool StoreFailureTracker::failedWithin(Duration span) const
+void StoreHealth::recordAnswer(TimePoint asOf)
 {
     const Lock lock(m_mutex);
-    return m_lastFailure != TimePoint{} && suspendAwareNow() - m_lastFailure < span;
+    const auto next = m_answers.upper_bound(asOf);
+    const bool near = next != m_answers.begin() && asOf - *std::prev(next) < MinAnswerDistance;
+    if (asOf <= m_failingAt || near) {
+        return;
+    }
+    m_answers.insert(asOf);
+    if (m_answers.size() > MaxAnswers) {
+        m_answers.erase(std::next(m_answers.begin())); // the first one is the present result of worksFor()
+    }
+}
+
+Duration StoreHealth::worksFor(TimePoint now) const
+{
+    const Lock lock(m_mutex);
+    if (m_failingAt == TimePoint{}) {
+        return Duration::max();
+    }
+    return m_answers.empty() ? Duration::zero() : now - *m_answers.begin();
 }
 
 TimePoint StoreClockMapping::earliestAnswerTime(Duration storeClock, TimePoint asked, TimePoint received)
@@ -159,7 +177,8 @@
             return m_schedule.recordAnswer(false);
         }
         m_failures.add();
-        m_storeFailures.recordFailure();
+        // A call that got no answer may have been lost as soon as it was made; one that was refused shows the store's state now.
+        m_storeHealth.recordFailure(rows.error().code == ErrorCode::StoreRefused ? suspendAwareNow() : requestedAt);
         m_failuresInARow = m_unreachable ? m_failuresInARow : 0;
         logEvent(m_unreachable ? LogLevel::Info : LogLevel::Warning, m_unreachable ? "store.call_failed" : "store.lost",
                  {{"table", m_table},
@@ -188,11 +207,12 @@
     if (m_cache != nullptr) {
         m_cache->apply(*rows, whole, asOf);
     }
-    const bool afterOutage = m_storeFailures.failedWithin(m_settings.recoveryPeriod);
+    m_storeHealth.recordAnswer(asOf);
+    const Duration storeWorksFor = m_storeHealth.worksFor(suspendAwareNow());
     if (whole) {
-        m_listener.snapshot(*rows, asOf, afterOutage);
+        m_listener.snapshot(*rows, asOf, storeWorksFor);
     } else {
-        m_listener.changes(*rows, asOf, afterOutage);
+        m_listener.changes(*rows, asOf, storeWorksFor);
     }
     m_version = std::max(m_version.value_or(0), rows->version);
     return m_schedule.recordAnswer(!rows->rows.empty());
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -2,7 +2,7 @@
 //
 // Index of sections:
 //   [STORE]  StateStore: the operations of the platform's store that a node uses
-//   [WATCH]  TableWatch: follows one table; PollSchedule: how it calls; StoreClockMapping, StoreFailureTracker: what it knows of the store's clock and failures
+//   [WATCH]  TableWatch: follows one table; PollSchedule: how it calls; StoreClockMapping, StoreHealth: what it knows of the store's clock and failures
 //   [SOURCES] SourceOrder, SourceChooser: from which node, or from the store, a node gets a table, and what it does when that fails
 //   [RELAY]  TableCache, RelayedStore: most nodes of a data centre follow a table through a few of them
 //
@@ -16,6 +16,7 @@
 //   - the version of a table from which changes are asked never decreases between two reads of the whole table;
 //   - after a gap in the change feed the whole table is read again;
 //   - while the store fails, a node repeats its calls at a limited rate, and not all nodes at the same moment;
+//   - entries that are missing after an outage are awaited from the store's return on, not from when this node notices the outage;
 //   - no call is open for longer than the time within which its table must be up to date again after a fault.
 #pragma once
 
@@ -90,9 +91,9 @@
     // snapshot() gets all rows of the table. changes() gets the rows that were written or removed since the last call of either method;
     // there may be none.
     // `asOf` (suspend-aware clock): the rows are at least as new as that moment.
-    // `afterOutage`: the store failed within WatchSettings::recoveryPeriod, so entries that expired meanwhile may be missing.
-    virtual void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) = 0;
-    virtual void changes(const StoredRows &rows, TimePoint asOf, bool afterOutage) = 0;
+    // `storeWorksFor`: as StoreHealth::worksFor(). A short time after an outage, entries that expired meanwhile may still be missing.
+    virtual void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) = 0;
+    virtual void changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) = 0;
 };
 
 struct WatchSettings {
@@ -103,9 +104,6 @@
     std::chrono::milliseconds replyTimeout{1200}; // timeout of a call, in addition to the wait; a slow store takes 250 ms to reply
     std::chrono::milliseconds initialBackoff{150}; // longest pause after a first failure; doubles with each further one, up to `maxBackoff`
     std::chrono::milliseconds maxBackoff{700}; // longest pause of all, so a store that works again is noticed within this time
-    // Rows that come within this time after a failed call are passed to the TableListener with `afterOutage` set. Entries that expired
-    // during the outage are registered again within two seconds after the store is back.
-    std::chrono::milliseconds recoveryPeriod{2500};
 };
 
 // Settings for a table that must be up to date again within `bound` after the store and the network have recovered. Only its timeout shows
@@ -147,17 +145,23 @@
     Duration m_lastReading{}; // latest reading of the store's clock; zero: none yet
 };
 
-// Records when a call of this node to the store last failed. All watches of the node share it, since a watch whose request stays open
-// throughout an outage sees no failure itself. Thread-safe.
-class StoreFailureTracker
+// For how long the store has been working, from the calls of all watches of this node: each of them learns of an outage at another moment, and a call
+// that was lost in the outage fails only at its timeout, long after the store's return. All times are of the suspend-aware clock. Thread-safe.
+class StoreHealth
 {
 public:
-    void recordFailure(); // a call failed now
-    bool failedWithin(Duration span) const; // a call failed less than that time ago
+    void recordFailure(TimePoint failingAt); // a call failed; the store may not have worked at that moment
+    void recordAnswer(TimePoint asOf); // the store worked at that moment
+    // Time since the first answer after the last moment at which the store may not have worked. Zero: no answer yet; max(): no call has failed so far.
+    Duration worksFor(TimePoint now) const;
 
 private:
+    static constexpr std::chrono::milliseconds MinAnswerDistance{50}; // answers that follow another one sooner aren't kept
+    static constexpr std::size_t MaxAnswers = 256; // enough for the time until the longest call fails
+
     mutable RankedMutex m_mutex{LockRank::Leaf};
-    TimePoint m_lastFailure{}; // zero: none yet
+    TimePoint m_failingAt{}; // latest moment of a failure; zero: none yet
+    std::set<TimePoint> m_answers; // after m_failingAt
 };
 
 class TableCache;
@@ -167,7 +171,7 @@
 {
 public:
     // `cache`: also gets the rows, for nodes that follow the table through this one; may be null.
-    TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, StoreFailureTracker &storeFailures, WatchSettings settings,
+    TableWatch(StateStore &store, std::string table, TableListener &listener, TableCache *cache, StoreHealth &storeHealth, WatchSettings settings,
                MetricsRegistry &metrics);
     ~TableWatch();
     void start();
@@ -183,7 +187,7 @@
     const std::string m_table;
     TableListener &m_listener;
     TableCache *m_cache;
-    StoreFailureTracker &m_storeFailures;
+    StoreHealth &m_storeHealth;
     const WatchSettings m_settings;
     Counter &m_calls;
     Counter &m_failures;
--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -329,6 +329,33 @@
     LONGS_EQUAL(4, refused);
 }
 
+// Guards against requests to a server that left a few seconds after a short silence of the store: a call that was lost in the silence fails only at its
+// timeout, and the time for which missing entries are awaited must not be added to that. The store is silent for 0.5 s, right after a change upon which
+// the nodes ask again; 3.05 s later a server leaves. From 2 s after that on, no request may reach it, though it serves on.
+TEST(Entry, AServerThatLeavesAfterAShortOutageOfTheStoreGetsNothingMore)
+{
+    constexpr seconds DrainBound{2};
+    for (const std::size_t leaving : {std::size_t{0}, std::size_t{4}}) { // both servers of the service at the start
+        cluster->addServer("plain", "plain");
+        std::this_thread::sleep_for(milliseconds(200));
+        cluster->controlStore("mode=silent");
+        std::this_thread::sleep_for(milliseconds(500));
+        cluster->controlStore("mode=ok");
+        std::this_thread::sleep_for(milliseconds(3050));
+        cluster->removeServerEntry(leaving);
+        const TimePoint left = std::chrono::steady_clock::now();
+        std::size_t executedInTime = 0;
+        for (int i = 0; std::chrono::steady_clock::now() < left + DrainBound + seconds(3); ++i) {
+            const bool inTime = std::chrono::steady_clock::now() < left + DrainBound;
+            LONGS_EQUAL(200, callNode(static_cast<std::size_t>(i % 2), makeCall(CallKind::Idempotent)).status);
+            if (inTime) {
+                executedInTime = cluster->countLedgerLines("run", leaving);
+            }
+        }
+        LONGS_EQUAL(static_cast<long>(executedInTime), static_cast<long>(cluster->countLedgerLines("run", leaving)));
+    }
+}
+
 // One of the two nodes, the owner, assigns work to all instances of a stage. If nobody took over from a killed owner, requests
 // with stages would fail for ever. Each node is killed in turn, so that the owner is hit: the other must serve within 10 s.
 TEST(Entry, KilledStageOwnerIsReplaced)
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -87,17 +87,20 @@
     bool m_ended = false;
 };
 
+// Instances whose entries expired during an outage are registered again within this time after it.
+constexpr seconds MissingEntryTime{2};
+
 class RecordingListener final : public TableListener
 {
 public:
     std::vector<std::string> seen;
-    void snapshot(const StoredRows &rows, TimePoint /*asOf*/, bool afterOutage) override
+    void snapshot(const StoredRows &rows, TimePoint /*asOf*/, Duration storeWorksFor) override
     {
-        seen.push_back("snapshot " + std::to_string(rows.version) + (afterOutage ? " after outage" : ""));
+        seen.push_back("snapshot " + std::to_string(rows.version) + (storeWorksFor < MissingEntryTime ? " after outage" : ""));
     }
-    void changes(const StoredRows &rows, TimePoint /*asOf*/, bool afterOutage) override
+    void changes(const StoredRows &rows, TimePoint /*asOf*/, Duration storeWorksFor) override
     {
-        seen.push_back("changes " + std::to_string(rows.version) + (afterOutage ? " after outage" : ""));
+        seen.push_back("changes " + std::to_string(rows.version) + (storeWorksFor < MissingEntryTime ? " after outage" : ""));
     }
 };
 
@@ -199,7 +202,7 @@
     table->upsert(spec);
     CHECK(table->acquire(input, *policy).error().code == ErrorCode::NoFitServer);
     table->upsert(instance("i"));
-    table->remove("i", false);
+    table->remove("i");
     CHECK(table->acquire(input, *policy).error().code == ErrorCode::NoFitServer);
 }
 
@@ -207,7 +210,7 @@
 TEST(Instances, AnEntryMissingAfterARegistryOutageIsKeptForTheGracePeriod)
 {
     table->upsert(instance("i"));
-    table->remove("i", true);
+    table->remove("i", Duration::zero());
     CHECK(table->usable("i"));
     clock.advance(settings.missingEntryGrace + milliseconds(1));
     CHECK_FALSE(table->usable("i")); // the entry is still missing after the grace period
@@ -216,7 +219,7 @@
     InstanceSpec leaving = instance("i");
     leaving.draining = true;
     table->upsert(leaving);
-    table->remove("i", true); // a draining instance gets no grace period: it is removed at once
+    table->remove("i", Duration::zero()); // a draining instance gets no grace period: it is removed at once
     LONGS_EQUAL(0, static_cast<long>(table->size()));
 }
 
@@ -225,14 +228,14 @@
 {
     table->upsert(instance("lapsed"));
     table->upsert(instance("other"));
-    table->remove("lapsed", true);
+    table->remove("lapsed", Duration::zero());
     clock.advance(settings.missingEntryGrace + milliseconds(1));
-    table->remove("other", false);
+    table->remove("other");
     LONGS_EQUAL(0, static_cast<long>(table->size()));
     table->upsert(instance("lapsed"));
-    table->remove("lapsed", true);
+    table->remove("lapsed", Duration::zero());
     clock.advance(settings.missingEntryGrace + milliseconds(1));
-    table->synchronise({instance("third")}, false);
+    table->synchronise({instance("third")});
     LONGS_EQUAL(1, static_cast<long>(table->size()));
 }
 
@@ -242,8 +245,8 @@
 TEST(Instances, TheGracePeriodOfARecentlySeenEntryCountsFromThen)
 {
     for (const bool recently : {true, false}) {
-        table->synchronise({instance("i1")}, false);
-        table->remove("i1", true, recently ? milliseconds(600) : milliseconds(4000));
+        table->synchronise({instance("i1")});
+        table->remove("i1", Duration::zero(), recently ? milliseconds(600) : milliseconds(4000));
         clock.advance(milliseconds(1250));
         CHECK(table->usable("i1"));
         clock.advance(milliseconds(100));
@@ -253,6 +256,24 @@
     }
 }
 
+// Guards against work that is sent to a server for too long after it has left: the grace period after an outage counts from the return of the registry,
+// and not from when this node learns that an entry is gone.
+TEST(Instances, TheGracePeriodCountsFromTheReturnOfTheRegistry)
+{
+    table->synchronise({instance("early"), instance("late")});
+    table->remove("early", milliseconds(1500));
+    CHECK(table->usable("early"));
+    clock.advance(settings.missingEntryGrace - milliseconds(1500));
+    CHECK_FALSE(table->usable("early"));
+    table->remove("late", settings.missingEntryGrace);
+    CHECK_FALSE(table->usable("late"));
+    table->synchronise({instance("listed"), instance("unlisted")});
+    table->synchronise({instance("listed")}, milliseconds(1500));
+    CHECK(table->usable("unlisted"));
+    clock.advance(settings.missingEntryGrace - milliseconds(1500));
+    CHECK_FALSE(table->usable("unlisted"));
+}
+
 // Guards against calls to an old address: the entry of an earlier start (100) arrives after that of the present one (200).
 TEST(Instances, ADelayedEntryOfAnEarlierStartIsIgnored)
 {
@@ -388,13 +409,13 @@
     ScriptedStore store;
     RecordingListener listener;
     MetricsRegistry metrics;
-    StoreFailureTracker failureTracker;
+    StoreHealth storeHealth;
 
     void watchUntilAnswersEnd()
     {
         WatchSettings settings;
         settings.initialBackoff = milliseconds(1);
-        TableWatch watch(store, "t", listener, nullptr, failureTracker, settings, metrics);
+        TableWatch watch(store, "t", listener, nullptr, storeHealth, settings, metrics);
         watch.start();
         CHECK(store.done.wait(seconds(20)));
         watch.stop();
@@ -428,12 +449,52 @@
 TEST(Watch, AnAnswerIsMarkedWhenAnotherTablesWatchFailed)
 {
     store.answers = {rowsAt(1)};
-    failureTracker.recordFailure(); // as the watch of another table does when it fails
+    storeHealth.recordFailure(suspendAwareNow()); // as the watch of another table does when it fails
     watchUntilAnswersEnd();
     const std::vector<std::string> seen = {"snapshot 1 after outage"};
     CHECK(listener.seen == seen);
 }
 
+TEST_GROUP(StoreHealth)
+{
+    StoreHealth health;
+    const TimePoint start{std::chrono::hours(1)};
+    TimePoint at(int ms) const
+    {
+        return start + milliseconds(ms);
+    }
+};
+
+// Guards against an outage that seems to have ended when its last lost call fails: that call was lost when it was made, and answers to others have shown
+// since that the store works.
+TEST(StoreHealth, ACallThatFailsLateDoesNotProlongAnOutage)
+{
+    CHECK(health.worksFor(at(0)) == Duration::max());
+    health.recordAnswer(at(0));
+    health.recordAnswer(at(900)); // the store goes silent after this, until 1500
+    health.recordFailure(at(1000)); // the first call that fails, at 3600
+    CHECK(health.worksFor(at(3600)) == Duration::zero());
+    health.recordAnswer(at(3700));
+    CHECK(health.worksFor(at(3800)) == milliseconds(100));
+    health.recordAnswer(at(4500));
+    health.recordFailure(at(1499)); // the call of another table, open for longer; it fails at 5800
+    CHECK(health.worksFor(at(5800)) == milliseconds(2100));
+    health.recordFailure(at(4000)); // a later outage
+    CHECK(health.worksFor(at(6000)) == milliseconds(1500));
+}
+
+// Guards against an end of the outage that is forgotten while many answers come.
+TEST(StoreHealth, TheFirstAnswerAfterAnOutageIsKept)
+{
+    health.recordFailure(at(0));
+    for (int i = 1; i <= 100000; i += 7) {
+        health.recordAnswer(at(i));
+    }
+    CHECK(health.worksFor(at(100000)) == milliseconds(99999));
+    health.recordFailure(at(99000));
+    CHECK(health.worksFor(at(100000)) >= milliseconds(900));
+}
+
 TEST_GROUP(Estimates){};
 
 // Guards against estimates that ignore the length of the prompt. The recorded calls take 100 ms plus 10 us for each token.
--- a/tests/unit/feed_test.cpp
+++ b/tests/unit/feed_test.cpp
@@ -32,11 +32,11 @@
 class VersionListener final : public TableListener
 {
 public:
-    void snapshot(const StoredRows &rows, TimePoint asOf, bool afterOutage) override
+    void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override
     {
-        changes(rows, asOf, afterOutage);
+        changes(rows, asOf, storeWorksFor);
     }
-    void changes(const StoredRows &rows, TimePoint /*asOf*/, bool /*afterOutage*/) override
+    void changes(const StoredRows &rows, TimePoint /*asOf*/, Duration /*storeWorksFor*/) override
     {
         {
             const Lock lock(m_mutex);
@@ -104,11 +104,11 @@
             return SourceOrder{};
         });
         VersionListener listener;
-        StoreFailureTracker failures;
+        StoreHealth health;
         MetricsRegistry metrics;
         WatchSettings settings;
         settings.longPollWait = wait;
-        TableWatch watch(source, "t", listener, nullptr, failures, settings, metrics);
+        TableWatch watch(source, "t", listener, nullptr, health, settings, metrics);
         watch.start();
         CHECK(silent.wait(seconds(5)));
         CHECK(listener.awaitVersion(2, ContactBound));
@@ -150,9 +150,9 @@
                 return order;
             });
             VersionListener listener;
-            StoreFailureTracker failures;
+            StoreHealth health;
             MetricsRegistry metrics;
-            TableWatch watch(source, feed.table, listener, nullptr, failures, feed.settings, metrics);
+            TableWatch watch(source, feed.table, listener, nullptr, health, feed.settings, metrics);
             watch.start();
             CHECK(outageEnds.wait(seconds(30)));
             CHECK(listener.awaitVersion(2, feed.bound));
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -194,7 +194,7 @@
         if (both) {
             specs.push_back(InstanceSpec{"i2", route, second->address(), "dc1", 64, false, 1});
         }
-        instances->synchronise(specs, false);
+        instances->synchronise(specs);
     }
 };
 
@@ -578,8 +578,7 @@
             closed = connection.sendUntilClosed(flood.repeated, milliseconds(0), RouteTimeout + AnswerBound + seconds(1));
         };
         instances->synchronise(
-            {InstanceSpec{"i1", flood.route, first->address(), "dc1", 64, false, 1}, InstanceSpec{"i2", "sound", second->address(), "dc1", 64, false, 1}},
-            false);
+            {InstanceSpec{"i1", flood.route, first->address(), "dc1", 64, false, 1}, InstanceSpec{"i2", "sound", second->address(), "dc1", 64, false, 1}});
         const long memoryBefore = peakMemoryKb();
         CallerAnswer answer;
         std::thread caller([&] {
@@ -747,7 +746,7 @@
         };
         specs.push_back(InstanceSpec{"i" + std::to_string(i), "stream", server->address(), "dc1", 64, false, 1});
     }
-    instances->synchronise(specs, false);
+    instances->synchronise(specs);
     const auto call = [this](int i, const std::string &shared) {
         const std::string attempt = "a" + std::to_string(i);
         return Caller(front->address()).call("POST", "stream", attempt, "X-Prompt-Prefix: " + shared + "," + attempt + ":9\r\n");
@@ -764,7 +763,7 @@
         }
     }
     LONGS_EQUAL(3, static_cast<long>(alive.size()));
-    instances->synchronise(alive, false); // the registry removes the others; a request that finds three refusing servers first gets 503 too
+    instances->synchronise(alive); // the registry removes the others; a request that finds three refusing servers first gets 503 too
     for (int i = 10; i < 20; ++i) {
         const CallerAnswer answer = call(i, "aa:90,bb:90");
         CHECK_TEXT(answer.status == 200, answer.body.c_str());
@@ -824,7 +823,7 @@
             LONGS_EQUAL(200, caller.call("POST", route, route + std::to_string(i)).status);
         }
         LONGS_EQUAL(1, first->requests - before);
-        instances->synchronise({}, false); // the next route's servers have the same ids
+        instances->synchronise({}); // the next route's servers have the same ids
     }
     serve("again");
     LONGS_EQUAL(200, Caller(front->address()).call("GET", "again", "b1").status);
@@ -874,7 +873,7 @@
     std::this_thread::sleep_until(heard + milliseconds(1700));
     LONGS_EQUAL(10, callUntil(10, 200)); // the pause has ended
     for (const char *strange : {"86400", "-5", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "nan", "1e400"}) {
-        instances->synchronise({}, false);
+        instances->synchronise({});
         serve("again", true);
         retryAfter = strange;
         refuses = true;
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -42,7 +42,7 @@
             settings.node = place.name;
             settings.dataCentre = place.dataCentre;
             m_tables.push_back(std::make_unique<InstanceTable>(m_clock, settings));
-            m_tables.back()->synchronise(m_specs, false);
+            m_tables.back()->synchronise(m_specs);
             m_tables.back()->setNodes(m_places);
         }
     }
@@ -261,7 +261,7 @@
     ManualClock clock;
     InstanceSettings settings;
     InstanceTable table(clock, settings);
-    table.synchronise({InstanceSpec{"limited", "s", "10.0.0.1:1", "dc", 48, false, 1}, InstanceSpec{"free", "s", "10.0.0.1:2", "dc", 48, false, 1}}, false);
+    table.synchronise({InstanceSpec{"limited", "s", "10.0.0.1:1", "dc", 48, false, 1}, InstanceSpec{"free", "s", "10.0.0.1:2", "dc", 48, false, 1}});
     for (const char *id : {"limited", "free"}) {
         table.report(id, InstanceCallOutcome::Succeeded, milliseconds(100));
     }
@@ -347,7 +347,7 @@
     InstanceTable table(clock, InstanceSettings{});
     InstanceSpec leaving{"i1", "s", "10.0.0.1:1", "dc", 4, false, 1};
     const InstanceSpec other{"i2", "s", "10.0.0.1:2", "dc", 4, false, 1};
-    table.synchronise({leaving, other}, false);
+    table.synchronise({leaving, other});
     InstanceStatement statement;
     statement.leaving = true;
     table.recordStatement("i1", statement);
@@ -388,13 +388,13 @@
     ManualClock clock;
     InstanceTable table(clock, InstanceSettings{});
     InstanceSpec spec{"i1", "s", "10.0.0.1:1", "dc", 4, false, 1};
-    table.synchronise({spec}, false);
+    table.synchronise({spec});
     table.recordStatement("i1", InstanceStatement{0.1, true, milliseconds(60000)});
     ChoiceInput input;
     input.service = "s";
     const auto policy = makeLeastOutstandingChoice();
     CHECK_FALSE(table.acquire(input, *policy).has_value());
-    table.remove("i1", false);
+    table.remove("i1");
     spec.id = "i2";
     table.upsert(spec);
     table.recordStatement("i1", InstanceStatement{0.1, true, milliseconds(60000)}); // a late reply
@@ -409,7 +409,7 @@
 {
     ManualClock clock;
     InstanceTable table(clock, InstanceSettings{});
-    table.synchronise({InstanceSpec{"i1", "s", "10.0.0.1:1", "dc", 4, false, 1}, InstanceSpec{"i2", "s", "10.0.0.1:2", "dc", 4, false, 1}}, false);
+    table.synchronise({InstanceSpec{"i1", "s", "10.0.0.1:1", "dc", 4, false, 1}, InstanceSpec{"i2", "s", "10.0.0.1:2", "dc", 4, false, 1}});
     InstanceStatement statement;
     statement.pause = milliseconds(1500);
     table.recordStatement("i1", statement);
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -54,7 +54,7 @@
             settings.dataCentre = place.dataCentre;
             Node node;
             node.table = std::make_unique<InstanceTable>(m_clock, settings);
-            node.table->synchronise(specs, false);
+            node.table->synchronise(specs);
             node.table->setNodes(places);
             m_nodes.push_back(std::move(node));
         }
