A crash after the first event counts against the request

Cause: a lost connection was checked for a crash only while no event had been sent to the caller. Evidence: the log has request.attempt_failed begun=1 error=1402 for each crash and no crashes.server_lost. Ruled out: that blocking fails; with the crash before the first event it held. Related: a probe of a blocked trait was sent to as many servers as its route allows; now to one.

Ever other requests with one deadly part are covered too, also with answers that end with their connections. crashes_test plays fleets in which all that a lost server ran is reported: sound requests are served (95 in 100 at least).

--- a/src/crashes/crashes.h
+++ b/src/crashes/crashes.h
@@ -1,7 +1,7 @@
 // vanillanotch crashes library: finds the requests that crash the backend servers that run them, and keeps them from further servers.
 //
 // A request is known by its traits: each part of its prompt that it shares with other requests, and the request as a whole. When a server
-// crashes, the requests that it had received and not begun to answer are suspects. Each node reports its own suspects to all others; the
+// crashes, the requests that it had received and not answered to the end are suspects. Each node reports its own suspects to all others; the
 // reports are rows of a table that all nodes follow. An instance is a running copy of a backend server.
 //
 // Index of sections:
@@ -36,7 +36,7 @@
 
 struct CrashReport {
     std::string instance; // the instance that crashed: its id and the start of its process
-    RequestTraits traits; // of a request that the instance had received and not begun to answer
+    RequestTraits traits; // of a request that the instance had received and not answered to the end
 };
 
 // A row of the shared table.
@@ -86,7 +86,7 @@
     bool blocks(const RequestTraits &traits) const;
     bool empty() const; // no reports are known, so nothing is blocked
 
-    // An instance crashed that had received a request with these traits and not begun to answer. Returns the report for the other nodes.
+    // An instance crashed that had received a request with these traits and not answered it to the end. Returns the report for the other nodes.
     CrashReport recordCrash(const std::string &instance, const RequestTraits &traits);
     // A request with these traits has ended well. Returns the traits that reports count against, for the other nodes to clear.
     std::vector<std::string> recordCompletion(const RequestTraits &traits);
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -259,6 +259,9 @@
 
 bool ForwardRun::mayRepeat(AttemptOutcome outcome)
 {
+    if (m_isProbe && m_sentCount > 0) {
+        return false; // a probe costs one server at most
+    }
     if (std::exchange(m_repetitionGranted, false)) {
         return !m_exchange.cancelled() && remaining() >= m_settings.minTimeLeft;
     }
@@ -400,13 +403,13 @@
         head = call.awaitHead(m_deadline, m_exchange);
     }
     const AttemptOutcome outcome = head ? readReply(call, *head, *lease, began) : handleFailure(head.error(), *lease, began);
-    if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost && !m_streamStarted) {
+    if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost) {
         reportCrash(instance);
     }
     return outcome;
 }
 
-// The connection to the instance was lost before the answer began. The instance has crashed if nothing listens at its address any more.
+// The connection to the instance was lost before the answer's end. The instance has crashed if nothing listens at its address any more.
 void ForwardRun::reportCrash(const InstanceSpec &instance) const
 {
     UpstreamCall check(m_dependencies.upstream);
--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -52,7 +52,8 @@
 
     std::function<PlayedRequest(std::mt19937_64 &)> next; // the next request
     double perSecond = 20; // requests
-    unsigned attempts = 1; // how many servers one request may be sent to
+    unsigned attempts = 1; // how many servers one request may be sent to, until its first event
+    milliseconds crashDelay{0}; // from a deadly request's first event to the crash
     bool (*mayCrash)(const PlayedRequest &) = [](const PlayedRequest &request) {
         return request.deadly;
     };
@@ -165,7 +166,7 @@
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
             Server &server = m_servers[i];
             const bool ends = std::any_of(server.running.begin(), server.running.end(), [this](const Running &running) {
-                return mayCrash(running.request) && running.beginsAt <= clock.now();
+                return mayCrash(running.request) && running.beginsAt + crashDelay <= clock.now();
             });
             if (ends) {
                 crash(i);
@@ -192,10 +193,9 @@
         server.backAt = clock.now() + RestartTime;
         for (const Running &running : std::exchange(server.running, {})) {
             CrashGuard &guard = m_nodes[running.node]->guard;
-            if (running.beginsAt > clock.now() || mayCrash(running.request)) {
-                guard.recordCrash(id, running.request.traits);
-            }
-            if (running.attempts < attempts && !guard.blocks(running.request.traits)) {
+            guard.recordCrash(id, running.request.traits);
+            const bool begun = running.beginsAt < clock.now();
+            if (!begun && running.attempts < attempts && !guard.blocks(running.request.traits)) {
                 send(running.request, running.node, running.attempts + 1);
             }
         }
@@ -281,6 +281,32 @@
     }
 }
 
+// Guards against crashes that count only while no answer has begun: a deadly request or part crashes its server some time after the first event. The
+// streams of others that break off with it must not be blamed.
+TEST(Crashes, CrashesAfterTheFirstEventCountToo)
+{
+    for (const milliseconds delay : {milliseconds(100), milliseconds(1000)}) {
+        for (const bool repeated : {true, false}) { // one request again and again; ever other requests with one part in common
+            for (unsigned seed = 1; seed <= 6; ++seed) {
+                Fleet fleet(7, milliseconds(20), seed);
+                fleet.crashDelay = delay;
+                fleet.next = [repeated](std::mt19937_64 &generator) {
+                    PlayedRequest request = mixed(generator);
+                    if (request.deadly && repeated) {
+                        request.traits = {{"first", "rare"}, "the same"};
+                    }
+                    return request;
+                };
+                fleet.run(seconds(60));
+                CHECK(fleet.crashes >= 3);
+                CHECK(fleet.deadlySentLate <= 3);
+                CHECK(fleet.soundAsked >= 20);
+                CHECK(fleet.soundSent * 100 >= fleet.soundAsked * 95);
+            }
+        }
+    }
+}
+
 // Guards against blaming what sound requests share with deadly ones (LOST): the first part comes with every crash, and many requests have it.
 TEST(Crashes, SoundRequestsWithTheSameFirstPartAreServed)
 {
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -102,7 +102,7 @@
     ForwardService &m_service;
 };
 
-// Shares nothing with other nodes; claims no probes.
+// Shares nothing with other nodes; claims probes only if told so.
 class LocalLedger final : public CrashLedger
 {
 public:
@@ -112,9 +112,10 @@
     void shareCleared(const std::string & /*trait*/) override
     {
     }
+    std::atomic<bool> claims{false};
     bool claimProbe(const std::string & /*trait*/, unsigned /*probe*/) override
     {
-        return false;
+        return claims;
     }
 };
 
@@ -138,6 +139,7 @@
 TEST_GROUP(Forwarding)
 {
     SystemClock clock;
+    ManualClock crashClock;
     DeploymentTable deployments{FreshnessSettings{}};
     std::unique_ptr<InstanceTable> instances;
     std::unique_ptr<RequestCodec> codec = platform::makeRequestCodec();
@@ -145,7 +147,7 @@
     FixedBudget budget;
     EngineTimeEstimator engineTimes;
     StatedDeadlines statedDeadlines;
-    CrashTable crashes{clock};
+    CrashTable crashes{crashClock};
     LocalLedger ledger;
     CrashGuard crashGuard{crashes, ledger};
     std::unique_ptr<ChoicePolicy> choice = makeLeastOutstandingChoice();
@@ -770,6 +772,73 @@
     }
 }
 
+// Guards against requests that are never recognised because they crash a server after the first event of its answer (BUDGET): one request that comes
+// again and again, or ever other ones with the part "dd". Three servers are lost at most.
+TEST(Forwarding, RequestsThatCrashServersAfterTheFirstEventReachThreeServersAtMost)
+{
+    for (const bool repeated : {true, false}) {
+        for (const char *fields : {"Transfer-Encoding: chunked\r\n", ""}) { // without: the answer ends with its connection
+            const bool chunkedBody = *fields != 0;
+            std::vector<std::unique_ptr<ScriptedServer>> servers;
+            std::vector<InstanceSpec> specs;
+            for (int i = 0; i < 6; ++i) {
+                servers.push_back(std::make_unique<ScriptedServer>());
+                ScriptedServer *server = servers.back().get();
+                server->script = [server, fields, chunkedBody](ServerConnection &connection) {
+                    (void)connection.send(connection.head(std::string("Content-Type: text/event-stream\r\n") + fields)
+                                          + (chunkedBody ? chunk(event(1)) : event(1)));
+                    connection.wait(milliseconds(50));
+                    server->stopListening();
+                    connection.reset();
+                };
+                specs.push_back(InstanceSpec{"i" + std::to_string(i), "stream", server->address(), "dc1", 64, false, 1});
+            }
+            instances->synchronise(specs);
+            int cut = 0;
+            for (int i = 0; i < 8; ++i) {
+                const std::string series = std::string(repeated ? "r" : "p") + (chunkedBody ? "c" : "e");
+                const std::string attempt = series + std::to_string(i);
+                const std::string parts = "aa" + series + ":90," + (repeated ? "own" : "dd" + series + ":90," + attempt);
+                const CallerAnswer answer = Caller(front->address()).call("POST", "stream", attempt, "X-Prompt-Prefix: " + parts + ":9\r\n");
+                CHECK(answer.status == 503 || !answer.complete);
+                cut += answer.status == 200 ? 1 : 0;
+            }
+            int reached = 0;
+            for (const auto &server : servers) {
+                reached += server->requests;
+            }
+            LONGS_EQUAL(3, cut);
+            LONGS_EQUAL(3, reached);
+        }
+    }
+}
+
+// Guards against a probe that costs more than one server: a request that is let pass although it seems to crash servers is sent to one of them only,
+// also where its route allows repetitions.
+TEST(Forwarding, AProbeReachesOneServer)
+{
+    for (ScriptedServer *server : {first.get(), second.get()}) {
+        server->script = [server](ServerConnection &connection) {
+            server->stopListening();
+            connection.reset();
+        };
+    }
+    serve("again", true);
+    crashGuard.recordCrash("i5@1", RequestTraits{{}, "other"});
+    ledger.claims = true;
+    CrashSettings settings;
+    const std::string fields = "X-Prompt-Prefix: aa:9\r\n";
+    const std::string whole = std::to_string(stableHash("\nGET /again/x\naa\n"));
+    for (const char *instance : {"i6@1", "i7@1", "i8@1"}) {
+        crashGuard.recordCrash(instance, RequestTraits{{}, whole});
+    }
+    CHECK(crashGuard.blocks(RequestTraits{{}, whole}));
+    LONGS_EQUAL(503, Caller(front->address()).call("GET", "again", "a1", fields).status);
+    crashClock.advance(settings.firstProbe);
+    LONGS_EQUAL(502, Caller(front->address()).call("GET", "again", "a2", fields).status);
+    LONGS_EQUAL(1, first->requests + second->requests);
+}
+
 // Guards against back ends that get more requests than the limit that they state: one of two servers states how many requests a second it
 // takes from all nodes together, while there is demand for twenty times that.
 TEST(Forwarding, AServerGetsNoMoreRequestsThanItsStatedLimit)
