A request whose pieces crash stage servers is found and blocked

Cause: a lost stage call was only repeated; nothing recorded what a stage server ran when it ended. Now the stage channel tells crashes from other lost calls, each request of the call is reported by the trait that it has as a whole, and its pieces are sent apart from then on, so that another crash shows which one it was. Tasks between nodes carry the trait; the members are optional for nodes of an earlier version.

stages_test failed with the handling of crashes taken out (sound requests of the call failed); after: three crashes, all sound requests served, the repetition refused.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -185,12 +185,12 @@
     std::unique_ptr<StagePeerChannel> m_stagePeers;
     std::unique_ptr<ChoicePolicy> m_serverChoice;
     std::unique_ptr<ChoicePolicy> m_engineChoice;
-    ResultReleaser m_releaser;
-    StageScheduler m_scheduler;
-    OwnerStageExecutor m_stages;
     CrashTable m_crashes;
     StoreCrashLedger m_crashLedger;
     CrashGuard m_crashGuard;
+    ResultReleaser m_releaser;
+    StageScheduler m_scheduler;
+    OwnerStageExecutor m_stages;
     ForwardService m_service;
     DeploymentListener m_deploymentListener;
     InstanceListener m_instanceListener;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -120,13 +120,13 @@
     , m_stagePeers(makeStagePeerChannel(m_upstream))
     , m_serverChoice(makeShortestTimeChoice())
     , m_engineChoice(makeEngineChoice(settings.engineChoice))
-    , m_releaser(*m_stageChannel, m_timers, m_pool)
-    , m_scheduler(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_releaser, m_pool, m_timers, m_metrics})
-    , m_stages(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_releaser, m_pool, m_timers, m_metrics}, m_scheduler,
-               *m_stagePeers, m_members, parseStageAssignment(settings.stageSharing))
     , m_crashes(m_clock)
     , m_crashLedger(*m_store, m_pool, m_timers)
     , m_crashGuard(m_crashes, m_crashLedger)
+    , m_releaser(*m_stageChannel, m_timers, m_pool)
+    , m_scheduler(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_crashGuard, m_releaser, m_pool, m_timers, m_metrics})
+    , m_stages(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_crashGuard, m_releaser, m_pool, m_timers, m_metrics},
+               m_scheduler, *m_stagePeers, m_members, parseStageAssignment(settings.stageSharing))
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
                                     m_crashGuard, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
                 ForwardSettings{})
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -412,11 +412,8 @@
 // The connection to the instance was lost before the answer's end. The instance has crashed if nothing listens at its address any more.
 void ForwardRun::reportCrash(const InstanceSpec &instance) const
 {
-    UpstreamCall check(m_dependencies.upstream);
-    NeverCancelled neverCancelled;
-    const auto opened = check.open(instance.address, m_dependencies.clock.now() + m_settings.crashCheckTimeout, neverCancelled);
-    if (!opened && opened.error().connectionRefused) {
-        m_dependencies.crashGuard.recordCrash(instance.id + "@" + std::to_string(instance.startedUnixMs), allTraits());
+    if (UpstreamCall::refused(m_dependencies.upstream, instance.address, m_dependencies.clock.now() + m_settings.crashCheckTimeout)) {
+        m_dependencies.crashGuard.recordCrash(instance.process(), allTraits());
     }
 }
 
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -136,6 +136,7 @@
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
     bool m_isProbe = false; // see CrashGuard::Admission
+    std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
     ErrorCode m_lastError = ErrorCode::NoFitServer;
     std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
     bool m_streamStarted = false; // the caller has got the head of a stream
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -19,6 +19,7 @@
         return {};
     }
     m_stages.assign(m_route->stages.size(), StageState{});
+    m_crashTrait = allTraits().whole;
     choosePreferredDataCentre();
     if (wouldBeLate()) {
         return fail(ErrorCode::Overloaded);
@@ -179,6 +180,8 @@
     task.deadline = m_deadline;
     task.priority = m_priority;
     task.endsChain = !task.inputs.empty() && !hasSuccessor(stage);
+    task.crashTrait = m_crashTrait;
+    task.isProbe = m_isProbe;
     if (task.inputs.empty()) {
         task.dataCentre = m_preferredDataCentre;
         task.crossDataCentreBytes = hasSuccessor(stage) ? 0 : pieces * step.resultBytes;
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -38,6 +38,11 @@
     // When its process started, Unix ms by its own clock; tells restarts under the same id apart. An entry with an earlier start than the known one
     // is ignored, except one with 0 (unknown start).
     std::int64_t startedUnixMs = 0;
+
+    std::string process() const // names this start of the instance
+    {
+        return id + "@" + std::to_string(startedUnixMs);
+    }
 };
 
 // Load of an instance, as the instance states it in a reply.
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -42,6 +42,8 @@
     json["deadline_ms"] = encodeTimeLeft(task.deadline - now);
     json["priority"] = task.priority;
     json["finishing"] = task.endsChain;
+    json["crash_trait"] = task.crashTrait;
+    json["probe"] = task.isProbe;
     return json.dump();
 }
 
@@ -65,6 +67,8 @@
         task.deadline = now + std::chrono::milliseconds(json.at("deadline_ms").get<std::int64_t>());
         task.priority = json.at("priority").get<int>();
         task.endsChain = json.at("finishing").get<bool>();
+        task.crashTrait = json.value("crash_trait", std::string());
+        task.isProbe = json.value("probe", false);
         return task;
     } catch (const Json::exception &exception) {
         return fail(ErrorCode::MalformedRequest, exception.what());
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -287,7 +287,8 @@
     if (code == ErrorCode::CallerDisconnected) {
         return;
     }
-    if (code == ErrorCode::InputsGone || code == ErrorCode::DeadlineExceeded || code == ErrorCode::Overloaded || code == ErrorCode::ServerRejected) {
+    if (code == ErrorCode::InputsGone || code == ErrorCode::DeadlineExceeded || code == ErrorCode::Overloaded || code == ErrorCode::ServerRejected
+        || code == ErrorCode::SuspectRefused) {
         run->fail(code); // the owner answered that the task failed, so no other owner is tried
         return;
     }
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -92,6 +92,16 @@
     m_progress->raise();
 }
 
+void StageRun::isolate()
+{
+    m_isolated = true;
+}
+
+bool StageRun::isolated() const
+{
+    return m_isolated;
+}
+
 unsigned StageRun::countAttempt(unsigned piece)
 {
     const Lock lock(m_mutex);
@@ -242,6 +252,14 @@
     std::stable_sort(eligible.begin(), eligible.end(), [&](const PendingPieces *a, const PendingPieces *b) {
         return moreUrgent(a->run->task(), b->run->task(), now, settings);
     });
+    const auto isolated = [](const PendingPieces *pending) {
+        return pending->run->isolated();
+    };
+    if (!eligible.empty() && isolated(eligible.front())) {
+        eligible.resize(1);
+    } else {
+        eligible.erase(std::remove_if(eligible.begin(), eligible.end(), isolated), eligible.end());
+    }
     std::vector<BatchPick> picks;
     std::size_t freeBytes = view.freeResultBytes == 0 ? std::numeric_limits<std::size_t>::max() : view.freeResultBytes;
     const auto fits = [&freeBytes](const PendingPieces &pending) {
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -196,6 +196,24 @@
     return runs;
 }
 
+void StageScheduler::removeBlockedLocked(TaskQueue &queue)
+{
+    if (m_dependencies.crashGuard.idle()) {
+        return;
+    }
+    const auto blocked = [this](const PendingPieces &pending) {
+        const StageTask &task = pending.run->task();
+        return !task.isProbe && !task.crashTrait.empty() && m_dependencies.crashGuard.blocks(RequestTraits{{}, task.crashTrait});
+    };
+    const auto first = std::stable_partition(queue.entries.begin(), queue.entries.end(), [&blocked](const PendingPieces &pending) {
+        return !blocked(pending);
+    });
+    for (auto it = first; it != queue.entries.end(); ++it) {
+        failRun(it->run, ErrorCode::SuspectRefused);
+    }
+    queue.entries.erase(first, queue.entries.end());
+}
+
 std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const QueueKey &key, TaskQueue &queue, const StageCapacity &capacity)
 {
     const TimePoint now = m_dependencies.clock.now();
@@ -234,6 +252,7 @@
     std::sort(freeInstances.begin(), freeInstances.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
+    removeBlockedLocked(queue);
     for (const Ref<StageRun> &run : shedLocked(queue, capacity, groupSize, now)) {
         failRun(run, ErrorCode::Overloaded);
     }
@@ -398,7 +417,7 @@
     requeue(key, repeated, !storageFull);
 }
 
-void StageScheduler::handleFailure(const QueueKey &key, const Dispatch &dispatched, const UpstreamFailure &failure)
+void StageScheduler::handleFailure(const QueueKey &key, const Dispatch &dispatched, const StageCallFailure &failure)
 {
     const bool busy = failure.code == ErrorCode::ServerBusy;
     const bool wrongInstance = failure.code == ErrorCode::WrongInstance;
@@ -410,7 +429,37 @@
     if (!busy && !wrongInstance) {
         m_dependencies.instances.report(dispatched.instance.id, InstanceCallOutcome::Unreachable, Duration::zero());
     }
-    requeue(key, dispatched.batch, failure.maybeSent);
+    std::vector<BatchPick> repeated = dispatched.batch;
+    if (failure.crashed) {
+        std::map<StageRun *, bool> mayRepeat;
+        for (const BatchPick &pick : dispatched.batch) {
+            if (mayRepeat.count(pick.run.get()) == 0) {
+                mayRepeat[pick.run.get()] = recordCrash(dispatched, pick.run);
+            }
+        }
+        repeated.erase(std::remove_if(repeated.begin(), repeated.end(),
+                                      [&mayRepeat](const BatchPick &pick) {
+                                          return !mayRepeat[pick.run.get()];
+                                      }),
+                       repeated.end());
+    }
+    requeue(key, repeated, failure.maybeSent);
+}
+
+bool StageScheduler::recordCrash(const Dispatch &dispatched, const Ref<StageRun> &run)
+{
+    const StageTask &task = run->task();
+    run->isolate();
+    if (task.crashTrait.empty()) {
+        return true;
+    }
+    const RequestTraits traits{{}, task.crashTrait};
+    m_dependencies.crashGuard.recordCrash(dispatched.instance.process(), traits);
+    if (task.isProbe || m_dependencies.crashGuard.blocks(traits)) {
+        failRun(run, ErrorCode::SuspectRefused);
+        return false;
+    }
+    return true;
 }
 
 // Puts the pieces of a call back into the queue, to be sent again. `charged`: the call counts as an attempt of each piece, and its
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -19,12 +19,14 @@
 //   [OWNERS]    OwnerStageExecutor: one node schedules each service or instance group; the other nodes send their tasks to it
 //
 // Rules this aggregate enforces:
+//   - a request whose pieces have crashed instances is found, and sent to no further ones (crashes/crashes.h);
 //   - a piece is completed once, with a result that was made for its request, its stage and its index among the pieces of the stage;
 //   - this node never has more calls running at an instance than the instance has slots;
 //   - pieces of a cancelled request are not sent, and its results are released.
 #pragma once
 
 #include "base/base.h"
+#include "crashes/crashes.h"
 #include "deployment/deployment.h"
 #include "fleet/fleet.h"
 #include "instances/instances.h"
@@ -64,6 +66,8 @@
     // The stage reads results of earlier stages, and no other stage depends on it. Most of the request's work has been done by then, so this
     // task is never refused as late (shed).
     bool endsChain = false;
+    std::string crashTrait; // RequestTraits::whole of the request; empty: not stated
+    bool isProbe = false; // see CrashGuard::Admission: the pieces are sent once, also while the trait is blocked
 };
 
 // One execution of a stage task. Thread-safe.
@@ -94,6 +98,10 @@
     // release the result.
     bool completePiece(unsigned piece, const std::string &handle);
     void fail(ErrorCode code);
+    // An instance has crashed that had pieces of this run: from now on they are sent apart from those of other requests, so that another crash shows
+    // which request causes it.
+    void isolate();
+    bool isolated() const;
     unsigned countAttempt(unsigned piece); // counts one call in which the piece was sent; returns the count including this one
     // The handles of the completed pieces of a failed or cancelled run, which the caller must release; each handle is returned once.
     // Empty for other runs.
@@ -108,6 +116,7 @@
     unsigned m_missing; // pieces that are not done
     std::optional<ErrorCode> m_error;
     bool m_cancelled = false;
+    std::atomic<bool> m_isolated{false};
     Ref<WakeupSignal> m_cancelSignal;
 };
 
@@ -161,6 +170,7 @@
     {
     }
     InstanceStatement statement;
+    bool crashed = false; // the connection was lost, and the instance accepts no other one
 };
 
 class StageChannel
@@ -295,7 +305,8 @@
 // Removes and returns at most `maxBatch` pieces, the most urgent first. The pieces of a run are split over two batches only when
 // there are more of them than one batch holds, or when enough pieces for two full batches wait. Cancelled runs are removed from the queue.
 // Pieces that wait for an instance in their preferred data centre stay in the queue. A slow instance gets no pieces until some piece has
-// waited for slowInstanceWait. The results of a batch fit into the instance's free storage.
+// waited for slowInstanceWait. The pieces of an isolated run (StageRun::isolate()) are in a batch of their own. The results of a batch fit into the instance's
+// free storage.
 std::vector<BatchPick> planBatch(std::vector<PendingPieces> &queue, const StageInstanceView &view, const EarliestFreeTimes &earliestFree, std::size_t maxBatch,
                                  TimePoint now, const BatchSettings &settings);
 
@@ -404,6 +415,7 @@
     InstanceTable &instances;
     StageChannel &channel;
     RetryBudget &retryBudget;
+    CrashGuard &crashGuard;
     ResultReleaser &releaser;
     GrowingPool &pool;
     TimerQueue &timers;
@@ -483,12 +495,14 @@
     void expireResultsLocked(InstanceState &state, TimePoint now);
     static QueueKey keyOf(const StageTask &task);
     std::vector<Ref<StageRun>> shedLocked(TaskQueue &queue, const StageCapacity &capacity, std::size_t instanceCount, TimePoint now);
+    void removeBlockedLocked(TaskQueue &queue); // fails the runs of requests that seem to crash instances
+    bool recordCrash(const Dispatch &dispatch, const Ref<StageRun> &run); // false: the run has failed, so its pieces aren't sent again
     void failRun(const Ref<StageRun> &run, ErrorCode code); // also releases the results of the run's completed pieces
     std::vector<Dispatch> planLocked(const QueueKey &key, TaskQueue &queue, const StageCapacity &capacity);
     void dispatch(const QueueKey &key);
     void runBatch(const QueueKey &key, const Dispatch &dispatch);
     void handleReply(const QueueKey &key, const Dispatch &dispatch, const BatchReply &reply);
-    void handleFailure(const QueueKey &key, const Dispatch &dispatch, const UpstreamFailure &failure);
+    void handleFailure(const QueueKey &key, const Dispatch &dispatch, const StageCallFailure &failure);
     void requeue(const QueueKey &key, const std::vector<BatchPick> &picks, bool charged);
     std::optional<StageCapacity> capacityOf(const std::string &service) const;
 
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -87,6 +87,14 @@
     }
 }
 
+bool UpstreamCall::refused(const UpstreamSettings &settings, const std::string &address, TimePoint until)
+{
+    UpstreamCall check(settings);
+    NeverCancelled neverCancelled;
+    const auto opened = check.open(address, until, neverCancelled);
+    return !opened && opened.error().connectionRefused;
+}
+
 // Waits until bytes were received or the connection ended, and meanwhile sends what is left of the request.
 tl::expected<void, UpstreamFailure> UpstreamCall::waitForBytes(TimePoint until, CancellationWatch &cancellation)
 {
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -259,6 +259,9 @@
     // Waits for the whole body and returns it, decoded. InvalidReply: the body is longer than `limit` bytes.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation);
 
+    // Connects to `address` and closes the connection at once. True: the host refuses connections, as after a crash of its process.
+    static bool refused(const UpstreamSettings &settings, const std::string &address, TimePoint until);
+
 private:
     UpstreamFailure failure(ErrorCode code) const;
     tl::expected<void, UpstreamFailure> waitForBytes(TimePoint until, CancellationWatch &cancellation);
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -2,6 +2,7 @@
 // stalled streams, bytes without end. The servers are scripts on loopback sockets; node and caller are the real transport.
 #include "forwarding/forwarding.h"
 #include "kept_caller.h"
+#include "local_ledger.h"
 #include "platform/platform.h"
 #include "scripted_server.h"
 
@@ -102,23 +103,6 @@
     ForwardService &m_service;
 };
 
-// Shares nothing with other nodes; claims probes only if told so.
-class LocalLedger final : public CrashLedger
-{
-public:
-    void share(const CrashReport & /*report*/) override
-    {
-    }
-    void shareCleared(const std::string & /*trait*/) override
-    {
-    }
-    std::atomic<bool> claims{false};
-    bool claimProbe(const std::string & /*trait*/, unsigned /*probe*/) override
-    {
-        return claims;
-    }
-};
-
 RouteSpec makeRoute(const std::string &name, RequestKind kind, bool resumable, unsigned attempts)
 {
     RouteSpec route;
@@ -813,6 +797,28 @@
     }
 }
 
+// Guards against crashes of stage servers that pass for ordinary failures, and the other way round: after a lost connection a server counts as crashed
+// only if it accepts no other one.
+TEST(Forwarding, ALostStageCallTellsWhetherItsServerCrashed)
+{
+    const auto channel = platform::makeStageChannel(upstream);
+    StageTask task;
+    task.request = "a1";
+    task.pieces = 1;
+    for (const bool ends : {false, true}) {
+        first->script = [this, ends](ServerConnection &connection) {
+            if (ends) {
+                first->stopListening();
+            }
+            connection.reset();
+        };
+        const InstanceSpec instance{"i1", "stage", first->address(), "dc1", 1, false, 1};
+        const auto reply = channel->run(instance, {PieceCall{&task, 0}}, clock.now(), clock.now() + seconds(5));
+        CHECK(!reply && reply.error().code == ErrorCode::ConnectionLost);
+        CHECK(reply.error().crashed == ends);
+    }
+}
+
 // Guards against a probe that costs more than one server: a request that is let pass although it seems to crash servers is sent to one of them only,
 // also where its route allows repetitions.
 TEST(Forwarding, AProbeReachesOneServer)
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -1,11 +1,13 @@
 // Stage tasks that run in pieces: batches, shedding, storage for results, failures, owners of instance groups. A piece is a part of a
 // task that can run separately; one call to an instance runs a batch of pieces of one or several tasks. To shed a task is to refuse it
 // because it would miss its target time. The owner of an instance group is the node that plans the batches of these instances.
+#include "local_ledger.h"
 #include "stages/stages.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace vanillanotch;
+using namespace vanillanotch::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -449,12 +451,15 @@
     InstanceTable instances{clock, InstanceSettings{}};
     FakeChannel channel;
     TestRetryBudget retryBudget;
+    CrashTable crashes{clock};
+    LocalLedger ledger;
+    CrashGuard crashGuard{crashes, ledger};
     GrowingPool pool{16};
     WorkerPool background{1};
     TimerQueue timers{background};
     MetricsRegistry metrics;
     ResultReleaser releaser{channel, timers, pool};
-    StageDependencies dependencies{clock, deployments, instances, channel, retryBudget, releaser, pool, timers, metrics};
+    StageDependencies dependencies{clock, deployments, instances, channel, retryBudget, crashGuard, releaser, pool, timers, metrics};
     StageScheduler scheduler{dependencies};
     Ref<WakeupSignal> progress = makeRef<WakeupSignal>();
     // Latches of calls to `channel`. They outlive the pool's threads, which may still be in a call when a test's body has ended.
@@ -533,6 +538,62 @@
     }
 }
 
+// Guards against requests whose pieces crash one instance after the other (BUDGET), and against blaming those that were in the same call: after the first
+// crash the pieces of each request are sent apart. A repetition under another id reaches no instance any more.
+TEST(Scheduler, ARequestWhosePiecesCrashInstancesReachesThreeAtMost)
+{
+    for (int i = 2; i <= 8; ++i) {
+        addInstance("i" + std::to_string(i));
+    }
+    std::atomic<int> crashed{0};
+    std::atomic<std::size_t> mostInFirstCrash{0};
+    channel.answer = [&](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, StageCallFailure> {
+        const bool deadly = std::any_of(pieces.begin(), pieces.end(), [](const PieceCall &piece) {
+            return piece.task->crashTrait == "deadly";
+        });
+        if (deadly) {
+            mostInFirstCrash = std::max(mostInFirstCrash.load(), pieces.size());
+            ++crashed;
+            StageCallFailure failure({ErrorCode::ConnectionLost, true, false});
+            failure.crashed = true;
+            return tl::unexpected(failure);
+        }
+        return handlesFor(instance, pieces);
+    };
+    const auto submitTo = [this](const std::string &request, const std::string &trait) {
+        StageTask stageTask = makeTask(request, 1);
+        stageTask.target = clock.now() + seconds(5);
+        stageTask.deadline = clock.now() + seconds(15);
+        stageTask.crashTrait = trait;
+        const auto run = makeRef<StageRun>(stageTask, progress);
+        scheduler.submit(run);
+        return run;
+    };
+    instances.synchronise({}); // until all wait, so that they share a call
+    std::vector<Ref<StageRun>> sound;
+    for (int i = 0; i < 3; ++i) {
+        sound.push_back(submitTo("sound" + std::to_string(i), "sound" + std::to_string(i)));
+    }
+    const auto first = submitTo("d1", "deadly");
+    for (int i = 1; i <= 8; ++i) {
+        addInstance("i" + std::to_string(i));
+    }
+    scheduler.instancesChanged();
+    for (const auto &run : sound) {
+        CHECK(awaitEnd(run));
+        CHECK(run->outcome()->has_value());
+        CHECK_FALSE(crashGuard.blocks(RequestTraits{{}, run->task().crashTrait}));
+    }
+    CHECK(awaitEnd(first));
+    CHECK(first->outcome()->error().code == ErrorCode::SuspectRefused);
+    LONGS_EQUAL(3, crashed);
+    LONGS_EQUAL(4, static_cast<long>(mostInFirstCrash));
+    const auto repeated = submitTo("d2", "deadly");
+    CHECK(awaitEnd(repeated));
+    CHECK(repeated->outcome()->error().code == ErrorCode::SuspectRefused);
+    LONGS_EQUAL(3, crashed);
+}
+
 // Guards against retries beyond the budget, which would load a busy service even more.
 TEST(Scheduler, WithoutRetryBudgetAFailureIsFinal)
 {
--- a/tests/unit/stop_test.cpp
+++ b/tests/unit/stop_test.cpp
@@ -1,4 +1,5 @@
 // Planned stops of a node: what it has taken from other nodes. The nodes' calls run over loopback sockets.
+#include "local_ledger.h"
 #include "peerhttp/peerhttp.h"
 
 #include <CppUTest/TestHarness.h>
@@ -6,6 +7,7 @@
 #include <thread>
 
 using namespace vanillanotch;
+using namespace vanillanotch::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -45,6 +47,9 @@
     InstanceTable instances{clock, InstanceSettings{}};
     UnusedChannel channel;
     AmpleBudget budget;
+    CrashTable crashes{clock};
+    LocalLedger ledger;
+    CrashGuard crashGuard{crashes, ledger};
     MetricsRegistry metrics;
     UpstreamSettings upstream;
     std::atomic<bool> leaving{false};
@@ -64,7 +69,7 @@
 TEST(Stop, AStoppingNodeGivesStageTasksBack)
 {
     ResultReleaser releaser(channel, timers, pool);
-    StageScheduler scheduler(StageDependencies{clock, deployments, instances, channel, budget, releaser, pool, timers, metrics});
+    StageScheduler scheduler(StageDependencies{clock, deployments, instances, channel, budget, crashGuard, releaser, pool, timers, metrics});
     PeerHandler handler(scheduler, RelayedTables{}, leaving, metrics);
     FrontServer server("peers", "127.0.0.1:0", handler, pool);
     const auto sender = makeStagePeerChannel(upstream);
