--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -44,6 +44,7 @@
     std::string buffer;
     // When the stream counts as silent. Only a complete event moves it: a server may be stuck although it sends a byte now and then.
     TimePoint silentAt = m_streamStarted ? m_dependencies.clock.now() + m_settings.streamSilenceLimit : firstReplyLimit();
+    bool hasEvents = false; // of this server
     bool mayMove = m_route->resumable && m_sentCount < m_route->maxAttempts;
     for (bool complete = false; !complete;) {
         const auto read = call.readBody(buffer, mayMove ? std::min(silentAt, m_deadline) : m_deadline, m_exchange);
@@ -52,8 +53,9 @@
         }
         complete = read && *read;
         const EventScan scan = scanEvents(buffer);
+        hasEvents = hasEvents || scan.completeBytes > 0;
         // Without a length or chunks, a stream that ends within an event or before the first one has broken off.
-        const bool brokeOff = scan.completeBytes < buffer.size() || (buffer.empty() && !m_streamStarted);
+        const bool brokeOff = scan.completeBytes < buffer.size() || !hasEvents;
         if (complete && call.bodyEndsWithConnection() && brokeOff) {
             return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began);
         }
@@ -77,6 +79,10 @@
             }
         }
     }
+    if (call.bodyEndsWithConnection()
+        && UpstreamCall::refused(m_dependencies.upstream, lease.instance().address, m_dependencies.clock.now() + m_settings.crashCheckTimeout)) {
+        return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began); // its server ended, perhaps before the last event
+    }
     if (!m_streamStarted) { // the stream ended without any event
         (void)m_exchange.beginStream(head.status, m_dependencies.codec.replyHeaders(head), {}, m_deadline);
     }
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -429,6 +429,37 @@
     STRCMP_EQUAL((event(1) + event(2)).c_str(), answer.body.c_str());
 }
 
+// Guards against a part of a stream that looks complete: without a length or chunks, a server that ends between two events, or that continues a stream
+// and ends before its first event, leaves no other sign. A stream that may be resumed goes on at the next server.
+TEST(Forwarding, AStreamWhoseServerEndedIsNotComplete)
+{
+    const std::string fields = "Content-Type: text/event-stream\r\n";
+    first->script = [&](ServerConnection &connection) {
+        (void)connection.send(connection.head(fields) + event(1) + event(2));
+        first->stopListening();
+    };
+    serve("stream");
+    const CallerAnswer cut = Caller(front->address()).call("POST", "stream", "a1");
+    CHECK_FALSE(cut.complete);
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), cut.body.c_str());
+    for (const bool silent : {true, false}) {
+        first = std::make_unique<ScriptedServer>();
+        first->script = [&](ServerConnection &connection) {
+            (void)connection.send(connection.head(fields) + event(1) + event(2));
+            first->stopListening();
+        };
+        second->script = [&, silent](ServerConnection &connection) {
+            (void)connection.send(connection.head(fields) + (silent ? std::string() : event(3)));
+        };
+        instances->synchronise({});
+        serve("resume", true);
+        instances->report("i2", InstanceCallOutcome::Unreachable, Duration::zero()); // so that the first server is chosen first
+        const CallerAnswer answer = Caller(front->address()).call("POST", "resume", silent ? "a2" : "a3");
+        CHECK(answer.complete == !silent);
+        STRCMP_EQUAL((event(1) + event(2) + (silent ? "" : event(3))).c_str(), answer.body.c_str());
+    }
+}
+
 // An answer that is lost after the run: a request that must not be repeated runs once, and nobody says that it didn't run. One that may be
 // repeated is answered by the next server.
 TEST(Forwarding, ALostAnswerIsNeitherRepeatedNorDenied)
