--- /dev/null
+++ b/tests/unit/documents_test.cpp
@@ -0,0 +1,90 @@
+// Documents and rows of other writers: whatever they hold, nothing throws, ends the process or hides the rows beside them.
+#include "entry/entry.h"
+#include "scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr std::size_t RowLimit = 65536; // largest value of a row, bytes
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string serverEntry(const std::string &address, const std::string &more = {})
+{
+    return R"({"Service":"s","Address":")" + address + R"(","Zone":"z","State":"ready")" + more + "}";
+}
+} // namespace
+
+TEST_GROUP(Documents){};
+
+// Guards against entries that end the nodes that read them, or that stand for a server at an address which no server can have.
+TEST(Documents, AnOddServerEntryNamesNoServer)
+{
+    CHECK(platform::decodeInstance("i", serverEntry("10.0.0.1:80")).has_value());
+    for (const char *address : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1", "10.0.0.1:80x",
+                                "10.0.0:80", "10.0.0.256:80", "server:80", "localhost:80", ":80", "10.0.0.1:+80", "10.0.0.1: 80", "10.0.0.1:80\\r\\nX: y"}) {
+        CHECK_FALSE_TEXT(platform::decodeInstance("i", serverEntry(address)).has_value(), address);
+    }
+    const std::string deep = nested(RowLimit / 2 - 100);
+    const std::vector<std::string> odd = {"",
+                                          "null",
+                                          "7",
+                                          "[]",
+                                          "\xff\xfe",
+                                          "{",
+                                          deep,
+                                          deep.substr(0, deep.size() / 2),
+                                          serverEntry("10.0.0.1:80", R"(,"Slots":1e400)"),
+                                          serverEntry("10.0.0.1:80", R"(,"Slots":"8")"),
+                                          serverEntry("10.0.0.1:80", R"(,"Service":7)"),
+                                          serverEntry("10.0.0.1:80", R"(,"State":"gone")"),
+                                          serverEntry("10.0.0.1:80", R"(,"Zone":{})")};
+    for (const std::string &text : odd) {
+        CHECK_FALSE_TEXT(platform::decodeInstance("i", text).has_value(), text.substr(0, 80).c_str());
+    }
+    for (const char *slots : {"1e308", "-5", "4294967296", "18446744073709551616", "0"}) {
+        const auto spec = platform::decodeInstance("i", serverEntry("10.0.0.1:80", std::string(R"(,"Slots":)") + slots));
+        CHECK(spec.has_value() && spec->slots >= 1);
+    }
+    CHECK(platform::decodeInstance("i", serverEntry("10.0.0.1:80", R"(,"born":18446744073709551615)")).has_value());
+    CHECK(platform::decodeInstance("i", serverEntry("10.0.0.1:80", R"(,"Extra":)" + nested(RowLimit / 2 - 200))).has_value());
+}
+
+// The same for a configuration and for the rows of this system's own tables.
+TEST(Documents, OddDocumentsOfOtherTablesAreErrors)
+{
+    for (const std::string &text : {std::string(R"({"Version":1,"Routes":[],"Services":[],"Limits":)") + nested(RowLimit / 2) + "}",
+                                    std::string(R"({"Version":1,"Routes":[{"Stages":)") + nested(RowLimit / 2) + R"(}],"Services":[]})",
+                                    std::string(R"({"Version":1e400,"Routes":[],"Services":[]})"), std::string("\xff"), nested(RowLimit / 2)}) {
+        CHECK_FALSE_TEXT(platform::decodeDeployment(text).has_value(), text.substr(0, 60).c_str());
+        CHECK_FALSE_TEXT(decodeMember("m", text).has_value(), text.substr(0, 60).c_str());
+        CHECK_FALSE_TEXT(decodeCrashRow(StoredRow{"report/i/w", text, 1, false}).has_value(), text.substr(0, 60).c_str());
+    }
+}
+
+// Guards against nodes that stop following a table because of one row: the others are read.
+TEST(Documents, ARowThatCannotBeReadHidesNoOther)
+{
+    ScriptedServer server;
+    server.script = [](ServerConnection &connection) {
+        const std::string body = R"({"Ver":9,"NowMs":1000,"HasMore":false,"Rows":[{"Key":"a","Ver":1,"Value":"!!!"},{"Key":"b","Ver":2,"Value":7},)"
+                                 R"({"Key":"c","Ver":3},{"Key":"d","Ver":4,"Value":"eA=="},{"Key":"e","Ver":5,"Value":"eA"}]})";
+        (void)connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    const auto store = platform::makeStore(server.address(), longPollSettings());
+    for (const bool whole : {true, false}) {
+        const auto rows = whole ? store->readTable("t", seconds(5)) : store->awaitChanges("t", 1, milliseconds(0), seconds(5));
+        CHECK(rows.has_value());
+        LONGS_EQUAL(5, static_cast<long>(rows->rows.size()));
+        STRCMP_EQUAL("x", rows->rows[3].value.c_str());
+    }
+}
