No caller's bytes end a node

Cause: stage calls carry the key in JSON, whose encoder throws on such bytes, and nothing caught that. Related paths: X-Pieces without a limit, exceptions in any handler, handles of stage results and ids of events with line ends, which went into headers. Ruled out: replacing the bytes, since the server would be asked for another key.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -6,6 +6,8 @@
 #include <Poco/RandomStream.h>
 #include <Poco/SHA2Engine.h>
 
+#include <algorithm>
+#include <array>
 #include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
@@ -210,6 +212,44 @@
     m_elapsed += step.count();
 }
 
+bool isValidUtf8(std::string_view text)
+{
+    struct Form { // of the characters of one length
+        unsigned mask; // of the first byte
+        unsigned prefix; // value of the first byte under the mask
+        std::size_t following; // further bytes
+        std::uint32_t lowest; // a lower character in this form is overlong
+    };
+    constexpr std::array<Form, 4> Forms{{{0x80, 0x00, 0, 0}, {0xe0, 0xc0, 1, 0x80}, {0xf0, 0xe0, 2, 0x800}, {0xf8, 0xf0, 3, 0x10000}}};
+    constexpr std::uint32_t Highest = 0x10ffff;
+    constexpr std::uint32_t FirstSurrogate = 0xd800;
+    constexpr std::uint32_t LastSurrogate = 0xdfff;
+    for (std::size_t at = 0; at < text.size();) {
+        const auto byteAt = [&text](std::size_t index) {
+            return static_cast<unsigned>(static_cast<unsigned char>(text[index]));
+        };
+        const unsigned lead = byteAt(at);
+        const auto form = std::find_if(Forms.begin(), Forms.end(), [lead](const Form &candidate) {
+            return (lead & candidate.mask) == candidate.prefix;
+        });
+        if (form == Forms.end() || text.size() - at <= form->following) {
+            return false;
+        }
+        std::uint32_t character = lead & ~form->mask & 0xffU;
+        for (std::size_t i = 1; i <= form->following; ++i) {
+            if ((byteAt(at + i) & 0xc0U) != 0x80U) {
+                return false;
+            }
+            character = character << 6U | (byteAt(at + i) & 0x3fU);
+        }
+        if (character < form->lowest || character > Highest || (character >= FirstSurrogate && character <= LastSurrogate)) {
+            return false;
+        }
+        at += form->following + 1;
+    }
+    return true;
+}
+
 std::string formatWallTime(WallTime time)
 {
     const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch());
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -182,6 +182,7 @@
     std::atomic<std::int64_t> m_elapsed{std::chrono::nanoseconds(std::chrono::hours(1)).count()};
 };
 
+bool isValidUtf8(std::string_view text);
 std::string formatWallTime(WallTime time); // ISO 8601 in UTC with milliseconds: "2024-05-01T12:00:00.000Z"
 std::chrono::milliseconds toMilliseconds(Duration duration); // truncated towards zero
 
--- a/src/forwarding/events.cpp
+++ b/src/forwarding/events.cpp
@@ -27,7 +27,8 @@
             }
         } else if (line.substr(0, IdField.size()) == IdField) {
             line.remove_prefix(IdField.size());
-            id = line.substr(!line.empty() && line.front() == ' ' ? 1 : 0);
+            line.remove_prefix(!line.empty() && line.front() == ' ' ? 1 : 0);
+            id = line.substr(0, line.find('\r')); // a CR ends a line too; the id is sent in a header, where it must not end one
         }
     }
     return scan;
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -312,6 +312,8 @@
     }
 
 private:
+    class Registration;
+
     ForwardDependencies m_dependencies;
     const ForwardSettings m_settings;
     std::atomic<std::size_t> m_running{0};
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -118,6 +118,10 @@
     if (auto authenticated = authenticate(); !authenticated) {
         return authenticated;
     }
+    // Stage calls carry both in JSON, where other bytes can't be written.
+    if (!m_route->stages.empty() && !(isValidUtf8(m_request.attemptId) && isValidUtf8(m_request.pieceKey))) {
+        return fail(ErrorCode::MalformedRequest);
+    }
     const TimePoint arrived = m_exchange.arrived();
     m_deadline = arrived + std::min(m_request.timeLeft.value_or(DefaultTimeout), m_route->timeout) - m_settings.answerMargin;
     if (!fitsIntoStop(m_context.totalTimes)) {
--- a/src/forwarding/service.cpp
+++ b/src/forwarding/service.cpp
@@ -39,6 +39,30 @@
 {
 }
 
+// Lists a run among those that are being executed, also when execute() throws.
+class ForwardService::Registration
+{
+public:
+    Registration(ForwardService &service, ForwardRun &run)
+        : m_service(service)
+        , m_run(run)
+    {
+        const Lock lock(m_service.m_mutex);
+        m_service.m_runs.insert(&m_run);
+    }
+    ~Registration()
+    {
+        const Lock lock(m_service.m_mutex);
+        m_service.m_runs.erase(&m_run);
+    }
+    Registration(const Registration &) = delete;
+    Registration &operator=(const Registration &) = delete;
+
+private:
+    ForwardService &m_service;
+    ForwardRun &m_run;
+};
+
 void ForwardService::serve(FrontExchange &exchange)
 {
     const CounterGuard request(m_running, 1);
@@ -50,13 +74,8 @@
         return;
     }
     ForwardRun run(m_dependencies, m_settings, exchange, RunContext{m_stop, m_totalTimes, m_serverTimes});
-    {
-        const Lock lock(m_mutex);
-        m_runs.insert(&run);
-    }
+    const Registration registration(*this, run);
     run.execute();
-    const Lock lock(m_mutex);
-    m_runs.erase(&run);
 }
 
 void ForwardService::beginStopping(const StopWindow &window)
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -44,7 +44,7 @@
     json["finishing"] = task.endsChain;
     json["crash_trait"] = task.crashTrait;
     json["probe"] = task.isProbe;
-    return json.dump();
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<StageTask> decodeTask(const std::string &text, TimePoint now)
@@ -56,6 +56,9 @@
         task.stage = json.at("stage").get<std::size_t>();
         task.service = json.at("service").get<std::string>();
         task.pieces = json.at("pieces").get<unsigned>();
+        if (task.pieces > MaxPiecesPerRequest) {
+            return fail(ErrorCode::MalformedRequest, "expected a number of pieces within the limit");
+        }
         task.group.index = json.at("lanes").at(0).get<std::size_t>();
         task.group.count = std::max<std::size_t>(1, json.at("lanes").at(1).get<std::size_t>());
         task.pieceKey = json.value("key", std::string());
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -49,6 +49,9 @@
 };
 
 // The work of one stage for one request, as handed to a scheduler.
+// Largest number of pieces of one request, in all of its stages. Each takes memory at the node while the request runs.
+constexpr unsigned MaxPiecesPerRequest = 4096;
+
 struct StageTask {
     std::string request; // id of the request, a new one each time the caller tries
     std::size_t stage = 0; // index of the stage in the route
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -296,7 +296,14 @@
     }
     ++m_activeRequests;
     m_pool.post([this, connection] {
-        serve(*connection);
+        try {
+            serve(*connection);
+        } catch (const std::exception &exception) {
+            // One request must not end the process, and with it all others.
+            logEvent(LogLevel::Error, "request.handler_failed", {{"server", m_name}, {"detail", exception.what()}});
+            connection->io.resetOnClose(); // what was sent must not look complete
+            closeConnection(*connection);
+        }
         --m_activeRequests;
     });
 }
--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -356,6 +356,33 @@
     }
 }
 
+// Guards against callers whose bytes end the nodes (LOST): a piece key that isn't UTF-8 can't be passed on in a stage call. It is refused, at either node, and
+// the requests of others are served all the while.
+TEST(Entry, ARequestWithForeignBytesEndsNoNode)
+{
+    std::atomic<bool> stop{false};
+    std::atomic<int> unanswered{0};
+    std::thread others([&] {
+        while (!stop) {
+            unanswered += callEntry(cluster->callerAddress(0), makeCall(CallKind::NonIdempotent)).status != 200 ? 1 : 0;
+            unanswered += callEntry(cluster->callerAddress(1), makeCall(CallKind::NonIdempotent)).status != 200 ? 1 : 0;
+        }
+    });
+    for (std::size_t i = 0; i < 8; ++i) {
+        std::string request = encodeRequest(makeCall(CallKind::StagedStream));
+        request.replace(request.find("X-Piece-Key: abc"), 16, i % 4 < 2 ? "X-Piece-Key: \xe9" : "X-Piece-Key: \xff\xfe");
+        const CallerAnswer answer = Caller(cluster->callerAddress(i % 2)).exchange(request);
+        LONGS_EQUAL(400, answer.status);
+        CHECK(answer.complete);
+    }
+    stop = true;
+    others.join();
+    LONGS_EQUAL(0, unanswered);
+    for (std::size_t node = 0; node < 2; ++node) {
+        LONGS_EQUAL(200, callNode(node, makeCall(CallKind::StagedStream)).status);
+    }
+}
+
 // One of the two nodes, the owner, assigns work to all instances of a stage. If nobody took over from a killed owner, requests
 // with stages would fail for ever. Each node is killed in turn, so that the owner is hit: the other must serve within 10 s.
 TEST(Entry, KilledStageOwnerIsReplaced)
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -990,6 +990,64 @@
     }
 }
 
+// Guards against callers' bytes that end the node (LOST): a key or an id that isn't UTF-8 can't be written in the JSON of stage calls. Such a request is
+// refused where it has stages; where the id is only passed on, it is served. So is one with more pieces than a request may have.
+TEST(Forwarding, BytesThatAreNotUtf8AreRefusedWhereStagesNeedThem)
+{
+    first->script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+    };
+    for (const char *bytes : {"\xe9t\xe9", "\xc3", "\xff", "\xed\xa0\x80", "\xc0\xaf", "\xf5\x80\x80\x80"}) {
+        serve("staged");
+        stages.endsAtOnce = true;
+        LONGS_EQUAL(400, Caller(front->address()).call("POST", "staged", "a1", "X-Piece-Key: " + std::string(bytes) + "\r\n").status);
+        LONGS_EQUAL(400, Caller(front->address()).call("POST", "staged", std::string("a") + bytes).status);
+        LONGS_EQUAL(0, first->requests);
+    }
+    LONGS_EQUAL(400, Caller(front->address()).exchange("POST /staged/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Pieces: 8000000\r\n\r\n").status);
+    LONGS_EQUAL(400, Caller(front->address()).exchange("POST /staged/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Pieces: 4294967295,1\r\n\r\n").status);
+    LONGS_EQUAL(0, first->requests);
+    serve("once");
+    LONGS_EQUAL(200, Caller(front->address()).call("POST", "once", "a\xe9").status);
+}
+
+// The same for the calls themselves: whatever a task holds, encoding it doesn't throw.
+TEST(Forwarding, CallsForStagesCanHoldAnyBytes)
+{
+    first->script = [](ServerConnection &connection) {
+        (void)connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    };
+    StageTask task;
+    task.request = "a\xe9";
+    task.pieceKey = "\xff";
+    task.service = "\xc3";
+    task.pieces = 1;
+    const InstanceSpec instance{"i1", "stage", first->address(), "dc1", 1, false, 1};
+    CHECK_FALSE(platform::makeStageChannel(upstream)->run(instance, {PieceCall{&task, 0}}, clock.now(), clock.now() + seconds(5)).has_value());
+    CHECK(platform::makeStageChannel(upstream)->release(first->address(), {"\xe9"}, clock.now() + seconds(5)).has_value());
+    LONGS_EQUAL(2, first->requests);
+}
+
+// Guards against handles of results that end a header line or are taken for two: they come from stage servers, and go to others in a header.
+TEST(Forwarding, AHandleThatCannotStandInAListIsNoResult)
+{
+    std::string handle;
+    first->script = [&handle](ServerConnection &connection) {
+        const std::string body = "{\"Items\":[{\"Handle\":" + handle + "}]}";
+        (void)connection.send(connection.head("Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
+    };
+    StageTask task;
+    task.request = "a1";
+    task.pieces = 1;
+    const InstanceSpec instance{"i1", "stage", first->address(), "dc1", 1, false, 1};
+    for (const char *text : {"\"10.0.0.1:1/ab\"", "\"x\\r\\nX-Hold: 1\"", "\"a,b\"", "\"\"", "\"a b\"", "\"\\u00e9\""}) {
+        handle = text;
+        const auto reply = platform::makeStageChannel(upstream)->run(instance, {PieceCall{&task, 0}}, clock.now(), clock.now() + seconds(5));
+        CHECK_TEXT(reply.has_value(), text);
+        CHECK_TEXT((reply->outcomes.front().error == PieceError::None) == (std::string_view(text) == "\"10.0.0.1:1/ab\""), text);
+    }
+}
+
 TEST_GROUP(Events){};
 
 // Guards against streams that are resumed after the wrong event: the id of an event is that of its line "id:", not a text within its data,
@@ -1003,6 +1061,7 @@
     const std::string lines = "id:7\r\ndata: a\r\n\r\n";
     LONGS_EQUAL(static_cast<long>(lines.size()), static_cast<long>(scanEvents(lines).completeBytes));
     STRCMP_EQUAL("7", scanEvents(lines).lastId->c_str());
+    STRCMP_EQUAL("7", scanEvents("id: 7\rX-Hold: 1\ndata: a\n\n").lastId->c_str());
     CHECK_FALSE(scanEvents("data: a\n\n").lastId.has_value());
     LONGS_EQUAL(0, static_cast<long>(scanEvents("id: 1\ndata: a\n").completeBytes));
 }
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -369,3 +369,43 @@
 {
     CHECK_THROWS(Poco::Exception, FrontServer("second", server->address(), handler, pool));
 }
+
+TEST_GROUP(ThrowingHandlers){};
+
+// Guards against one request that ends the process, and with it all others: a handler that throws costs its own connection only.
+TEST(ThrowingHandlers, OnlyTheirOwnRequestFails)
+{
+    class ThrowingHandler final : public FrontHandler
+    {
+    public:
+        void serve(FrontExchange &exchange) override
+        {
+            if (exchange.path() == "/bad") {
+                throw std::runtime_error("a fault of the handler");
+            }
+            (void)exchange.reply(200, Headers{}, "ok", std::chrono::steady_clock::now() + TestTimeout);
+        }
+        std::string describeError(ErrorCode /*code*/) override
+        {
+            return {};
+        }
+        FrontLimits limits() override
+        {
+            return FrontLimits{};
+        }
+    };
+    ThrowingHandler handler;
+    GrowingPool pool(4);
+    FrontServer server("test", "127.0.0.1:0", handler, pool);
+    const UpstreamSettings settings;
+    NeverCancelled neverCancelled;
+    for (const bool bad : {true, false, true, false}) {
+        UpstreamCall call(settings);
+        const TimePoint until = std::chrono::steady_clock::now() + TestTimeout;
+        CHECK(call.open(server.address(), until, neverCancelled).has_value());
+        const auto head = call.exchange(std::string("GET /") + (bad ? "bad" : "good") + " HTTP/1.1\r\nHost: h\r\n\r\n", until, neverCancelled);
+        CHECK(head.has_value() == !bad);
+    }
+    pool.stop();
+    server.stop();
+}
