--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -142,7 +142,7 @@
     }
     const AccountSpec *account = m_request.apiKey.empty() ? nullptr : m_deployment->accountOf(m_request.apiKey);
     if (account == nullptr) {
-        if (m_route->anonymous) {
+        if (m_route->anonymous && m_request.apiKey.empty()) {
             return {};
         }
         // A node that may have missed a configuration can't tell whether an unknown key is wrong or was added in that configuration.
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -990,6 +990,31 @@
     }
 }
 
+// Guards against requests with a revoked or unknown key that run because their route needs none (CONFIG, ROUTE): no key is no fault there, a wrong one is.
+TEST(Forwarding, AnUnknownKeyIsRefusedOnEveryRoute)
+{
+    first->script = [](ServerConnection &connection) {
+        const std::string account = connection.header("X-Tenant");
+        (void)connection.send(connection.head("Content-Length: " + std::to_string(account.size()) + "\r\n") + account);
+    };
+    std::vector<RouteSpec> routes = {makeRoute("open", RequestKind::Idempotent, false, 2), makeRoute("closed", RequestKind::Idempotent, false, 2)};
+    routes.front().anonymous = true;
+    const std::vector<ServiceSpec> services = {ServiceSpec{"open", false, 0, 0, std::nullopt}, ServiceSpec{"closed", false, 0, 0, std::nullopt}};
+    CHECK(deployments.install(makeRef<Deployment>(2, std::move(routes), services, std::vector<AccountSpec>{AccountSpec{"circle", {"key"}, 1}}, FrontLimits{})));
+    deployments.confirmNewest(suspendAwareNow());
+    const auto call = [this](const char *route, const std::string &authorization) {
+        serve(route);
+        return Caller(front->address()).call("GET", route, "a1", authorization.empty() ? authorization : "Authorization: " + authorization + "\r\n");
+    };
+    LONGS_EQUAL(401, call("open", "Bearer revoked").status);
+    LONGS_EQUAL(401, call("closed", "Bearer revoked").status);
+    LONGS_EQUAL(401, call("closed", "").status);
+    LONGS_EQUAL(0, first->requests);
+    LONGS_EQUAL(200, call("open", "").status);
+    LONGS_EQUAL(200, call("closed", "Bearer key").status);
+    STRCMP_EQUAL("circle", call("open", "bearer key").body.c_str());
+}
+
 // Guards against callers' bytes that end the node (LOST): a key or an id that isn't UTF-8 can't be written in the JSON of stage calls. Such a request is
 // refused where it has stages; where the id is only passed on, it is served. So is one with more pieces than a request may have.
 TEST(Forwarding, BytesThatAreNotUtf8AreRefusedWhereStagesNeedThem)
