Silent streams are moved after 2 s instead of 1.5 s

Before the first event a stream was moved after 1.2 times its target latency, as little as 0.5 s.

Both limits are 2 s now. A stream that pauses for so long is late at either server, and callers wait at least 2 s longer.

--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -257,11 +257,12 @@
     std::chrono::milliseconds answerMargin{25}; // sending the final answer starts at the latest this long before the request's deadline
     std::chrono::milliseconds minTimeLeft{10}; // no further attempt at a server is made with less time left until the deadline
     // A resumable stream without a complete event for this long is resumed at another server, if the retry budget allows it; else it goes on.
-    std::chrono::milliseconds streamSilenceLimit{1500};
+    // A sound server may be silent for a second or somewhat more, and would then work on besides the other one.
+    std::chrono::milliseconds streamSilenceLimit{2000};
     // How long a server whose connection was lost has for accepting or refusing another one, which tells whether it has crashed.
     std::chrono::milliseconds crashCheckTimeout{100};
     std::chrono::milliseconds streamOverrun{250}; // a stream whose events go on beyond its deadline is ended this long after it
-    // Shortest timeout for the head of a server's reply to a repeatable request; after the timeout the request is sent to another server, if
+    // Shortest timeout for the head of a server's reply to a repeatable request that isn't a stream (for streams: streamSilenceLimit); after the timeout the request is sent to another server, if
     // the retry budget allows it. The last attempt waits until the deadline.
     std::chrono::milliseconds minFirstReplyTimeout{500};
     // The same timeout as a multiple of RouteSpec::targetLatency; the longer of this and minFirstReplyTimeout applies.
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -375,7 +375,8 @@
         return m_deadline;
     }
     const auto targetTimeout = std::chrono::duration_cast<Duration>(m_route->targetLatency * m_settings.firstReplyTargetFactor);
-    return std::min(m_deadline, m_dependencies.clock.now() + std::max<Duration>(m_settings.minFirstReplyTimeout, targetTimeout));
+    const Duration shortest = streaming() ? m_settings.streamSilenceLimit : m_settings.minFirstReplyTimeout;
+    return std::min(m_deadline, m_dependencies.clock.now() + std::max<Duration>(shortest, targetTimeout));
 }
 
 ForwardRun::AttemptOutcome ForwardRun::attempt()
