Reports of crashes fit into the store's keys whatever the servers' ids

A report for a server whose id is nearly as long as the store's keys may be was refused for ever, and the reports behind it waited (by reading, while looking for foreign bytes; the key had 248 bytes for an id of 200). A longer id is replaced by its hash.

--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -262,8 +262,8 @@
     // How long a server whose connection was lost has for accepting or refusing another one, which tells whether it has crashed.
     std::chrono::milliseconds crashCheckTimeout{100};
     std::chrono::milliseconds streamOverrun{250}; // a stream whose events go on beyond its deadline is ended this long after it
-    // Shortest timeout for the head of a server's reply to a repeatable request that isn't a stream (for streams: streamSilenceLimit); after the timeout the request is sent to another server, if
-    // the retry budget allows it. The last attempt waits until the deadline.
+    // Shortest timeout for the head of a server's reply to a repeatable request that isn't a stream (for streams: streamSilenceLimit); after the
+    // timeout the request is sent to another server, if the retry budget allows it. The last attempt waits until the deadline.
     std::chrono::milliseconds minFirstReplyTimeout{500};
     // The same timeout as a multiple of RouteSpec::targetLatency; the longer of this and minFirstReplyTimeout applies.
     double firstReplyTargetFactor = 1.2;
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -13,6 +13,12 @@
 constexpr Duration LoadReportMaxAge = std::chrono::seconds(1); // older load reports are ignored
 } // namespace
 
+std::string InstanceSpec::process() const
+{
+    constexpr std::size_t MaxNamedId = 150; // bytes; the rest is the sign and the digits of the start
+    return (id.size() > MaxNamedId ? std::to_string(stableHash(id)) : id) + "@" + std::to_string(startedUnixMs);
+}
+
 //-----------------------------------------------------------------------------
 // InstanceList
 //-----------------------------------------------------------------------------
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -39,10 +39,8 @@
     // is ignored, except one with 0 (unknown start).
     std::int64_t startedUnixMs = 0;
 
-    std::string process() const // names this start of the instance
-    {
-        return id + "@" + std::to_string(startedUnixMs);
-    }
+    // Names this start of the instance, in at most 171 bytes, so that it fits into the key of a row: a longer id is replaced by its hash.
+    std::string process() const;
 };
 
 // Load of an instance, as the instance states it in a reply.
--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -446,6 +446,27 @@
     CHECK(table.empty());
 }
 
+// Guards against reports that the store refuses for ever, and with them all that wait behind them: keys of rows have at most 200 bytes, and so do the ids of
+// servers.
+TEST(Crashes, AReportsKeyFitsWhateverTheServersId)
+{
+    constexpr std::size_t MaxKey = 200;
+    InstanceSpec first;
+    first.id = std::string(MaxKey, 'i');
+    first.startedUnixMs = std::numeric_limits<std::int64_t>::max();
+    InstanceSpec second = first;
+    second.id.back() = 'j';
+    const std::string whole = number(std::numeric_limits<std::uint64_t>::max());
+    for (const InstanceSpec &instance : {first, second}) {
+        const CrashRow row{CrashRow::Kind::Report, {instance.process(), {{}, whole}}, {}, 0, 1, false};
+        CHECK(encodeCrashRow(row).key.size() <= MaxKey);
+    }
+    CHECK(first.process() != second.process());
+    first.id = "i-1";
+    first.startedUnixMs = 5;
+    STRCMP_EQUAL("i-1@5", first.process().c_str());
+}
+
 // Guards against rows that are read differently from how they were written, and against rows of another writer.
 TEST(Crashes, RowsAreReadAsTheyWereWritten)
 {
