--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -115,6 +115,7 @@
     const RouteSpec *m_route = nullptr;
     std::string m_service;
     std::string m_account;
+    std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
     int m_priority = 0;
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
     TimePoint m_target{}; // by when the answer should be sent, to be within the route's target latency
@@ -136,7 +137,6 @@
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
     bool m_isProbe = false; // see CrashGuard::Admission
-    std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
     ErrorCode m_lastError = ErrorCode::NoFitServer;
     std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
     bool m_streamStarted = false; // the caller has got the head of a stream
