Servers in an evacuated data centre get no new work

Operators saw that a row evacuate/DATACENTRE in the store's table `op` had no effect: requests and pieces went on to the data centre's servers, and with all data centres evacuated a request with stages waited for its deadline.

Cause: DeploymentListener read the configuration's row only, and InstanceTable knew drains of single servers only.

InstanceTable::usableLocked is the one place that decides: attempts, retries, resumed streams, preview(), limits and stage calls (usableInstances(), also for tasks of other nodes) all go through it. Instances of evacuated data centres hold no part of the plan of limit holders.

Ruled out: a check at each sender (retries and owners would each need their own); dropping the entries from the table (results stored there are still found by address). An evacuation of a data centre in which nothing is registered doesn't make noneLeft() true, so that missing stage instances are waited for as before.

Gauge: vanillanotch_data_centres_evacuated.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,18 +11,24 @@
 {
 
 // Receives the rows of the table, in the platform's store, in which the operator keeps the configuration. Decodes the row that holds the
-// configuration document and puts the result in force in the DeploymentTable.
+// configuration document and puts the result in force in the DeploymentTable. Other rows of the table state evacuated data centres; they are passed
+// on to the InstanceTable, before the configuration that was read with them comes into force.
 class DeploymentListener final : public TableListener
 {
 public:
-    DeploymentListener(DeploymentTable &table, MetricsRegistry &metrics);
+    DeploymentListener(DeploymentTable &table, InstanceTable &instances, MetricsRegistry &metrics);
     void snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
     void changes(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor) override;
     // `listener` is called whenever a new version of the configuration has come into force. Set it once, before the first rows come.
     void setInstalledListener(std::function<void()> listener);
 
 private:
+    void applyEvacuations(std::set<std::string> before, const StoredRows &rows);
+    void applyConfiguration(const StoredRows &rows, TimePoint asOf);
+
     DeploymentTable &m_table;
+    InstanceTable &m_instances;
+    std::set<std::string> m_evacuated; // data centres
     Counter &m_invalid; // documents that can't be decoded
     bool m_seen = false; // true: the latest whole read of the table, or a change after it, had a configuration document, valid or not
     std::function<void()> m_listener;
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -15,8 +15,9 @@
 // DeploymentListener
 //-----------------------------------------------------------------------------
 
-DeploymentListener::DeploymentListener(DeploymentTable &table, MetricsRegistry &metrics)
+DeploymentListener::DeploymentListener(DeploymentTable &table, InstanceTable &instances, MetricsRegistry &metrics)
     : m_table(table)
+    , m_instances(instances)
     , m_invalid(metrics.counter("vanillanotch_documents_invalid_total", "table=\"configuration\""))
 {
 }
@@ -26,13 +27,35 @@
     m_listener = std::move(listener);
 }
 
-void DeploymentListener::snapshot(const StoredRows &rows, TimePoint asOf, Duration storeWorksFor)
+void DeploymentListener::snapshot(const StoredRows &rows, TimePoint asOf, Duration /*storeWorksFor*/)
 {
     m_seen = false;
-    changes(rows, asOf, storeWorksFor);
+    applyEvacuations({}, rows);
+    applyConfiguration(rows, asOf);
 }
 
 void DeploymentListener::changes(const StoredRows &rows, TimePoint asOf, Duration /*storeWorksFor*/)
+{
+    applyEvacuations(m_evacuated, rows);
+    applyConfiguration(rows, asOf);
+}
+
+// `before`: the data centres that were evacuated before these rows.
+void DeploymentListener::applyEvacuations(std::set<std::string> before, const StoredRows &rows)
+{
+    m_evacuated = std::move(before);
+    for (const StoredRow &row : rows.rows) {
+        const auto dataCentre = platform::evacuatedDataCentre(row.key);
+        if (dataCentre && row.removed) {
+            m_evacuated.erase(*dataCentre);
+        } else if (dataCentre) {
+            m_evacuated.insert(*dataCentre);
+        }
+    }
+    m_instances.setEvacuated(m_evacuated);
+}
+
+void DeploymentListener::applyConfiguration(const StoredRows &rows, TimePoint asOf)
 {
     for (const StoredRow &row : rows.rows) {
         if (row.key != platform::ConfigurationKey || row.removed) {
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -130,7 +130,7 @@
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
                                     m_crashGuard, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
                 ForwardSettings{})
-    , m_deploymentListener(m_deployments, m_metrics)
+    , m_deploymentListener(m_deployments, m_instances, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(
           m_members,
@@ -175,6 +175,9 @@
     m_metrics.gauge("vanillanotch_instances_limited", [this] {
         return static_cast<double>(m_instances.limitedCount());
     });
+    m_metrics.gauge("vanillanotch_data_centres_evacuated", [this] {
+        return static_cast<double>(m_instances.evacuatedCount());
+    });
     m_metrics.gauge("vanillanotch_pieces_waiting", [this] {
         return static_cast<double>(m_scheduler.waitingPieces());
     });
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -131,7 +131,8 @@
     const auto timeSpent = m_request.timeLeft ? m_dependencies.statedDeadlines.estimateSpent(m_route->name, *m_request.timeLeft) : std::chrono::milliseconds(0);
     m_target = arrived + m_route->targetLatency - timeSpent;
     chooseService();
-    return checkCrashes();
+    const auto placed = checkPlaces();
+    return placed ? checkCrashes() : placed;
 }
 
 ForwardRun::StepResult ForwardRun::authenticate()
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -49,6 +49,7 @@
     StepResult authenticate();
     bool fitsIntoStop(const RouteTimes &times);
     void chooseService();
+    StepResult checkPlaces() const; // NoFitServer: no server is left to the request or to one of its stages
     Result<void> checkCrashes();
     RequestTraits partTraits() const; // without the whole request, whose hash takes time
     RequestTraits allTraits() const;
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -28,6 +28,9 @@
     case ErrorCode::SuspectRefused:
         retryAfter = m_settings.suspectRetryAfter;
         break;
+    case ErrorCode::NoFitServer:
+        retryAfter = m_settings.unplacedRetryAfter;
+        break;
     default:
         break;
     }
@@ -64,8 +67,9 @@
     }
     const bool timedOut = code == ErrorCode::DeadlineExceeded || code == ErrorCode::ServerTimeout;
     m_outcome.status = !m_mayHaveRun ? 503 : timedOut ? 504 : 502;
-    const auto retryPause = code == ErrorCode::Overloaded ? m_settings.overloadedRetryAfter
-        : code == ErrorCode::SuspectRefused               ? m_settings.suspectRetryAfter
+    const auto retryPause = code == ErrorCode::Overloaded  ? m_settings.overloadedRetryAfter
+        : code == ErrorCode::SuspectRefused                ? m_settings.suspectRetryAfter
+        : code == ErrorCode::NoFitServer && !checkPlaces() ? m_settings.unplacedRetryAfter
         : code == ErrorCode::ServersLimited ? std::max(m_settings.retryAfter, toMilliseconds(m_dependencies.instances.limitedForNext(m_service, m_priority)))
                                             : m_settings.retryAfter;
     const auto retryAfter = m_mayHaveRun ? std::nullopt : std::optional(retryPause);
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -185,7 +185,7 @@
 
 bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
 {
-    return !entry.spec.draining && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
+    return !entry.spec.draining && !m_evacuations.includes(entry.spec.dataCentre) && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
 }
 
 void InstanceTable::Entry::removeUnanswered(TimePoint begun)
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -4,11 +4,13 @@
 // Index of sections:
 //   [SPECS]   InstanceSpec, InstanceView
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
+//   [PLACES]  Evacuations: data centres whose instances get nothing new
 //   [LIMITS]  RequestLimiter: requests to an instance that has stated a limit; planLimitHolders(): which nodes may send them; RequestRate
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
 // Rules this aggregate enforces:
 //   - a draining or removed instance gets no new work;
+//   - an instance in an evacuated data centre gets no new work, whichever way that comes;
 //   - an instance that can't be reached is avoided for a while, unless that would exclude more than half of its service's instances;
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
 //   - an instance that states a limit gets no more requests than that from all nodes together, and what it may not get does not go to
@@ -95,6 +97,32 @@
 // Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
 std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
 
+//-----------------------------------------------------------------------------
+// [PLACES]
+//-----------------------------------------------------------------------------
+
+// The evacuated data centres. Not thread-safe.
+class Evacuations
+{
+public:
+    struct Change {
+        std::vector<std::string> evacuated;
+        std::vector<std::string> restored;
+        bool empty() const
+        {
+            return evacuated.empty() && restored.empty();
+        }
+    };
+    Change replace(std::set<std::string> dataCentres); // returns how the set differs from the former one
+    bool includes(const std::string &dataCentre) const
+    {
+        return m_dataCentres.count(dataCentre) > 0;
+    }
+
+private:
+    std::set<std::string> m_dataCentres;
+};
+
 //-----------------------------------------------------------------------------
 // [LIMITS]
 //-----------------------------------------------------------------------------
@@ -286,6 +314,12 @@
     // grace counts from then, since the instance may have left as long ago as that. The change listener isn't called.
     void remove(const std::string &id, Duration registryWorksFor = Duration::max(), Duration seenAgo = Duration::max());
 
+    // Replaces the set of evacuated data centres. One without registered instances may be among them, and counts once instances register there.
+    void setEvacuated(std::set<std::string> dataCentres);
+    std::size_t evacuatedCount() const; // evacuated data centres with registered instances
+    // The service has no usable instance, and an evacuation is in force. Its requests are refused at once, since waiting for an instance is of no use.
+    bool noneLeft(const std::string &service) const;
+
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
     // Records what an instance has said of itself in the head of a reply. An unknown id is ignored.
@@ -307,8 +341,8 @@
     // What acquire() would choose; takes no slot. nullopt: the service has no usable instance.
     std::optional<InstanceSpec> preview(const ChoiceInput &input, ChoicePolicy &policy) const;
     InstanceListRef usableInstances(const std::string &service) const; // the same object until the table changes
-    bool usable(const std::string &id)
-        const; // neither draining nor leaving by its own statement, and either registered or, after its entry expired, still kept for missingEntryGrace
+    bool usable(const std::string &id) const; // neither draining, leaving by its own statement nor in an evacuated data centre, and either registered or, after
+                                              // its entry expired, still kept for missingEntryGrace
     bool recentlyUnreachable(const std::string &id) const;
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
     void report(const std::string &id, InstanceCallOutcome outcome, Duration time);
@@ -365,6 +399,7 @@
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
+    std::set<std::string> evacuatedLocked() const; // evacuated data centres with registered instances
     void upsertLocked(const InstanceSpec &spec);
     void removeLocked(const std::string &id, Duration registryWorksFor, Duration seenAgo, TimePoint now);
     void removeExpiredLocked(TimePoint now);
@@ -377,6 +412,7 @@
     const InstanceSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::Instances};
     std::map<std::string, Entry> m_entries;
+    Evacuations m_evacuations;
     struct CachedList {
         InstanceListRef list;
         TimePoint validUntil{}; // when the next of its instances isn't usable any more
--- a/src/instances/statements.cpp
+++ b/src/instances/statements.cpp
@@ -56,7 +56,7 @@
     if (plan == m_limitHolders.end()) {
         std::vector<InstanceSpec> instances;
         for (const auto &[id, entry] : m_entries) {
-            if (entry.spec.service == spec.service && !entry.spec.draining) {
+            if (entry.spec.service == spec.service && !entry.spec.draining && !m_evacuations.includes(entry.spec.dataCentre)) {
                 instances.push_back(entry.spec);
             }
         }
--- /dev/null
+++ b/tests/unit/evacuation_test.cpp
@@ -0,0 +1,159 @@
+// Evacuated data centres: rows of the operator's table as they arrive, and which instances may then get work. Hand-driven clock; no network.
+#include "entry/entry.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillanotch;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace
+{
+const std::string Service = "s";
+const std::string Configuration = R"({"Version":1,"Routes":[],"Services":[]})";
+
+StoredRows rowsOf(const std::vector<std::string> &keys, bool removed = false)
+{
+    StoredRows rows;
+    for (const std::string &key : keys) {
+        rows.rows.push_back(StoredRow{key, key == "config" ? Configuration : "{}", 1, removed});
+    }
+    return rows;
+}
+} // namespace
+
+// Data centres dc1, dc2 and dc3 with two instances each.
+TEST_GROUP(Evacuations)
+{
+    ManualClock clock;
+    MetricsRegistry metrics;
+    DeploymentTable deployments{FreshnessSettings{}};
+    InstanceTable instances{clock, InstanceSettings{}};
+    DeploymentListener listener{deployments, instances, metrics};
+    std::unique_ptr<ChoicePolicy> choice = makeShortestTimeChoice();
+
+    void setup() override
+    {
+        for (int i = 0; i < 6; ++i) {
+            const std::string number = std::to_string(i);
+            instances.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+        }
+    }
+    void snapshot(const std::vector<std::string> &keys)
+    {
+        listener.snapshot(rowsOf(keys), suspendAwareNow(), Duration::max());
+    }
+    void change(const std::string &key, bool removed = false)
+    {
+        listener.changes(rowsOf({key}, removed), suspendAwareNow(), Duration::max());
+    }
+    // The data centres that get work, over all ways by which it is sent: attempts (also repeated ones and those of resumed streams), the choice in
+    // advance, and stage calls.
+    std::string served()
+    {
+        std::set<std::string> attempts;
+        std::set<std::string> previews;
+        for (std::uint64_t prompt = 0; prompt < 200; ++prompt) {
+            ChoiceInput input;
+            input.service = Service;
+            input.affinity = prompt;
+            input.acceptsSlow = prompt % 2 == 0;
+            input.avoid = prompt % 3 == 0 ? std::set<std::string>{"i0", "i1"} : std::set<std::string>{};
+            if (const auto lease = instances.acquire(input, *choice)) {
+                attempts.insert(lease->instance().dataCentre);
+            }
+            if (const auto preview = instances.preview(input, *choice)) {
+                previews.insert(preview->dataCentre);
+            }
+        }
+        const auto list = instances.usableInstances(Service)->dataCentres;
+        CHECK(attempts == previews);
+        CHECK(attempts == std::set<std::string>(list.begin(), list.end()));
+        std::string text;
+        for (const std::string &dataCentre : attempts) {
+            text += dataCentre + " ";
+        }
+        return text;
+    }
+};
+
+// Guards against work for an evacuated data centre on any way, and against one that stays evacuated when the row is gone.
+TEST(Evacuations, AnEvacuatedDataCentreGetsNoWorkUntilItIsTakenBack)
+{
+    snapshot({"config"});
+    STRCMP_EQUAL("dc1 dc2 dc3 ", served().c_str());
+    change("evacuate/dc2");
+    STRCMP_EQUAL("dc1 dc3 ", served().c_str());
+    CHECK_FALSE(instances.usable("i1"));
+    LONGS_EQUAL(1, static_cast<long>(instances.evacuatedCount()));
+    // An instance that registers anew while its data centre is evacuated gets nothing either.
+    instances.upsert(InstanceSpec{"i1", Service, "10.0.0.1:91", "dc2", 8, false, 2});
+    STRCMP_EQUAL("dc1 dc3 ", served().c_str());
+    CHECK(instances.findByAddress("10.0.0.1:91").has_value()); // results stored there can still be read
+    change("evacuate/dc2", true);
+    clock.advance(minutes(1));
+    STRCMP_EQUAL("dc1 dc2 dc3 ", served().c_str());
+    LONGS_EQUAL(0, static_cast<long>(instances.evacuatedCount()));
+}
+
+// Guards against an evacuation that ends the one before it, and against rows of the table that were missed and stay in force.
+TEST(Evacuations, TwoDataCentresInTurnAndASnapshotThatReplacesTheSet)
+{
+    snapshot({"evacuate/dc1", "config"});
+    change("evacuate/dc3");
+    STRCMP_EQUAL("dc2 ", served().c_str());
+    change("evacuate/dc1", true);
+    clock.advance(minutes(1));
+    STRCMP_EQUAL("dc1 dc2 ", served().c_str());
+    snapshot({"config", "evacuate/dc2"}); // the removal of dc3's row was missed
+    clock.advance(minutes(1));
+    STRCMP_EQUAL("dc1 dc3 ", served().c_str());
+}
+
+// Guards against a node that forgets the evacuation while it has no contact with the store.
+TEST(Evacuations, TheLastKnownSetHoldsWhileTheStoreIsSilent)
+{
+    snapshot({"config", "evacuate/dc1"});
+    clock.advance(minutes(30));
+    STRCMP_EQUAL("dc2 dc3 ", served().c_str());
+    listener.changes(StoredRows{}, suspendAwareNow(), seconds(0)); // the store is back, and nothing has changed
+    STRCMP_EQUAL("dc2 dc3 ", served().c_str());
+}
+
+// Guards against a node that takes requests with a configuration of this snapshot before the evacuations of the same snapshot are in force.
+TEST(Evacuations, ASnapshotsEvacuationsTakeEffectBeforeItsConfiguration)
+{
+    std::size_t evacuatedAtInstall = 0;
+    listener.setInstalledListener([&] {
+        evacuatedAtInstall = instances.evacuatedCount();
+    });
+    snapshot({"config", "evacuate/dc1"});
+    LONGS_EQUAL(1, static_cast<long>(evacuatedAtInstall));
+}
+
+// Guards against an operator's slip that takes servers away, and against names that count as a data centre.
+TEST(Evacuations, AnUnknownDataCentreHasNoEffect)
+{
+    snapshot({"config", "evacuate/dc9", "evacuate/", "evacuatedc1", "evacuate"});
+    STRCMP_EQUAL("dc1 dc2 dc3 ", served().c_str());
+    LONGS_EQUAL(0, static_cast<long>(instances.evacuatedCount()));
+    instances.synchronise({});
+    CHECK_FALSE(instances.noneLeft(Service));
+}
+
+// Guards against requests that wait for their deadline although no server may get them.
+TEST(Evacuations, WhenAllAreEvacuatedNoneIsLeft)
+{
+    snapshot({"config", "evacuate/dc1", "evacuate/dc2"});
+    CHECK_FALSE(instances.noneLeft(Service));
+    change("evacuate/dc3");
+    STRCMP_EQUAL("", served().c_str());
+    CHECK(instances.noneLeft(Service));
+    CHECK(instances.limitedFor(Service) == Duration::zero());
+    ChoiceInput input;
+    input.service = Service;
+    CHECK(instances.acquire(input, *choice).error().code == ErrorCode::NoFitServer);
+    change("evacuate/dc1", true);
+    CHECK_FALSE(instances.noneLeft(Service));
+}
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -631,6 +631,22 @@
     }
 }
 
+// Guards against requests that wait for their deadline, or whose stages run in vain, while all data centres are evacuated.
+TEST(Forwarding, WithoutAServerOutsideEvacuatedDataCentresARequestIsRefusedAtOnce)
+{
+    instances->synchronise({InstanceSpec{"i1", "staged", first->address(), "dc1", 64, false, 1}, InstanceSpec{"i2", "stage", "127.0.0.1:1", "dc1", 1, false, 1},
+                            InstanceSpec{"i3", "again", first->address(), "dc1", 64, false, 1}});
+    instances->setEvacuated({"dc1"});
+    for (const char *route : {"staged", "again"}) {
+        const CallerAnswer answer = Caller(front->address()).call("POST", route, "a1");
+        LONGS_EQUAL(503, answer.status);
+        STRCMP_EQUAL(describeRefusal(ErrorCode::NoFitServer).c_str(), answer.body.c_str());
+        CHECK(answer.took < RouteTimeout);
+    }
+    LONGS_EQUAL(0, stages.submitted);
+    LONGS_EQUAL(0, first->requests);
+}
+
 // A planned stop under load: requests that still wait for their stages when the stop ends are refused, as not run, and those that are
 // admitted during the stop end before it does. None is cut off without an answer.
 TEST(Forwarding, APlannedStopAnswersTheRequestsThatWait)
