Pieces queued for a group without instances move to one that has some

Callers got 504 or 503 at their deadline for requests whose pieces were queued when a data centre's instances disappeared, by an evacuation or because all of them had gone.

Cause: StageScheduler queues pieces by service, and by index and count of the instance group. With fewer data centres than the count, the highest indexes belong to no data centre, and a queue with such an index was planned for no instance.

Before each plan of a queue, regroupLocked() moves pieces whose group holds no instances to the group of their preferred data centre, else to one chosen by the request's id.

Ruled out: sending the pieces back to the nodes that they came from, which would take this owner for unavailable and send it nothing for 2 s. The pieces that move may meet the calls of another owner at the same instances; those answer "busy", which isn't charged.

--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -288,7 +288,7 @@
         return;
     }
     if (code == ErrorCode::InputsGone || code == ErrorCode::DeadlineExceeded || code == ErrorCode::Overloaded || code == ErrorCode::ServerRejected
-        || code == ErrorCode::SuspectRefused) {
+        || code == ErrorCode::SuspectRefused || code == ErrorCode::NoFitServer) {
         run->fail(code); // the owner answered that the task failed, so no other owner is tried
         return;
     }
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -196,24 +196,6 @@
     return runs;
 }
 
-void StageScheduler::removeBlockedLocked(TaskQueue &queue)
-{
-    if (m_dependencies.crashGuard.idle()) {
-        return;
-    }
-    const auto blocked = [this](const PendingPieces &pending) {
-        const StageTask &task = pending.run->task();
-        return !task.isProbe && !task.crashTrait.empty() && m_dependencies.crashGuard.blocks(RequestTraits{{}, task.crashTrait});
-    };
-    const auto first = std::stable_partition(queue.entries.begin(), queue.entries.end(), [&blocked](const PendingPieces &pending) {
-        return !blocked(pending);
-    });
-    for (auto it = first; it != queue.entries.end(); ++it) {
-        failRun(it->run, ErrorCode::SuspectRefused);
-    }
-    queue.entries.erase(first, queue.entries.end());
-}
-
 std::vector<StageScheduler::Dispatch> StageScheduler::planLocked(const QueueKey &key, TaskQueue &queue, const StageCapacity &capacity)
 {
     const TimePoint now = m_dependencies.clock.now();
@@ -289,10 +271,12 @@
         return; // the current deployment doesn't have the service; the service's runs end at their deadlines
     }
     std::vector<Dispatch> dispatches;
+    std::set<QueueKey> regrouped;
     bool recheck = false;
     {
         const Lock lock(m_mutex);
         TaskQueue &queue = m_queues[key];
+        regrouped = regroupLocked(key, queue);
         dispatches = planLocked(key, queue, *capacity);
         recheck = !queue.entries.empty() && !queue.recheckScheduled;
         queue.recheckScheduled = queue.recheckScheduled || recheck;
@@ -302,6 +286,9 @@
             runBatch(key, dispatched);
         });
     }
+    for (const QueueKey &other : regrouped) {
+        dispatch(other);
+    }
     if (recheck) {
         m_dependencies.timers.after(m_settings.recheckInterval, [this, key] {
             {
@@ -462,38 +449,4 @@
     return true;
 }
 
-// Puts the pieces of a call back into the queue, to be sent again. `charged`: the call counts as an attempt of each piece, and its
-// repetition as one call of the retry budget. It is false when the pieces were not sent, or when the instance had no storage for the result
-// of at least one piece of the call. If a charged call finds the retry budget used up, the runs of all its pieces fail instead. If a piece
-// of a charged call has reached maxAttempts, the run of that piece fails.
-void StageScheduler::requeue(const QueueKey &key, const std::vector<BatchPick> &picks, bool charged)
-{
-    if (picks.empty()) {
-        return;
-    }
-    if (charged && !m_dependencies.retryBudget.tryTake(std::get<0>(key))) {
-        for (const BatchPick &pick : picks) {
-            failRun(pick.run, ErrorCode::Overloaded);
-        }
-        return;
-    }
-    std::map<StageRun *, PendingPieces> requeued;
-    for (const BatchPick &pick : picks) {
-        if (charged && pick.run->countAttempt(pick.piece) >= m_settings.batches.maxAttempts) {
-            failRun(pick.run, ErrorCode::ServerRejected);
-            continue;
-        }
-        PendingPieces &pending = requeued[pick.run.get()];
-        pending.run = pick.run;
-        pending.pieces.push_back(pick.piece);
-        // The piece counts as having waited for slowInstanceWait already, so that it takes the next free instance, also a slow or distant one.
-        pending.waitingSince = m_dependencies.clock.now() - m_settings.batches.slowInstanceWait;
-    }
-    const TimePoint now = m_dependencies.clock.now();
-    const Lock lock(m_mutex);
-    for (auto &[run, pending] : requeued) {
-        m_queues[key].add(std::move(pending), now);
-    }
-}
-
 } // namespace vanillanotch
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -128,6 +128,10 @@
 // `dataCentres` that sort before its own.
 std::size_t instanceGroupOf(const std::vector<std::string> &dataCentres, const std::string &dataCentre, std::size_t groups);
 
+// The group that a task in `group` is to wait in: its own while that holds instances, else the one of the task's preferred data centre, else any.
+// `dataCentres`: as above. nullopt: no group holds instances.
+std::optional<std::size_t> groupWithInstances(const StageTask &task, const InstanceGroup &group, const std::vector<std::string> &dataCentres);
+
 class StageExecutor
 {
 public:
@@ -498,6 +502,9 @@
     void expireResultsLocked(InstanceState &state, TimePoint now);
     static QueueKey keyOf(const StageTask &task);
     std::vector<Ref<StageRun>> shedLocked(TaskQueue &queue, const StageCapacity &capacity, std::size_t instanceCount, TimePoint now);
+    // Moves the pieces whose group holds no instances any more to one that does; returns the queues that they are in now. Where evacuations leave
+    // the service no instance at all, their runs fail.
+    std::set<QueueKey> regroupLocked(const QueueKey &key, TaskQueue &queue);
     void removeBlockedLocked(TaskQueue &queue); // fails the runs of requests that seem to crash instances
     bool recordCrash(const Dispatch &dispatch, const Ref<StageRun> &run); // false: the run has failed, so its pieces aren't sent again
     void failRun(const Ref<StageRun> &run, ErrorCode code); // also releases the results of the run's completed pieces
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -1,9 +1,11 @@
 // Evacuated data centres: rows of the operator's table as they arrive, and which instances may then get work. Hand-driven clock; no network.
 #include "entry/entry.h"
+#include "local_ledger.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace vanillanotch;
+using namespace vanillanotch::test;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
@@ -157,3 +159,148 @@
     change("evacuate/dc1", true);
     CHECK_FALSE(instances.noneLeft(Service));
 }
+
+//-----------------------------------------------------------------------------
+// Pieces that wait when the instances of their group disappear
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr Duration EndLimit = seconds(5); // real time for what the scheduler's threads do at once
+
+class EchoChannel final : public StageChannel
+{
+public:
+    tl::expected<BatchReply, StageCallFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint /*now*/,
+                                                   TimePoint /*until*/) override
+    {
+        return BatchReply{std::vector<PieceOutcome>(pieces.size(), PieceOutcome{instance.address + "/" + instance.dataCentre, PieceError::None}), {}, {}};
+    }
+    Result<void> release(const std::string & /*address*/, const std::vector<std::string> & /*handles*/, TimePoint /*until*/) override
+    {
+        return {};
+    }
+};
+
+class OpenBudget final : public RetryBudget
+{
+public:
+    void recordFirstCall(const std::string & /*service*/) override
+    {
+    }
+    bool tryTake(const std::string & /*service*/) override
+    {
+        return true;
+    }
+};
+} // namespace
+
+// Data centres dc0 to dc3 with one instance each, in four groups. The clock stands still; the pieces' deadline never comes.
+TEST_GROUP(QueuedPieces)
+{
+    ManualClock clock;
+    DeploymentTable deployments{FreshnessSettings{}};
+    InstanceTable instances{clock, InstanceSettings{}};
+    EchoChannel channel;
+    OpenBudget budget;
+    CrashTable crashes{clock};
+    LocalLedger ledger;
+    CrashGuard crashGuard{crashes, ledger};
+    GrowingPool pool{8};
+    WorkerPool background{1};
+    TimerQueue timers{background};
+    MetricsRegistry metrics;
+    ResultReleaser releaser{channel, timers, pool};
+    StageScheduler scheduler{StageDependencies{clock, deployments, instances, channel, budget, crashGuard, releaser, pool, timers, metrics}};
+    Ref<WakeupSignal> progress = makeRef<WakeupSignal>();
+
+    void setup() override
+    {
+        ServiceSpec service;
+        service.name = Service;
+        service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 0, seconds(4)};
+        (void)deployments.install(
+            makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
+        instances.setChangeListener([this] {
+            scheduler.instancesChanged();
+        });
+        for (int i = 0; i < 4; ++i) {
+            const std::string number = std::to_string(i);
+            instances.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + number, 1, false, 1});
+        }
+    }
+    void teardown() override
+    {
+        timers.stop();
+        pool.stop();
+    }
+    // A task in the group of data centre `index`, whose instance wants nothing for a while, so that the pieces wait.
+    Ref<StageRun> queued(std::size_t index)
+    {
+        InstanceStatement statement;
+        statement.pause = minutes(5);
+        instances.recordStatement("i" + std::to_string(index), statement);
+        StageTask task;
+        task.request = "r";
+        task.service = Service;
+        task.pieces = 6;
+        task.pieceKey = "key";
+        task.group = InstanceGroup{index, 4};
+        task.dataCentre = "dc" + std::to_string(index);
+        task.target = clock.now() + minutes(10);
+        task.deadline = clock.now() + minutes(10);
+        const auto run = makeRef<StageRun>(task, progress);
+        scheduler.submit(run);
+        LONGS_EQUAL(6, static_cast<long>(scheduler.waitingPieces()));
+        return run;
+    }
+    bool ends(const Ref<StageRun> &run)
+    {
+        NeverCancelled neverCancelled;
+        const TimePoint until = std::chrono::steady_clock::now() + EndLimit;
+        while (!run->outcome() && awaitSignal(*progress, neverCancelled, until)) { }
+        return run->outcome().has_value();
+    }
+};
+
+// Guards against pieces that wait until their deadline in a group whose data centre was evacuated: also in the last group, whose index no data centre
+// has any more.
+TEST(QueuedPieces, MoveToAnotherGroupWhenTheirDataCentreIsEvacuated)
+{
+    const auto run = queued(3);
+    instances.setEvacuated({"dc3"});
+    CHECK(ends(run));
+    CHECK(run->outcome()->has_value());
+    LONGS_EQUAL(0, static_cast<long>(scheduler.waitingPieces()));
+}
+
+// Guards against the same when the data centre has lost all its servers without an evacuation, and no listener is told.
+TEST(QueuedPieces, MoveToAnotherGroupWhenTheirDataCentreLosesItsServers)
+{
+    const auto run = queued(3);
+    instances.remove("i3");
+    CHECK(ends(run));
+    CHECK(run->outcome()->has_value());
+}
+
+// Guards against pieces that end up in a group without instances when two data centres disappear one after the other.
+TEST(QueuedPieces, TwoDataCentresInTurn)
+{
+    InstanceStatement pause;
+    pause.pause = minutes(5);
+    instances.recordStatement("i2", pause);
+    const auto run = queued(3);
+    instances.setEvacuated({"dc3"});
+    instances.setEvacuated({"dc2", "dc3"});
+    CHECK(ends(run));
+    CHECK(run->outcome()->has_value());
+}
+
+// Guards against pieces that wait until their deadline although no instance may get them.
+TEST(QueuedPieces, FailAtOnceWhenAllDataCentresAreEvacuated)
+{
+    const auto run = queued(1);
+    instances.setEvacuated({"dc0", "dc1", "dc2", "dc3"});
+    CHECK(ends(run));
+    CHECK(run->outcome()->error().code == ErrorCode::NoFitServer);
+}
