A data centre gets its load back over 5 s when its evacuation is lifted

Operators would see all nodes turn to the data centre's servers in the same moment, because these look idle, and all prompts whose preferred engine is there return at once to caches that may be cold.

Cause: instances that become usable again were views like all others from that moment on.

While a data centre is restored (setting restore_ms, 5,000, 0: at once), InstanceTable leaves its instances out of the choice for a part of the requests. Without a prompt the part grows with the square of the time: the servers look idle and get most of the requests that may go there. The requests of one prompt return together, each prompt within another third of the time, so that the prefix is read again once and a popular one doesn't move in a step. Stage calls begin with small batches. All of it is relative to the data centre that has got the most back, so nothing is refused for lack of others.

Ruled out: a part by a random draw for every request also with a prompt (each prompt would be read in two caches for the whole time); a limit by requests a second (the rate of cold servers is a rule of its own).

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -71,6 +71,7 @@
     InstanceSettings instances;
     instances.node = settings.node;
     instances.dataCentre = settings.dataCentre;
+    instances.restoreDuration = settings.restoreDuration;
     return instances;
 }
 
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -84,6 +84,7 @@
 InstanceTable::InstanceTable(const Clock &clock, InstanceSettings settings)
     : m_clock(clock)
     , m_settings(std::move(settings))
+    , m_evacuations(m_settings.restoreDuration)
 {
 }
 
@@ -294,6 +295,7 @@
             return !view.recentlyUnreachable;
         });
     }
+    removeNotRestoredLocked(input, all, now);
     return all;
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -101,10 +101,14 @@
 // [PLACES]
 //-----------------------------------------------------------------------------
 
-// The evacuated data centres. Not thread-safe.
+// The evacuated data centres, and those that get their load back after an evacuation. Not thread-safe.
 class Evacuations
 {
 public:
+    explicit Evacuations(Duration restoreDuration)
+        : m_restoreDuration(restoreDuration)
+    {
+    }
     struct Change {
         std::vector<std::string> evacuated;
         std::vector<std::string> restored;
@@ -113,14 +117,23 @@
             return evacuated.empty() && restored.empty();
         }
     };
-    Change replace(std::set<std::string> dataCentres); // returns how the set differs from the former one
+    Change replace(std::set<std::string> dataCentres, TimePoint now); // returns how the set differs from the former one
     bool includes(const std::string &dataCentre) const
     {
         return m_dataCentres.count(dataCentre) > 0;
     }
+    bool restoring(TimePoint now) const; // some data centre is getting its load back
+    // 0 when an evacuation of the data centre has just been lifted, rising to 1 over restoreDuration; 1 for all others.
+    double restoredShare(const std::string &dataCentre, TimePoint now) const;
+    // Part of the requests that may go to a data centre at `share` (0 to 1). The servers there look idle, and get most of the requests that may go there;
+    // so the part rises with the square of the share. Requests with the same `affinity` (0: none) return together, each affinity within another
+    // third of the time.
+    static double returningPart(std::uint64_t affinity, const std::string &dataCentre, double share);
 
 private:
+    const Duration m_restoreDuration;
     std::set<std::string> m_dataCentres;
+    std::map<std::string, TimePoint> m_restoredAt; // by data centre; those whose last evacuation was lifted
 };
 
 //-----------------------------------------------------------------------------
@@ -241,6 +254,7 @@
     // Half-life, without new outcomes, of what an instance's average time has beyond the shortest one of its service. Without it an instance
     // that was slow once would get no request that could show that it isn't any more.
     std::chrono::milliseconds timeHalfLife{4000};
+    std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     // An instance counts as slow when its expected time is longer than both `slowFactor` times the shortest of its service and `minSlowTime`.
     double slowFactor = 3.0;
     std::chrono::milliseconds minSlowTime{500};
@@ -317,6 +331,8 @@
     // Replaces the set of evacuated data centres. One without registered instances may be among them, and counts once instances register there.
     void setEvacuated(std::set<std::string> dataCentres);
     std::size_t evacuatedCount() const; // evacuated data centres with registered instances
+    // How far the instances of a data centre have got their load back after its evacuation, 0 to 1; see Evacuations.
+    double restoredShare(const std::string &dataCentre) const;
     // The service has no usable instance, and an evacuation is in force. Its requests are refused at once, since waiting for an instance is of no use.
     bool noneLeft(const std::string &service) const;
 
@@ -399,6 +415,8 @@
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
+    // Removes the instances of data centres to which this request may not return yet. Some instances remain.
+    void removeNotRestoredLocked(const ChoiceInput &input, std::vector<InstanceView> &views, TimePoint now) const;
     std::set<std::string> evacuatedLocked() const; // evacuated data centres with registered instances
     void upsertLocked(const InstanceSpec &spec);
     void removeLocked(const std::string &id, Duration registryWorksFor, Duration seenAgo, TimePoint now);
--- a/src/stages/regroup.cpp
+++ b/src/stages/regroup.cpp
@@ -2,6 +2,7 @@
 #include "stages/stages.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillanotch
 {
@@ -54,6 +55,20 @@
     return targets;
 }
 
+std::size_t StageScheduler::maxBatchIn(const std::string &dataCentre, const InstanceList &instances, std::size_t maxBatch) const
+{
+    const double share = m_dependencies.instances.restoredShare(dataCentre);
+    if (share >= 1) {
+        return maxBatch;
+    }
+    double largest = share; // as for requests, relative to the data centre that has got the most back
+    for (const std::string &other : instances.dataCentres) {
+        largest = std::max(largest, m_dependencies.instances.restoredShare(other));
+    }
+    const double part = largest > 0 ? share / largest : 1;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(static_cast<double>(maxBatch) * part)));
+}
+
 void StageScheduler::removeBlockedLocked(TaskQueue &queue)
 {
     if (m_dependencies.crashGuard.idle()) {
--- a/src/stages/scheduler.cpp
+++ b/src/stages/scheduler.cpp
@@ -245,7 +245,8 @@
         if (capacity.resultCapacityBytes > 0) {
             view.freeResultBytes = freeResultBytes(state, capacity, now);
         }
-        std::vector<BatchPick> batch = planBatch(queue.entries, view, earliestFree, capacity.maxBatch, now, m_settings.batches);
+        std::vector<BatchPick> batch =
+            planBatch(queue.entries, view, earliestFree, maxBatchIn(instance->dataCentre, *instances, capacity.maxBatch), now, m_settings.batches);
         if (!batch.empty()) {
             ++state.calls;
             m_dependencies.instances.countCall(instance->id);
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -505,6 +505,8 @@
     // Moves the pieces whose group holds no instances any more to one that does; returns the queues that they are in now. Where evacuations leave
     // the service no instance at all, their runs fail.
     std::set<QueueKey> regroupLocked(const QueueKey &key, TaskQueue &queue);
+    // Largest batch for the instances of a data centre: smaller while that gets its load back after an evacuation.
+    std::size_t maxBatchIn(const std::string &dataCentre, const InstanceList &instances, std::size_t maxBatch) const;
     void removeBlockedLocked(TaskQueue &queue); // fails the runs of requests that seem to crash instances
     bool recordCrash(const Dispatch &dispatch, const Ref<StageRun> &run); // false: the run has failed, so its pieces aren't sent again
     void failRun(const Ref<StageRun> &run, ErrorCode code); // also releases the results of the run's completed pieces
--- a/src/wire/entry_yaml.cpp
+++ b/src/wire/entry_yaml.cpp
@@ -41,6 +41,7 @@
     document.read("revocation_bound_ms", settings.revocationBound, milliseconds(100), milliseconds(600000));
     document.read("recovery_bound_ms", settings.recoveryBound, milliseconds(500), milliseconds(600000));
     document.read("drain_bound_ms", settings.drainBound, milliseconds(100), milliseconds(600000));
+    document.read("restore_ms", settings.restoreDuration, milliseconds(0), milliseconds(60000));
     document.read("stop_limit_ms", settings.stopLimit, milliseconds(100), milliseconds(600000));
     document.read("retry_window_ms", settings.retryWindow, milliseconds(100), milliseconds(600000));
     document.read("retry_ratio", settings.retryRatio, 0, 10);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -98,6 +98,7 @@
     std::chrono::milliseconds recoveryBound{3000};
     // Longest time for which a server may get new requests after the store has its notice that it leaves.
     std::chrono::milliseconds drainBound{2000};
+    std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     std::chrono::milliseconds stopLimit{8000}; // time from SIGTERM until the platform kills the process
     // Retry budget: in each window, a service (the instances of one kind of backend server) may get retryRatio times as many repeated calls as first calls,
     // plus retryExtra. Each node counts only its own calls and has an equal part of retryExtra. Since it doesn't know the counts of the other nodes, it uses
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -4,6 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <deque>
+#include <numeric>
+
 using namespace vanillanotch;
 using namespace vanillanotch::test;
 using std::chrono::milliseconds;
@@ -160,6 +163,152 @@
     CHECK_FALSE(instances.noneLeft(Service));
 }
 
+//-----------------------------------------------------------------------------
+// A data centre whose evacuation is lifted
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr milliseconds Step{20}; // of the clock; each node sends one request in a step
+constexpr milliseconds ReplyTime{300};
+constexpr int Bins = 10; // in which requests are counted, over the time in which a data centre gets its load back
+constexpr std::size_t Nodes = 12;
+
+std::size_t sum(const std::vector<std::size_t> &counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), std::size_t{0});
+}
+} // namespace
+
+// Nodes that send requests to three data centres with four instances each, and learn at the same moment that dc2 is taken back.
+TEST_GROUP(Restored)
+{
+    ManualClock clock;
+    InstanceSettings settings;
+    std::vector<std::unique_ptr<InstanceTable>> nodes;
+    std::deque<std::pair<TimePoint, InstanceLease>> running;
+
+    void setup() override
+    {
+        for (std::size_t node = 0; node < Nodes; ++node) {
+            nodes.push_back(std::make_unique<InstanceTable>(clock, settings));
+            for (int i = 0; i < 12; ++i) {
+                const std::string number = std::to_string(i);
+                nodes.back()->upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+            }
+            nodes.back()->setEvacuated({"dc2"});
+        }
+    }
+    void teardown() override
+    {
+        running.clear();
+    }
+    // Requests to dc2 by bin; `affinities`: number of prompts, 0: requests without a prompt.
+    std::vector<std::size_t> send(ChoicePolicy & policy, std::uint64_t affinities, Duration time)
+    {
+        std::vector<std::size_t> counts(Bins, 0);
+        const TimePoint begin = clock.now();
+        std::uint64_t next = 0;
+        for (; clock.now() - begin < time; clock.advance(Step)) {
+            while (!running.empty() && running.front().first <= clock.now()) {
+                running.pop_front();
+            }
+            for (const auto &node : nodes) {
+                ChoiceInput input;
+                input.service = Service;
+                input.affinity = affinities == 0 ? 0 : 1 + next++ % affinities;
+                auto lease = node->acquire(input, policy);
+                CHECK(lease.has_value());
+                counts.at(static_cast<std::size_t>((clock.now() - begin) * Bins / time)) += lease->instance().dataCentre == "dc2" ? 1 : 0;
+                running.emplace_back(clock.now() + ReplyTime, std::move(*lease));
+            }
+        }
+        return counts;
+    }
+    // The load comes back without a step: little at first, and in no tenth of the time much more than in the one before.
+    void checkRise(ChoicePolicy & policy, std::uint64_t affinities)
+    {
+        LONGS_EQUAL(0, static_cast<long>(sum(send(policy, affinities, seconds(1)))));
+        for (const auto &node : nodes) {
+            node->setEvacuated({});
+        }
+        const auto rise = send(policy, affinities, settings.restoreDuration);
+        const auto usual = static_cast<double>(sum(send(policy, affinities, settings.restoreDuration))) / Bins;
+        CHECK(usual > 0);
+        CHECK(static_cast<double>(rise.front()) < 0.15 * usual);
+        CHECK(static_cast<double>(rise.back()) > 0.6 * usual);
+        for (std::size_t bin = 1; bin < rise.size(); ++bin) {
+            CHECK(static_cast<double>(rise[bin]) < static_cast<double>(rise[bin - 1]) + 0.45 * usual);
+        }
+    }
+};
+
+// Guards against a step: the servers look idle to all nodes at the same moment.
+TEST(Restored, RequestsWithoutAPromptComeBackOverTime)
+{
+    const auto policy = makeLeastOutstandingChoice();
+    checkRise(*policy, 0);
+}
+
+// Guards against prompts that all return to their engines in the data centre in one moment.
+TEST(Restored, PromptsReturnToTheirEnginesOverTime)
+{
+    const auto policy = makePrefixAffinityChoice();
+    checkRise(*policy, 500);
+}
+
+// Guards against one popular prompt that moves all its requests at once.
+TEST(Restored, APopularPromptReturnsOverTime)
+{
+    std::uint64_t popular = 0; // a prompt whose requests go to dc2
+    const auto policy = makePrefixAffinityChoice();
+    InstanceTable usual(clock, settings);
+    for (int i = 0; i < 12; ++i) {
+        const std::string number = std::to_string(i);
+        usual.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+    }
+    ChoiceInput input;
+    input.service = Service;
+    do {
+        input.affinity = ++popular;
+    } while (usual.preview(input, *policy)->dataCentre != "dc2");
+    for (const auto &node : nodes) {
+        node->setEvacuated({});
+    }
+    std::vector<int> bins(Bins, 0);
+    for (int &count : bins) {
+        clock.advance(settings.restoreDuration / Bins);
+        for (int i = 0; i < 1000; ++i) {
+            count += nodes.at(static_cast<std::size_t>(i) % Nodes)->preview(input, *policy)->dataCentre == "dc2" ? 1 : 0;
+        }
+    }
+    LONGS_EQUAL(1000, bins.back());
+    int before = 0;
+    for (const int count : bins) {
+        CHECK(count < before + 500);
+        before = count;
+    }
+}
+
+// Guards against requests that are refused because all servers that are left have just been taken back, and against an evacuation that is
+// weakened by an earlier one.
+TEST(Restored, ADataCentreThatIsAloneServesAtOnceAndAnEvacuationHoldsAgain)
+{
+    const auto policy = makeShortestTimeChoice();
+    nodes.front()->setEvacuated({"dc1", "dc2", "dc3"});
+    nodes.front()->setEvacuated({"dc1", "dc3"});
+    ChoiceInput input;
+    input.service = Service;
+    for (int i = 0; i < 100; ++i) {
+        CHECK(nodes.front()->acquire(input, *policy).has_value());
+        clock.advance(milliseconds(10));
+    }
+    nodes.front()->setEvacuated({"dc2"});
+    for (int i = 0; i < 100; ++i) {
+        CHECK(nodes.front()->acquire(input, *policy)->instance().dataCentre != "dc2");
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Pieces that wait when the instances of their group disappear
 //-----------------------------------------------------------------------------
@@ -171,9 +320,11 @@
 class EchoChannel final : public StageChannel
 {
 public:
+    std::atomic<std::size_t> largestBatch{0};
     tl::expected<BatchReply, StageCallFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint /*now*/,
                                                    TimePoint /*until*/) override
     {
+        largestBatch = std::max(largestBatch.load(), pieces.size());
         return BatchReply{std::vector<PieceOutcome>(pieces.size(), PieceOutcome{instance.address + "/" + instance.dataCentre, PieceError::None}), {}, {}};
     }
     Result<void> release(const std::string & /*address*/, const std::vector<std::string> & /*handles*/, TimePoint /*until*/) override
@@ -304,3 +455,28 @@
     CHECK(ends(run));
     CHECK(run->outcome()->error().code == ErrorCode::NoFitServer);
 }
+
+// Guards against full batches for all servers of a data centre in the moment in which its evacuation is lifted.
+TEST(QueuedPieces, BatchesGrowAfterAnEvacuation)
+{
+    instances.setEvacuated({"dc3"});
+    instances.setEvacuated({});
+    const auto submit = [this] {
+        StageTask task;
+        task.request = "r";
+        task.service = Service;
+        task.pieces = 12;
+        task.group = InstanceGroup{3, 4};
+        task.target = clock.now() + minutes(10);
+        task.deadline = clock.now() + minutes(10);
+        const auto run = makeRef<StageRun>(task, progress);
+        scheduler.submit(run);
+        CHECK(ends(run));
+        return channel.largestBatch.exchange(0);
+    };
+    LONGS_EQUAL(1, static_cast<long>(submit()));
+    clock.advance(InstanceSettings{}.restoreDuration / 2);
+    LONGS_EQUAL(2, static_cast<long>(submit()));
+    clock.advance(InstanceSettings{}.restoreDuration / 2);
+    LONGS_EQUAL(4, static_cast<long>(submit()));
+}
