Requests stay in the home regions of their route and client account

Operators saw that AllowedRegions had no effect: requests and the pieces of their stages went to servers in every region.

The region of each data centre comes from the setting `regions` (Zones of the platform). On admission both restrictions become a DataCentreScope, the data centres that the request may use. A data centre that is missing there, or whose region isn't listed, isn't in it. The scope is part of ChoiceInput, of the waits for limited instances, and of StageTask; batches, moves between groups and the choice of a group heed it. Without a usable instance in the scope a request is refused on arrival (503, 1301, Retry-After 5 s), and queued pieces fail at once.

Between nodes the scope is the member allowed_data_centres of a stage task; absent: no restriction. Owners of an earlier version would ignore it, so members state keeps_scopes in their row, and restricted tasks go to no other owner. Bodies aren't sent between nodes.

Ruled out: regions in stage tasks (the settings of two nodes may differ); a check at each sender.

--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -16,6 +16,7 @@
 #include "transport/transport.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace vanillanotch
@@ -55,6 +56,7 @@
     std::chrono::milliseconds targetLatency{1000};
     std::chrono::milliseconds targetEventGap{0}; // longest pause between two events of a stream; 0: not stated
     int priority = 0; // 0 is the highest
+    std::set<std::string> allowedRegions{}; // home regions: no server elsewhere may get the request or its pieces; empty: no restriction
     unsigned maxAttempts = 1; // how often one request may be sent at most, over all servers; once more if the last server did not run it
 
     bool repeatable() const // may be sent to another server after a failure
@@ -87,6 +89,7 @@
     std::string name;
     std::vector<std::string> apiKeys;
     std::optional<int> priority; // overrides the route's; 0 is the highest
+    std::set<std::string> allowedRegions{}; // as RouteSpec::allowedRegions; if both have some, both restrictions apply
 };
 
 //-----------------------------------------------------------------------------
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -54,6 +54,7 @@
     self.dataCentre = settings.dataCentre;
     self.peerAddress = settings.peerAddress;
     self.cores = settings.cores;
+    self.keepsScopes = true;
     // Microseconds of the wall clock, to tell restarts of one node apart. Values of different nodes are never compared.
     self.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     return self;
@@ -75,6 +76,13 @@
     return instances;
 }
 
+ForwardSettings forwardSettings(const EntrySettings &settings)
+{
+    ForwardSettings forwarding;
+    forwarding.regions = settings.regions;
+    return forwarding;
+}
+
 RetryBudgetSettings retryBudgetSettings(const EntrySettings &settings)
 {
     RetryBudgetSettings retryBudget;
@@ -130,7 +138,7 @@
                m_scheduler, *m_stagePeers, m_members, parseStageAssignment(settings.stageSharing))
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
                                     m_crashGuard, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
-                ForwardSettings{})
+                forwardSettings(settings))
     , m_deploymentListener(m_deployments, m_instances, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -232,6 +232,7 @@
     MemberState state = MemberState::Alive;
     Revision revision = 0; // of the configuration in force at the member
     double cores = 1; // processor cores of the VM; may be fractional
+    bool keepsScopes = false; // it restricts stage tasks to the data centres that they allow; false for earlier versions of the program
 };
 
 struct MembershipSettings {
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -270,7 +270,8 @@
     std::chrono::milliseconds retryAfter{150}; // Retry-After of a reply with status 503: another node may be able to serve the caller at once
     std::chrono::milliseconds overloadedRetryAfter{2500}; // Retry-After of a reply with status 503 when the stages have more work than they can do in time
     std::chrono::milliseconds suspectRetryAfter{10000}; // Retry-After of a reply with status 503 to a request that seems to crash servers
-    // Retry-After of a reply with status 503 when evacuations leave no server. Every node then refuses, until the operator lifts one of them.
+    DataCentreRegions regions; // for requests with home regions
+    // Retry-After of a reply with status 503 when evacuations or home regions leave no server. Every node then refuses, until an operator changes that.
     std::chrono::milliseconds unplacedRetryAfter{5000};
     std::chrono::milliseconds limitedWaitWhenLate{300}; // how long a request whose target has passed may wait for limited servers
     std::chrono::milliseconds engineMargin{250}; // added to the expected time until an engine's first event when the target of a stage is computed
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -138,6 +138,7 @@
 ForwardRun::StepResult ForwardRun::authenticate()
 {
     m_priority = m_route->priority;
+    m_scope.restrictTo(m_route->allowedRegions, m_settings.regions);
     if (!m_deployment->requiresApiKey()) {
         return {};
     }
@@ -154,6 +155,7 @@
         return fail(ErrorCode::ConfigurationStale);
     }
     m_account = account->name;
+    m_scope.restrictTo(account->allowedRegions, m_settings.regions);
     m_priority = account->priority.value_or(m_priority);
     return {};
 }
@@ -292,7 +294,7 @@
 {
     const TimePoint now = m_dependencies.clock.now();
     const Duration engineTime = streaming() ? m_dependencies.engineTimeEstimator.estimate(m_service, ownTokens()) + m_settings.engineMargin : Duration::zero();
-    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority);
+    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority, m_scope);
     const bool late = now + wait > std::max(m_target - engineTime, now + m_settings.limitedWaitWhenLate);
     if (late) {
         logEvent(LogLevel::Info, "request.limited_on_arrival",
@@ -312,7 +314,7 @@
 bool ForwardRun::limitedBeyondTarget() const
 {
     const TimePoint now = m_dependencies.clock.now();
-    return now + m_dependencies.instances.limitedFor(m_service) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
+    return now + m_dependencies.instances.limitedFor(m_service, m_scope) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
 }
 
 // All servers that could take the request are limited. Waits until one may get a request, unless that would take too long: then the caller is
@@ -322,7 +324,7 @@
     if (limitedBeyondTarget() || m_refuseWaiting) {
         return false;
     }
-    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service));
+    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service, m_scope));
     return !m_refuseWaiting && (woken || woken.error().code != ErrorCode::CallerDisconnected);
 }
 
@@ -386,6 +388,7 @@
     input.service = m_service;
     input.affinity = m_affinity;
     input.avoid = m_tried;
+    input.scope = m_scope;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
     const ServiceSpec *service = m_deployment->service(m_service);
     auto lease = m_dependencies.instances.acquire(input, service != nullptr && service->engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -117,6 +117,7 @@
     std::string m_service;
     std::string m_account;
     std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
+    DataCentreScope m_scope; // of the home regions of route and account
     int m_priority = 0;
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
     TimePoint m_target{}; // by when the answer should be sent, to be within the route's target latency
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -70,8 +70,9 @@
     const auto retryPause = code == ErrorCode::Overloaded  ? m_settings.overloadedRetryAfter
         : code == ErrorCode::SuspectRefused                ? m_settings.suspectRetryAfter
         : code == ErrorCode::NoFitServer && !checkPlaces() ? m_settings.unplacedRetryAfter
-        : code == ErrorCode::ServersLimited ? std::max(m_settings.retryAfter, toMilliseconds(m_dependencies.instances.limitedForNext(m_service, m_priority)))
-                                            : m_settings.retryAfter;
+        : code == ErrorCode::ServersLimited
+        ? std::max(m_settings.retryAfter, toMilliseconds(m_dependencies.instances.limitedForNext(m_service, m_priority, m_scope)))
+        : m_settings.retryAfter;
     const auto retryAfter = m_mayHaveRun ? std::nullopt : std::optional(retryPause);
     (void)m_exchange.reply(m_outcome.status, m_dependencies.codec.refusalHeaders(m_request.attemptId, retryAfter), describeRefusal(code), sendLimit);
     m_dependencies.metrics.counter("vanillanotch_refusals_total", "code=\"" + std::to_string(static_cast<int>(code)) + "\"").add();
--- a/src/forwarding/run_places.cpp
+++ b/src/forwarding/run_places.cpp
@@ -6,12 +6,12 @@
 
 ForwardRun::StepResult ForwardRun::checkPlaces() const
 {
-    if (m_dependencies.instances.noneLeft(m_service)) {
+    if (m_dependencies.instances.noneLeft(m_service, m_scope)) {
         return fail(ErrorCode::NoFitServer);
     }
     for (std::size_t stage = 0; stage < m_route->stages.size(); ++stage) {
         const bool hasPieces = stage < m_request.pieces.size() && m_request.pieces[stage] > 0;
-        if (hasPieces && m_dependencies.instances.noneLeft(m_route->stages[stage].service)) {
+        if (hasPieces && m_dependencies.instances.noneLeft(m_route->stages[stage].service, m_scope)) {
             return fail(ErrorCode::NoFitServer);
         }
     }
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -52,6 +52,7 @@
     ChoiceInput input;
     input.service = m_service;
     input.affinity = m_affinity;
+    input.scope = m_scope;
     if (const auto preferred = m_dependencies.instances.preview(input, m_dependencies.engineChoice)) {
         m_preferredDataCentre = preferred->dataCentre;
     }
@@ -172,6 +173,7 @@
     task.request = m_request.attemptId;
     task.stage = stage;
     task.service = step.service;
+    task.scope = m_scope;
     task.pieces = pieces;
     task.inputs = handlesOf(step.dependsOn);
     task.pieceKey = task.inputs.empty() ? m_request.pieceKey : std::string();
--- a/src/instances/evacuations.cpp
+++ b/src/instances/evacuations.cpp
@@ -1,4 +1,4 @@
-// Evacuated data centres, and what they leave of a service.
+// Which data centres a request may use: evacuations, and scopes of home regions.
 #include "instances/instances.h"
 
 #include <algorithm>
@@ -12,6 +12,24 @@
 constexpr double AffinityReturnTime = 0.5; // within which the requests of one affinity return, relative to the time over which the affinities begin to
 }
 
+//-----------------------------------------------------------------------------
+// DataCentreScope
+//-----------------------------------------------------------------------------
+
+void DataCentreScope::restrictTo(const std::set<std::string> &regions, const DataCentreRegions &regionOf)
+{
+    if (regions.empty()) {
+        return;
+    }
+    std::set<std::string> kept;
+    for (const auto &[dataCentre, region] : regionOf) {
+        if (regions.count(region) > 0 && allows(dataCentre)) {
+            kept.insert(dataCentre);
+        }
+    }
+    m_dataCentres = std::move(kept);
+}
+
 //-----------------------------------------------------------------------------
 // Evacuations
 //-----------------------------------------------------------------------------
@@ -139,14 +157,14 @@
     return evacuatedLocked().size();
 }
 
-bool InstanceTable::noneLeft(const std::string &service) const
+bool InstanceTable::noneLeft(const std::string &service, const DataCentreScope &scope) const
 {
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
     const bool someUsable = std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        return item.second.spec.service == service && usableLocked(item.second, now);
+        return item.second.spec.service == service && scope.allows(item.second.spec.dataCentre) && usableLocked(item.second, now);
     });
-    return !someUsable && !evacuatedLocked().empty();
+    return !someUsable && ((scope.dataCentres() && !m_entries.empty()) || !evacuatedLocked().empty());
 }
 
 } // namespace vanillanotch
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -257,7 +257,7 @@
     ShortestTimes shortest;
     bool someLimited = false;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service == input.service && usableLocked(entry, now)) {
+        if (entry.spec.service == input.service && input.scope.allows(entry.spec.dataCentre) && usableLocked(entry, now)) {
             entries.push_back(&entry);
             shortest.include(entry, dataCentre);
             someLimited = someLimited || entry.limiter.limited();
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -3,8 +3,8 @@
 //
 // Index of sections:
 //   [SPECS]   InstanceSpec, InstanceView
+//   [PLACES]  DataCentreScope: which data centres a request may use; Evacuations: those whose instances get nothing new
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
-//   [PLACES]  Evacuations: data centres whose instances get nothing new
 //   [LIMITS]  RequestLimiter: requests to an instance that has stated a limit; planLimitHolders(): which nodes may send them; RequestRate
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
@@ -67,39 +67,34 @@
 };
 
 //-----------------------------------------------------------------------------
-// [CHOICE]
+// [PLACES]
 //-----------------------------------------------------------------------------
 
-struct ChoiceInput {
-    std::string service;
-    std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
-    std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
-    std::string dataCentre; // preferred one; empty: this node's
-    bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
-};
+using DataCentreRegions = std::map<std::string, std::string>; // region by data centre
 
-// choose() is called with the lock of InstanceTable held: it must not block or do I/O. `views` isn't empty; the result is an index into it.
-class ChoicePolicy
+// The data centres whose instances a request may use: all, unless it is restricted.
+class DataCentreScope
 {
 public:
-    virtual ~ChoicePolicy() = default;
-    virtual std::size_t choose(const ChoiceInput &input, const std::vector<InstanceView> &views) = 0;
-};
-
-// Chooses the instance with the shortest predicted time for a request. The prediction has a random factor, so that nodes which see the
-// same figures spread their requests.
-std::unique_ptr<ChoicePolicy> makeShortestTimeChoice();
-// Prefix affinity: every node chooses the same instance for the same prompt prefix, because the cache of that instance holds the
-// prefix. The hash of prefix and instance id orders the instances; the first one is chosen that was not unreachable a short time ago,
-// doesn't fail often and isn't overloaded. If there is none, the first of all is chosen. A request without affinity gets the instance with the
-// shortest predicted time.
-std::unique_ptr<ChoicePolicy> makePrefixAffinityChoice();
-// Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
-std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
+    DataCentreScope() = default;
+    explicit DataCentreScope(std::set<std::string> dataCentres) // no others
+        : m_dataCentres(std::move(dataCentres))
+    {
+    }
+    // Takes away the data centres outside `regions`, and those whose region isn't known; an empty set takes nothing away.
+    void restrictTo(const std::set<std::string> &regions, const DataCentreRegions &regionOf);
+    bool allows(const std::string &dataCentre) const
+    {
+        return !m_dataCentres || m_dataCentres->count(dataCentre) > 0;
+    }
+    const std::optional<std::set<std::string>> &dataCentres() const // nullopt: not restricted
+    {
+        return m_dataCentres;
+    }
 
-//-----------------------------------------------------------------------------
-// [PLACES]
-//-----------------------------------------------------------------------------
+private:
+    std::optional<std::set<std::string>> m_dataCentres;
+};
 
 // The evacuated data centres, and those that get their load back after an evacuation. Not thread-safe.
 class Evacuations
@@ -136,6 +131,38 @@
     std::map<std::string, TimePoint> m_restoredAt; // by data centre; those whose last evacuation was lifted
 };
 
+//-----------------------------------------------------------------------------
+// [CHOICE]
+//-----------------------------------------------------------------------------
+
+struct ChoiceInput {
+    std::string service;
+    std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
+    std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
+    std::string dataCentre; // preferred one; empty: this node's
+    bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
+    DataCentreScope scope; // instances elsewhere aren't used
+};
+
+// choose() is called with the lock of InstanceTable held: it must not block or do I/O. `views` isn't empty; the result is an index into it.
+class ChoicePolicy
+{
+public:
+    virtual ~ChoicePolicy() = default;
+    virtual std::size_t choose(const ChoiceInput &input, const std::vector<InstanceView> &views) = 0;
+};
+
+// Chooses the instance with the shortest predicted time for a request. The prediction has a random factor, so that nodes which see the
+// same figures spread their requests.
+std::unique_ptr<ChoicePolicy> makeShortestTimeChoice();
+// Prefix affinity: every node chooses the same instance for the same prompt prefix, because the cache of that instance holds the
+// prefix. The hash of prefix and instance id orders the instances; the first one is chosen that was not unreachable a short time ago,
+// doesn't fail often and isn't overloaded. If there is none, the first of all is chosen. A request without affinity gets the instance with the
+// shortest predicted time.
+std::unique_ptr<ChoicePolicy> makePrefixAffinityChoice();
+// Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
+std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
+
 //-----------------------------------------------------------------------------
 // [LIMITS]
 //-----------------------------------------------------------------------------
@@ -333,19 +360,20 @@
     std::size_t evacuatedCount() const; // evacuated data centres with registered instances
     // How far the instances of a data centre have got their load back after its evacuation, 0 to 1; see Evacuations.
     double restoredShare(const std::string &dataCentre) const;
-    // The service has no usable instance, and an evacuation is in force. Its requests are refused at once, since waiting for an instance is of no use.
-    bool noneLeft(const std::string &service) const;
+    // The service has no usable instance within the scope, and the scope is restricted or an evacuation is in force: such requests are refused at
+    // once, since waiting for an instance is of no use. False while nothing is registered at all, for example because the registry wasn't read yet.
+    bool noneLeft(const std::string &service, const DataCentreScope &scope = {}) const;
 
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
     // Records what an instance has said of itself in the head of a reply. An unknown id is ignored.
     void recordStatement(const std::string &id, const InstanceStatement &statement);
-    // Time until limits and pauses let some usable instance of the service get a request from this node; zero: one may, or there is none at all.
-    // While one is limited, those that are slow (InstanceView::slow) may not: they have as much as they can do.
-    Duration limitedFor(const std::string &service) const;
+    // Time until limits and pauses let some usable instance of the service within the scope get a request from this node; zero: one may, or there is none at
+    // all. While one is limited, those that are slow (InstanceView::slow) may not: they have as much as they can do.
+    Duration limitedFor(const std::string &service, const DataCentreScope &scope = {}) const;
     // The same for a request that arrives now: requests with a QueuePlace that are as urgent or more are sent before it, and those that are more urgent
     // go on coming at their present rate.
-    Duration limitedForNext(const std::string &service, int priority) const;
+    Duration limitedForNext(const std::string &service, int priority, const DataCentreScope &scope = {}) const;
     // When a node that alone calls an instance for all others (the owner of its stage work) may call it next; in the past: at once.
     TimePoint callableAt(const std::string &id) const;
     void countCall(const std::string &id); // a call by such a node
@@ -409,7 +437,7 @@
     // Heeded: only those that may get a request now. It is empty or not whatever `input.avoid` says, so that a request which finds none can wait
     // for limitedFor().
     std::vector<InstanceView> viewsLocked(const ChoiceInput &input, Limits limits, TimePoint now) const;
-    Availability availabilityLocked(const std::string &service, TimePoint now) const;
+    Availability availabilityLocked(const std::string &service, const DataCentreScope &scope, TimePoint now) const;
     LimitShare shareLocked(const InstanceSpec &spec) const;
     TimePoint allowedAtLocked(const Entry &entry, TimePoint now) const;
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
--- a/src/instances/statements.cpp
+++ b/src/instances/statements.cpp
@@ -124,13 +124,13 @@
     }
 }
 
-InstanceTable::Availability InstanceTable::availabilityLocked(const std::string &service, TimePoint now) const
+InstanceTable::Availability InstanceTable::availabilityLocked(const std::string &service, const DataCentreScope &scope, TimePoint now) const
 {
     Availability result;
     bool someAvailable = false;
     std::optional<TimePoint> earliest;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service != service || !usableLocked(entry, now)) {
+        if (entry.spec.service != service || !scope.allows(entry.spec.dataCentre) || !usableLocked(entry, now)) {
             continue;
         }
         const TimePoint allowed = allowedAtLocked(entry, now);
@@ -144,6 +144,7 @@
     if (result.someLimited) {
         ChoiceInput input;
         input.service = service;
+        input.scope = scope;
         const std::vector<InstanceView> views = viewsLocked(input, Limits::Heeded, now);
         someAvailable = !views.empty();
         result.someFree = std::any_of(views.begin(), views.end(), [this](const InstanceView &view) {
@@ -155,17 +156,17 @@
     return result;
 }
 
-Duration InstanceTable::limitedFor(const std::string &service) const
+Duration InstanceTable::limitedFor(const std::string &service, const DataCentreScope &scope) const
 {
     const Lock lock(m_mutex);
-    return availabilityLocked(service, m_clock.now()).wait;
+    return availabilityLocked(service, scope, m_clock.now()).wait;
 }
 
-Duration InstanceTable::limitedForNext(const std::string &service, int priority) const
+Duration InstanceTable::limitedForNext(const std::string &service, int priority, const DataCentreScope &scope) const
 {
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
-    const Availability available = availabilityLocked(service, now);
+    const Availability available = availabilityLocked(service, scope, now);
     const auto queue = m_queues.find(service);
     if (!available.someLimited || available.someFree || queue == m_queues.end()) {
         return available.wait;
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -38,6 +38,9 @@
     json["moved_bytes"] = task.crossDataCentreBytes;
     json["result_bytes"] = task.resultBytes;
     json["data_centre"] = task.dataCentre;
+    if (const auto &allowed = task.scope.dataCentres()) { // absent: no restriction, as from nodes that don't know this member
+        json["allowed_data_centres"] = *allowed;
+    }
     json["target_ms"] = encodeTimeLeft(task.target - now);
     json["deadline_ms"] = encodeTimeLeft(task.deadline - now);
     json["priority"] = task.priority;
@@ -66,6 +69,9 @@
         task.crossDataCentreBytes = json.at("moved_bytes").get<std::size_t>();
         task.resultBytes = json.at("result_bytes").get<std::size_t>();
         task.dataCentre = json.at("data_centre").get<std::string>();
+        if (json.contains("allowed_data_centres")) {
+            task.scope = DataCentreScope(json.at("allowed_data_centres").get<std::set<std::string>>());
+        }
         task.target = now + std::chrono::milliseconds(json.at("target_ms").get<std::int64_t>());
         task.deadline = now + std::chrono::milliseconds(json.at("deadline_ms").get<std::int64_t>());
         task.priority = json.at("priority").get<int>();
@@ -273,7 +279,12 @@
 
 std::string encodeMember(const MemberRecord &member)
 {
-    return Json{{"data_centre", member.dataCentre}, {"peer_address", member.peerAddress}, {"incarnation", member.incarnation}, {"cores", member.cores}}.dump();
+    return Json{{"data_centre", member.dataCentre},
+                {"peer_address", member.peerAddress},
+                {"incarnation", member.incarnation},
+                {"cores", member.cores},
+                {"keeps_scopes", member.keepsScopes}}
+        .dump();
 }
 
 Result<MemberRecord> decodeMember(const std::string &name, const std::string &json)
@@ -285,6 +296,7 @@
         member.dataCentre = document.at("data_centre").get<std::string>();
         member.peerAddress = document.at("peer_address").get<std::string>();
         member.cores = document.value("cores", member.cores);
+        member.keepsScopes = document.value("keeps_scopes", false);
         member.incarnation = document.at("incarnation").get<std::uint64_t>();
         return member;
     } catch (const Json::exception &exception) {
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -163,7 +163,8 @@
 }
 
 // The group of the data centre, or one where the task waits much less. When that can probably not be reached, the next one that can.
-InstanceGroup OwnerStageExecutor::groupFor(const std::string &service, const std::string &dataCentre, std::size_t crossDataCentreBytes)
+InstanceGroup OwnerStageExecutor::groupFor(const std::string &service, const std::string &dataCentre, std::size_t crossDataCentreBytes,
+                                           const DataCentreScope &scope)
 {
     const Ref<const OwnerPlan> plan = currentPlan();
     InstanceGroup group = preferredGroup(*plan, service, dataCentre);
@@ -171,14 +172,25 @@
     if (group.count < 2 || candidates == plan->candidates.end()) {
         return group;
     }
+    std::set<std::size_t> allowed; // indexes of the groups with instances within the scope
+    for (const std::string &holding : plan->services.at(service).dataCentres) {
+        if (scope.allows(holding)) {
+            allowed.insert(instanceGroupOf(plan->services.at(service).dataCentres, holding, group.count));
+        }
+    }
+    if (allowed.empty()) {
+        return group; // the owner refuses the task
+    }
+    group.index = allowed.count(group.index) > 0 ? group.index : *allowed.begin();
     {
         const Lock lock(m_mutex);
         const Duration advantage = crossDataCentreBytes < m_settings.largeTransferBytes ? m_settings.groupAdvantage : m_settings.largeTransferAdvantage;
-        group.index = m_backlog.groupFor(service, group, advantage, m_dependencies.clock.now());
+        const std::size_t shorter = m_backlog.groupFor(service, group, advantage, m_dependencies.clock.now());
+        group.index = allowed.count(shorter) > 0 ? shorter : group.index;
     }
     for (std::size_t step = 0; step < group.count; ++step) {
         const std::size_t index = (group.index + step) % group.count;
-        if (pausedCandidates(candidates->second.at(index)) < m_settings.unreachableCandidates) {
+        if (allowed.count(index) > 0 && pausedCandidates(candidates->second.at(index)) < m_settings.unreachableCandidates) {
             group.index = index;
             break;
         }
@@ -196,7 +208,7 @@
     return m_backlog.expectedWait(service, group, m_dependencies.clock.now());
 }
 
-std::optional<MemberRecord> OwnerStageExecutor::ownerOf(const std::string &service, const InstanceGroup &group)
+std::optional<MemberRecord> OwnerStageExecutor::ownerOf(const std::string &service, const InstanceGroup &group, bool scoped)
 {
     const Ref<const OwnerPlan> plan = currentPlan();
     const auto found = plan->candidates.find(service);
@@ -208,7 +220,7 @@
         if (member.name == self) {
             return std::nullopt;
         }
-        if (pausedCandidates({member}) == 0) {
+        if (pausedCandidates({member}) == 0 && (!scoped || member.keepsScopes)) {
             return member;
         }
     }
@@ -222,9 +234,10 @@
 
 void OwnerStageExecutor::dispatchToOwner(const Ref<StageRun> &run, unsigned ownersLeft)
 {
-    run->assignGroup(groupFor(run->task().service, run->task().dataCentre, run->task().crossDataCentreBytes));
+    const StageTask &task = run->task();
+    run->assignGroup(groupFor(task.service, task.dataCentre, task.crossDataCentreBytes, task.scope));
     const bool runHere = m_assignment == StageAssignment::EachNode || ownersLeft == 0;
-    const auto owner = runHere ? std::nullopt : ownerOf(run->task().service, run->task().group);
+    const auto owner = runHere ? std::nullopt : ownerOf(task.service, task.group, task.scope.dataCentres().has_value());
     if (!owner) {
         m_local.submit(run);
         return;
--- a/src/stages/regroup.cpp
+++ b/src/stages/regroup.cpp
@@ -9,34 +9,37 @@
 
 std::optional<std::size_t> groupWithInstances(const StageTask &task, const InstanceGroup &group, const std::vector<std::string> &dataCentres)
 {
-    if (dataCentres.empty()) {
+    std::vector<std::string> allowed;
+    std::copy_if(dataCentres.begin(), dataCentres.end(), std::back_inserter(allowed), [&task](const std::string &dataCentre) {
+        return task.scope.allows(dataCentre);
+    });
+    if (allowed.empty()) {
         return std::nullopt;
     }
     const auto groupOf = [&](const std::string &dataCentre) {
         return instanceGroupOf(dataCentres, dataCentre, group.count);
     };
-    const bool ownGroup = std::any_of(dataCentres.begin(), dataCentres.end(), [&](const std::string &dataCentre) {
+    const bool ownGroup = std::any_of(allowed.begin(), allowed.end(), [&](const std::string &dataCentre) {
         return groupOf(dataCentre) == group.index;
     });
     if (ownGroup) {
         return group.index;
     }
-    const auto preferred = std::find(dataCentres.begin(), dataCentres.end(), task.dataCentre);
+    const auto preferred = std::find(allowed.begin(), allowed.end(), task.dataCentre);
     // Tasks without a preferred data centre are spread over the others by their requests.
-    return groupOf(preferred != dataCentres.end() ? *preferred : dataCentres[stableHash(task.request) % dataCentres.size()]);
+    return groupOf(preferred != allowed.end() ? *preferred : allowed[stableHash(task.request) % allowed.size()]);
 }
 
 std::set<StageScheduler::QueueKey> StageScheduler::regroupLocked(const QueueKey &key, TaskQueue &queue)
 {
     const auto &[service, index, count] = key;
     const InstanceListRef instances = m_dependencies.instances.usableInstances(service);
-    const bool noneLeft = instances->specs.empty() && !queue.entries.empty() && m_dependencies.instances.noneLeft(service);
     std::set<QueueKey> targets;
     std::vector<PendingPieces> staying;
     std::size_t moved = 0;
     for (PendingPieces &pending : queue.entries) {
         const auto group = groupWithInstances(pending.run->task(), InstanceGroup{index, count}, instances->dataCentres);
-        if (noneLeft) {
+        if (!group && m_dependencies.instances.noneLeft(service, pending.run->task().scope)) {
             failRun(pending.run, ErrorCode::NoFitServer);
         } else if (group.value_or(index) == index) {
             staying.push_back(std::move(pending));
--- a/src/stages/runs.cpp
+++ b/src/stages/runs.cpp
@@ -240,7 +240,7 @@
     std::vector<PendingPieces *> eligible;
     bool longWaitExists = false;
     for (PendingPieces &pending : queue) {
-        if (waitsForLocalInstance(pending, view, earliestFree, now, settings)) {
+        if (!pending.run->task().scope.allows(view.dataCentre) || waitsForLocalInstance(pending, view, earliestFree, now, settings)) {
             continue;
         }
         longWaitExists = longWaitExists || now - pending.waitingSince >= settings.slowInstanceWait;
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -60,6 +60,7 @@
     InstanceGroup group;
     std::string pieceKey; // for a stage without inputs: key, sent by the caller, by which an instance finds the data that it computes the pieces from
     std::vector<std::string> inputs; // handles of results of earlier stages; empty: the pieces are computed from the data of `pieceKey`
+    DataCentreScope scope; // instances elsewhere get no pieces
     std::string dataCentre; // preferred one: where the inputs are stored or the results will be read; empty: any
     std::size_t crossDataCentreBytes = 0; // bytes sent between data centres when the pieces run outside `dataCentre`
     std::size_t resultBytes = 0; // approximate size of the result of one piece, bytes
@@ -128,8 +129,8 @@
 // `dataCentres` that sort before its own.
 std::size_t instanceGroupOf(const std::vector<std::string> &dataCentres, const std::string &dataCentre, std::size_t groups);
 
-// The group that a task in `group` is to wait in: its own while that holds instances, else the one of the task's preferred data centre, else any.
-// `dataCentres`: as above. nullopt: no group holds instances.
+// The group that a task in `group` is to wait in: its own while that holds instances within the task's scope, else the one of its preferred data
+// centre, else any. `dataCentres`: as above. nullopt: no group holds instances within the scope.
 std::optional<std::size_t> groupWithInstances(const StageTask &task, const InstanceGroup &group, const std::vector<std::string> &dataCentres);
 
 class StageExecutor
@@ -502,8 +503,8 @@
     void expireResultsLocked(InstanceState &state, TimePoint now);
     static QueueKey keyOf(const StageTask &task);
     std::vector<Ref<StageRun>> shedLocked(TaskQueue &queue, const StageCapacity &capacity, std::size_t instanceCount, TimePoint now);
-    // Moves the pieces whose group holds no instances any more to one that does; returns the queues that they are in now. Where evacuations leave
-    // the service no instance at all, their runs fail.
+    // Moves the pieces whose group holds no instances for them any more to one that does; returns the queues that they are in now. Where evacuations
+    // or their scopes leave them no instance at all, their runs fail.
     std::set<QueueKey> regroupLocked(const QueueKey &key, TaskQueue &queue);
     // Largest batch for the instances of a data centre: smaller while that gets its load back after an evacuation.
     std::size_t maxBatchIn(const std::string &dataCentre, const InstanceList &instances, std::size_t maxBatch) const;
@@ -593,9 +594,10 @@
     };
     Ref<const OwnerPlan> currentPlan();
     std::size_t pausedCandidates(const std::vector<MemberRecord> &candidates) const; // how many of them failed a short time ago
-    InstanceGroup groupFor(const std::string &service, const std::string &dataCentre, std::size_t crossDataCentreBytes);
+    InstanceGroup groupFor(const std::string &service, const std::string &dataCentre, std::size_t crossDataCentreBytes, const DataCentreScope &scope = {});
     InstanceGroup preferredGroup(const OwnerPlan &plan, const std::string &service, const std::string &dataCentre) const;
-    std::optional<MemberRecord> ownerOf(const std::string &service, const InstanceGroup &group); // nullopt: this node is the owner
+    // nullopt: this node is the owner. `scoped`: of a restricted task, which members that don't heed scopes don't get.
+    std::optional<MemberRecord> ownerOf(const std::string &service, const InstanceGroup &group, bool scoped = false);
     void dispatchToOwner(const Ref<StageRun> &run, unsigned ownersLeft); // `ownersLeft`: number of owners that may still be tried
     void flush();
     void runAtPeer(const Ref<StageRun> &run, const MemberRecord &owner, unsigned ownersLeft);
--- a/src/wire/entry_yaml.cpp
+++ b/src/wire/entry_yaml.cpp
@@ -33,6 +33,7 @@
     YamlMapping document(*root, "", problems);
     document.read("node", settings.node, true);
     document.read("data_centre", settings.dataCentre, true);
+    document.read("regions", settings.regions);
     document.read("caller_address", settings.callerAddress, true);
     document.read("readiness_address", settings.readinessAddress, true);
     document.read("peer_address", settings.peerAddress, true);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -87,6 +87,7 @@
 struct EntrySettings {
     std::string node; // name of this node: the name of the entry VM that it runs on; required
     std::string dataCentre; // name of the node's data centre; required
+    std::map<std::string, std::string> regions; // by data centre, for requests with home regions; a data centre that isn't here is in none
     std::string callerAddress; // IP:port to listen on for callers' HTTP requests; required
     std::string readinessAddress; // IP:port to listen on for the load balancer's readiness checks; required
     std::string peerAddress; // IP:port to listen on for other nodes and for metrics; required
--- a/src/wire/yaml_reader.cpp
+++ b/src/wire/yaml_reader.cpp
@@ -113,6 +113,25 @@
     }
 }
 
+void YamlMapping::read(const std::string &name, std::map<std::string, std::string> &value)
+{
+    const YAML::Node member = lookUp(name, false);
+    if (!member.IsDefined()) {
+        return;
+    }
+    if (!member.IsMap()) {
+        m_problems.add(member.Mark(), pathOf(name), "must be a mapping of strings");
+        return;
+    }
+    for (const auto &item : member) {
+        if (!item.first.IsScalar() || !item.second.IsScalar()) {
+            m_problems.add(item.first.Mark(), pathOf(name), "must be a mapping of strings");
+        } else if (!value.emplace(item.first.Scalar(), item.second.Scalar()).second) {
+            m_problems.add(item.first.Mark(), pathOf(name) + "." + item.first.Scalar(), "must appear only once in this mapping");
+        }
+    }
+}
+
 YAML::Node YamlMapping::sequence(const std::string &name, bool required)
 {
     const YAML::Node member = lookUp(name, required);
--- a/src/wire/yaml_reader.h
+++ b/src/wire/yaml_reader.h
@@ -53,6 +53,7 @@
     void read(const std::string &name, unsigned &value, unsigned minimum, unsigned maximum);
     void read(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum);
     void read(const std::string &name, std::set<std::string> &value);
+    void read(const std::string &name, std::map<std::string, std::string> &value);
     YAML::Node sequence(const std::string &name, bool required = false); // an undefined node when the member is absent or not a list
     void reportUnknownMembers(); // also reports members that appear twice; call after all reads
     std::string pathOf(const std::string &name) const; // dotted path of a member, for problems
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -1,6 +1,8 @@
-// Evacuated data centres: rows of the operator's table as they arrive, and which instances may then get work. Hand-driven clock; no network.
+// Evacuated data centres and home regions: rows of the operator's table as they arrive, and which instances may then get work. Hand-driven clock.
+// Only tasks from other nodes come over loopback sockets.
 #include "entry/entry.h"
 #include "local_ledger.h"
+#include "peerhttp/peer_call.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -309,6 +311,107 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// Home regions
+//-----------------------------------------------------------------------------
+
+TEST_GROUP(Homes)
+{
+    const DataCentreRegions regions{{"dc1", "north"}, {"dc2", "south"}, {"dc3", "south"}, {"dc4", ""}};
+    DataCentreScope scopeOf(const std::set<std::string> &route, const std::set<std::string> &account)
+    {
+        DataCentreScope scope;
+        scope.restrictTo(route, regions);
+        scope.restrictTo(account, regions);
+        return scope;
+    }
+};
+
+// Guards against a restriction of the route that takes the place of the account's, or the other way round.
+TEST(Homes, ThoseOfRouteAndAccountBothApply)
+{
+    CHECK_FALSE(scopeOf({}, {}).dataCentres().has_value());
+    CHECK(scopeOf({}, {}).allows("dc9"));
+    for (const auto &scope : {scopeOf({"south"}, {}), scopeOf({}, {"south"}), scopeOf({"south"}, {"north", "south"}), scopeOf({"north", "south"}, {"south"})}) {
+        CHECK(scope.allows("dc2") && scope.allows("dc3"));
+        CHECK_FALSE(scope.allows("dc1"));
+    }
+    CHECK_FALSE(scopeOf({"south"}, {"north"}).allows("dc1"));
+    CHECK_FALSE(scopeOf({"south"}, {"north"}).allows("dc2"));
+}
+
+// Guards against servers whose region nobody has stated.
+TEST(Homes, AnUnknownDataCentreOrRegionIsNotAllowed)
+{
+    CHECK_FALSE(scopeOf({"south"}, {}).allows("dc9"));
+    CHECK_FALSE(scopeOf({"south"}, {}).allows("dc4"));
+    CHECK_FALSE(scopeOf({"west"}, {}).allows("dc1"));
+    DataCentreScope withoutRegions;
+    withoutRegions.restrictTo({"south"}, {});
+    CHECK_FALSE(withoutRegions.allows("dc2"));
+}
+
+// Guards against restrictions that the operator's document states and that are not in force, also under a type that can't be read.
+TEST(Homes, AreReadFromRoutesAndAccounts)
+{
+    const auto document = [](const std::string &route, const std::string &account) {
+        return platform::decodeDeployment(R"({"Version":1,"Services":[],"Routes":[{"Host":"h","Prefix":"/a/","Kind":"idempotent","Service":"s")" + route
+                                          + R"(}],"Tenants":[{"Name":"t","ApiKeys":["k"])" + account + "}]}");
+    };
+    const auto both = document(R"(,"AllowedRegions":["north","south"])", R"(,"AllowedRegions":["south"])");
+    CHECK(both.has_value());
+    CHECK((*both)->route("h", "/a/x")->allowedRegions == (std::set<std::string>{"north", "south"}));
+    CHECK((*both)->accountOf("k")->allowedRegions == std::set<std::string>{"south"});
+    for (const char *none : {"", R"(,"AllowedRegions":[])", R"(,"AllowedRegions":null)"}) {
+        CHECK(document(none, none).has_value());
+        CHECK((*document(none, none))->route("h", "/a/x")->allowedRegions.empty());
+    }
+    CHECK_FALSE(document(R"(,"AllowedRegions":"north")", "").has_value());
+    CHECK_FALSE(document("", R"(,"AllowedRegions":[7])").has_value());
+}
+
+// Guards against settings from the platform's template that can't be read, and against regions that are lost or taken from a wrong entry.
+TEST(Homes, RegionsComeFromTheSettings)
+{
+    const std::string others = "node: n\ndata_centre: dc1\ncaller_address: a:1\nreadiness_address: a:2\npeer_address: a:3\nstore_address: a:4\n";
+    const auto settings = parseEntrySettingsYaml(others + R"(regions: {"dc1":"north","dc 2":"south"})", "f");
+    CHECK(settings.has_value());
+    CHECK(settings->regions == (DataCentreRegions{{"dc1", "north"}, {"dc 2", "south"}}));
+    for (const char *none : {"", "regions: {}", "regions: null", "regions:"}) {
+        CHECK(parseEntrySettingsYaml(others + none, "f").value().regions.empty());
+    }
+    for (const char *odd : {"regions: north", "regions: [north]", R"(regions: {"dc1":{}})", R"(regions: {"dc1":"north","dc1":"south"})"}) {
+        CHECK_FALSE_TEXT(parseEntrySettingsYaml(others + odd, "f").has_value(), odd);
+    }
+}
+
+// Guards against a request that reaches a server outside its scope, also when that is the only one that is free, and against a request that waits in
+// a busy loop because servers that it may not use are free.
+TEST(Evacuations, ARequestUsesOnlyInstancesWithinItsScope)
+{
+    ChoiceInput input;
+    input.service = Service;
+    input.scope = DataCentreScope({"dc1", "dc9"});
+    for (std::uint64_t prompt = 0; prompt < 100; ++prompt) {
+        input.affinity = prompt;
+        input.avoid = prompt % 2 == 0 ? std::set<std::string>{"i0", "i3"} : std::set<std::string>{};
+        STRCMP_EQUAL("dc1", instances.acquire(input, *choice)->instance().dataCentre.c_str());
+        STRCMP_EQUAL("dc1", instances.preview(input, *choice)->dataCentre.c_str());
+    }
+    InstanceStatement pause;
+    pause.pause = seconds(7);
+    instances.recordStatement("i0", pause);
+    instances.recordStatement("i3", pause);
+    CHECK(instances.acquire(input, *choice).error().code == ErrorCode::ServersLimited);
+    CHECK(instances.limitedFor(Service, input.scope) == seconds(7));
+    CHECK(instances.limitedForNext(Service, 0, input.scope) == seconds(7));
+    CHECK(instances.limitedFor(Service) == Duration::zero());
+    instances.setEvacuated({"dc1"});
+    CHECK(instances.noneLeft(Service, input.scope));
+    CHECK_FALSE(instances.noneLeft(Service));
+    CHECK(instances.acquire(input, *choice).error().code == ErrorCode::NoFitServer);
+}
+
 //-----------------------------------------------------------------------------
 // Pieces that wait when the instances of their group disappear
 //-----------------------------------------------------------------------------
@@ -321,10 +424,16 @@
 {
 public:
     std::atomic<std::size_t> largestBatch{0};
+    RankedMutex mutex{LockRank::Leaf};
+    std::set<std::string> dataCentres; // that got calls
     tl::expected<BatchReply, StageCallFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint /*now*/,
                                                    TimePoint /*until*/) override
     {
         largestBatch = std::max(largestBatch.load(), pieces.size());
+        {
+            const Lock lock(mutex);
+            dataCentres.insert(instance.dataCentre);
+        }
         return BatchReply{std::vector<PieceOutcome>(pieces.size(), PieceOutcome{instance.address + "/" + instance.dataCentre, PieceError::None}), {}, {}};
     }
     Result<void> release(const std::string & /*address*/, const std::vector<std::string> & /*handles*/, TimePoint /*until*/) override
@@ -480,3 +589,87 @@
     clock.advance(InstanceSettings{}.restoreDuration / 2);
     LONGS_EQUAL(4, static_cast<long>(submit()));
 }
+
+// Guards against pieces that reach a data centre outside the scope of their request: in a group of its own, in one for all, and when the group has none
+// within the scope.
+TEST(QueuedPieces, ReachOnlyDataCentresWithinTheirScope)
+{
+    for (const std::size_t groups : {std::size_t{1}, std::size_t{2}, std::size_t{4}}) {
+        StageTask task;
+        task.request = "r" + std::to_string(groups);
+        task.service = Service;
+        task.pieces = 40;
+        task.group = InstanceGroup{0, groups};
+        task.scope = DataCentreScope({"dc1"});
+        task.target = clock.now() + minutes(10);
+        task.deadline = clock.now() + minutes(10);
+        const auto run = makeRef<StageRun>(task, progress);
+        scheduler.submit(run);
+        CHECK(ends(run));
+        CHECK(run->outcome()->has_value());
+    }
+    const Lock lock(channel.mutex);
+    CHECK(channel.dataCentres == std::set<std::string>{"dc1"});
+}
+
+// Guards against a scope that is lost between two nodes, and against tasks of nodes of an earlier version, which state none, that are refused.
+TEST(QueuedPieces, TheScopeOfATaskHoldsAtItsOwner)
+{
+    const std::atomic<bool> leaving{false};
+    SystemClock systemClock;
+    PeerHandler handler(scheduler, RelayedTables{}, leaving, metrics);
+    FrontServer server("peers", "127.0.0.1:0", handler, pool);
+    const auto peers = makeStagePeerChannel(UpstreamSettings{});
+    StageTask task;
+    task.request = "r";
+    task.service = Service;
+    task.pieces = 1;
+    task.scope = DataCentreScope(std::set<std::string>{});
+    task.target = systemClock.now() + minutes(10);
+    task.deadline = systemClock.now() + minutes(10);
+    NeverCancelled neverCancelled;
+    const auto alive = [] {
+        return true;
+    };
+    const auto refused = peers->run(server.address(), task, systemClock.now(), seconds(5), neverCancelled, alive);
+    CHECK(refused.handles.error().code == ErrorCode::NoFitServer);
+    const std::string old = R"({"request":"r","stage":0,"service":"s","pieces":1,"lanes":[0,1],"key":"k","moved_bytes":0,"result_bytes":0,"data_centre":"",)"
+                            R"("target_ms":60000,"deadline_ms":60000,"priority":0,"finishing":false})";
+    const TimePoint until = systemClock.now() + seconds(5);
+    const auto served = callPeer(UpstreamSettings{}, PeerCall{server.address(), "/v1/stage-orders", old, until, until}, neverCancelled, alive);
+    CHECK(served.has_value() && served->find("handles") != std::string::npos);
+    server.stop();
+}
+
+// Guards against pieces that reach another region through an owner of an earlier version, which doesn't heed scopes: they run at this node.
+TEST(QueuedPieces, RestrictedTasksGoToNoOwnerThatDoesNotHeedScopes)
+{
+    MemberRecord self;
+    self.name = "n1";
+    self.cores = 0.001; // members with less than half of the largest cores come last
+    MemberTable members(clock, MembershipSettings{}, self);
+    const auto earlier = decodeMember("n2", R"({"data_centre":"dc0","peer_address":"127.0.0.1:1","incarnation":1,"cores":1})");
+    members.merge({*earlier});
+    const auto peers = makeStagePeerChannel(UpstreamSettings{});
+    OwnerStageExecutor executor(StageDependencies{clock, deployments, instances, channel, budget, crashGuard, releaser, pool, timers, metrics}, scheduler,
+                                *peers, members, StageAssignment::Owners, OwnerSettings{});
+    const auto failures = [this] {
+        return metrics.renderText().find("vanillanotch_stage_owner_failures_total") != std::string::npos;
+    };
+    for (const bool restricted : {true, false}) {
+        StageTask task;
+        task.request = "r";
+        task.service = Service;
+        task.pieces = 1;
+        task.scope = restricted ? DataCentreScope({"dc1"}) : DataCentreScope();
+        task.target = clock.now() + minutes(10);
+        task.deadline = clock.now() + minutes(10);
+        const auto run = makeRef<StageRun>(task, progress);
+        executor.submit(run);
+        CHECK(ends(run));
+        CHECK(failures() != restricted);
+    }
+    CHECK(decodeMember("n1", encodeMember(*earlier)).has_value() && !decodeMember("n1", encodeMember(*earlier))->keepsScopes);
+    self.keepsScopes = true;
+    CHECK(decodeMember("n1", encodeMember(self))->keepsScopes);
+}
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -1056,6 +1056,62 @@
     STRCMP_EQUAL("circle", call("open", "bearer key").body.c_str());
 }
 
+// Guards against requests that reach a server outside the home regions of their route or account (HOME), and against ones that wait or run their
+// stages when there is none within them.
+TEST(Forwarding, ARequestStaysInTheHomeRegionsOfItsRouteAndAccount)
+{
+    for (ScriptedServer *server : {first.get(), second.get()}) {
+        server->script = [](ServerConnection &connection) {
+            (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+        };
+    }
+    ForwardSettings settings;
+    settings.regions = {{"dc1", "north"}, {"dc2", "south"}};
+    ForwardService homes(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes, statedDeadlines, crashGuard, *choice,
+                                             *choice, upstream, metrics},
+                         settings);
+    ServiceHandler homesHandler(homes);
+    FrontServer homesFront("homes", "127.0.0.1:0", homesHandler, pool);
+    std::vector<RouteSpec> routes = {makeRoute("free", RequestKind::Idempotent, false, 2), makeRoute("south", RequestKind::Idempotent, false, 2),
+                                     makeRoute("staged", RequestKind::Idempotent, false, 2)};
+    routes[1].allowedRegions = {"south"};
+    routes[2].stages = {StageStep{"stage", {}, 1000}};
+    std::vector<InstanceSpec> specs = {InstanceSpec{"p1", "stage", "127.0.0.1:1", "dc1", 1, false, 1}};
+    std::vector<ServiceSpec> services = {ServiceSpec{"stage", false, 0, 0, StageCapacity{}}};
+    for (const RouteSpec &route : routes) {
+        services.push_back(ServiceSpec{route.name, false, 0, 0, std::nullopt});
+        specs.push_back(InstanceSpec{route.name + "1", route.name, first->address(), "dc1", 64, false, 1});
+        specs.push_back(InstanceSpec{route.name + "2", route.name, second->address(), "dc2", 64, false, 1});
+    }
+    const std::vector<AccountSpec> accounts = {AccountSpec{"any", {"any"}, 1}, AccountSpec{"north", {"north"}, 1, {"north"}},
+                                               AccountSpec{"south", {"south"}, 1, {"south"}}};
+    CHECK(deployments.install(makeRef<Deployment>(2, std::move(routes), std::move(services), accounts, FrontLimits{})));
+    deployments.confirmNewest(suspendAwareNow());
+    instances->synchronise(specs);
+    const auto call = [&](const char *route, const std::string &key) {
+        return Caller(homesFront.address()).call("GET", route, "a1", "Authorization: Bearer " + key + "\r\n");
+    };
+    for (int i = 0; i < 10; ++i) {
+        LONGS_EQUAL(200, call("free", "north").status);
+    }
+    LONGS_EQUAL(0, second->requests);
+    const int before = first->requests;
+    for (int i = 0; i < 10; ++i) {
+        LONGS_EQUAL(200, call("free", "south").status);
+        LONGS_EQUAL(200, call("south", "any").status);
+    }
+    LONGS_EQUAL(before, first->requests);
+    const int reached = second->requests;
+    for (const CallerAnswer &answer : {call("south", "north"), call("staged", "south")}) { // no region in both; no server of the stage in the south
+        LONGS_EQUAL(503, answer.status);
+        STRCMP_EQUAL(describeRefusal(ErrorCode::NoFitServer).c_str(), answer.body.c_str());
+    }
+    LONGS_EQUAL(before, first->requests);
+    LONGS_EQUAL(reached, second->requests);
+    LONGS_EQUAL(0, stages.submitted);
+    homesFront.stop();
+}
+
 // Guards against callers' bytes that end the node (LOST): a key or an id that isn't UTF-8 can't be written in the JSON of stage calls. Such a request is
 // refused where it has stages; where the id is only passed on, it is served. So is one with more pieces than a request may have.
 TEST(Forwarding, BytesThatAreNotUtf8AreRefusedWhereStagesNeedThem)
