Test with real processes: an evacuated data centre gets no requests until it is taken back

Guards against what unit tests can't show: the row passes the store's feed, the watch and the listener of two nodes within the 5 s of the rule. EntryCluster::setEvacuated() writes and removes the row; the store stand-in takes it as it is. The stage servers write no ledger, so their pieces aren't checked here.

--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -253,6 +253,61 @@
     LONGS_EQUAL(200, callNode(0, makeCall(CallKind::StagedStream)).status);
 }
 
+// Guards against requests that reach an evacuated data centre later than 5 s after the store has acknowledged the evacuation (EVAC), against any while
+// all are evacuated, and against a data centre that gets nothing when it is taken back.
+TEST(Entry, AnEvacuatedDataCentreGetsNoRequestsUntilItIsTakenBack)
+{
+    constexpr seconds EvacuationBound{5};
+    constexpr int Calls = 24;
+    const std::size_t dc1Servers = cluster->serverCount(); // the default servers; those that are added are in dc2
+    for (const auto &[service, kind] : std::map<std::string, std::string>{{"plain", "plain"}, {"engine", "engine"}, {"first", "stage"}, {"second", "stage"}}) {
+        cluster->addServer(service, kind, {"--data_centre=dc2"});
+    }
+    const auto executionsIn = [&](bool dc1) {
+        std::set<std::string> ids;
+        for (std::size_t server = 0; server < cluster->serverCount(); ++server) {
+            if ((server < dc1Servers) == dc1) {
+                ids.insert(cluster->serverId(server));
+            }
+        }
+        const auto executions = cluster->executions();
+        return std::count_if(executions.begin(), executions.end(), [&](const Execution &execution) {
+            return ids.count(execution.instance) > 0;
+        });
+    };
+    const auto callAll = [&] {
+        std::map<int, int> statuses;
+        for (int i = 0; i < Calls; ++i) {
+            ++statuses[callNode(static_cast<std::size_t>(i % 2), makeCall(static_cast<CallKind>(i / 2 % 4))).status];
+        }
+        return statuses;
+    };
+    const auto reached = [&](bool dc1) {
+        const auto before = executionsIn(dc1);
+        return eventually(
+            [&] {
+                (void)callAll();
+                return executionsIn(dc1) > before;
+            },
+            seconds(20));
+    };
+    CHECK(reached(false));
+    cluster->setEvacuated("dc1", true);
+    std::this_thread::sleep_for(EvacuationBound);
+    const auto before = executionsIn(true);
+    const auto elsewhere = executionsIn(false);
+    CHECK((callAll() == std::map<int, int>{{200, Calls}}));
+    LONGS_EQUAL(before, executionsIn(true));
+    LONGS_EQUAL(Calls, executionsIn(false) - elsewhere);
+    cluster->setEvacuated("dc2", true);
+    std::this_thread::sleep_for(EvacuationBound);
+    CHECK((callAll() == std::map<int, int>{{503, Calls}}));
+    LONGS_EQUAL(before, executionsIn(true));
+    LONGS_EQUAL(Calls, executionsIn(false) - elsewhere);
+    cluster->setEvacuated("dc1", false);
+    CHECK(reached(true));
+}
+
 // Four callers send streams to a node that gets SIGHUP, which only makes it check its settings file, and then SIGTERM. A node that
 // exits before its streams have ended would cut them: none may be incomplete, and the node must exit with 0.
 TEST(Entry, PlannedStopInterruptsNoRequest)
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -269,6 +269,15 @@
     transact(Json{{"Writes", Json::array({row})}}.dump());
 }
 
+void EntryCluster::setEvacuated(const std::string &dataCentre, bool evacuated) const
+{
+    Json row{{"Table", "op"}, {"part", ""}, {"Key", "evacuate/" + dataCentre}};
+    if (evacuated) {
+        row["Value"] = base64("{}");
+    }
+    transact(Json{{evacuated ? "Writes" : "Remove", Json::array({row})}}.dump());
+}
+
 bool EntryCluster::ready(std::size_t nodeIndex) const
 {
     return send(m_nodes.at(nodeIndex).readinessAddress, "GET", "/api/readiness").status == 200;
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -75,6 +75,7 @@
     {
         m_routeTimeout = timeout;
     }
+    void setEvacuated(const std::string &dataCentre, bool evacuated) const; // returns when the store has acknowledged it
     void writeMalformedConfiguration(); // writes text that cannot be decoded as the next version of the configuration
     bool awaitReady(Duration timeout = std::chrono::seconds(30)); // waits until every node is ready and answers a request; false: not within `timeout`
 
