--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -48,6 +48,7 @@
     unsigned running = 0; // number of requests that the instance runs now
     unsigned waiting = 0; // number of requests in the instance's own queue
     unsigned slots = 0; // largest number of requests that the instance runs at the same time
+    double slowdown = 1; // how long work takes there at that moment, as a multiple of the usual time
 };
 
 // One instance, as input to a policy.
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -1135,3 +1135,56 @@
         CHECK_TEXT(read == limit, text);
     }
 }
+
+// Guards against load reports that are discarded because they hold a fourth part, and against a slowdown that is read as another one: what isn't a
+// positive number states none, and one out of range counts as the nearest within it.
+TEST(Forwarding, StatedLoadsMayHoldFurtherParts)
+{
+    const auto read = [this](const std::string &text) {
+        ReplyHead head;
+        head.status = 200;
+        head.headers.add("X-Server-Load", text);
+        return codec->readReply(head, "a1").load;
+    };
+    std::string list;
+    for (unsigned parts = 0; parts <= 10; ++parts) {
+        const auto load = read(list);
+        CHECK_TEXT(load.has_value() == (parts >= 3), list.c_str());
+        if (load) {
+            CHECK_TEXT(load->running == 200 && load->waiting == 201 && load->slots == 202, list.c_str());
+            DOUBLES_EQUAL_TEXT(parts == 3 ? 1 : 2.03, load->slowdown, 1e-9, list.c_str());
+        }
+        list += (parts == 0 ? "" : ",") + std::to_string(200 + parts);
+    }
+    const std::vector<std::pair<std::string, double>> slowdowns = {
+        {"100", 1},  {"250", 2.5}, {" 250 ", 2.5}, {"  ", 1},      {"40", 0.4},
+        {"10", 0.1}, {"9.9", 0.1}, {"10000", 100}, {"10001", 100}, {std::string(400, '9'), 100},
+        {"0", 1},    {"0.0", 1},   {"-5", 1},      {"-0", 1},      {"nan", 1},
+        {"inf", 1},  {"-inf", 1},  {"slow", 1},    {"", 1},        {"250ms", 1},
+        {"0x20", 1}, {"+250", 1},  {"2 5", 1},     {"1e4", 100},   {"1e999", 100},
+    };
+    for (const auto &[text, slowdown] : slowdowns) {
+        for (const char *after : {"", ",", ",7,x"}) {
+            const auto load = read("64,32,128," + text + after);
+            CHECK_TEXT(load && load->running == 64 && load->waiting == 32 && load->slots == 128, text.c_str());
+            DOUBLES_EQUAL_TEXT(slowdown, load->slowdown, 1e-9, text.c_str());
+        }
+    }
+}
+
+// The same for replies of stage servers.
+TEST(Forwarding, AStageServersLoadMayHoldAFourthPart)
+{
+    first->script = [](ServerConnection &connection) {
+        const std::string body = R"({"Items":[{"Handle":"10.0.0.1:1/ab"}]})";
+        (void)connection.send(connection.head("X-Server-Load: 1,3,1,250\r\nContent-Length: " + std::to_string(body.size()) + "\r\n") + body);
+    };
+    StageTask task;
+    task.request = "a1";
+    task.pieces = 1;
+    const InstanceSpec instance{"i1", "stage", first->address(), "dc1", 1, false, 1};
+    const auto reply = platform::makeStageChannel(upstream)->run(instance, {PieceCall{&task, 0}}, clock.now(), clock.now() + seconds(5));
+    CHECK(reply.has_value() && reply->load.has_value());
+    LONGS_EQUAL(3, reply->load->waiting);
+    DOUBLES_EQUAL(2.5, reply->load->slowdown, 1e-9);
+}
