Engines of a data centre are chosen by one owner for all nodes

Cause: the preferred engine of a prompt is a hash of its shared parts, whatever the engine's speed and the prompts that wait there. From the logs, the time from the call to the first event was 60 to 860 ms in the median, by engine; with one other prompt waiting the 90th percentile was 1.6 s. A node can't know better: it gets a reply of each engine every 45 s.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -217,6 +217,7 @@
     Stages = 31, // StageScheduler: queues of waiting pieces (parts of the work of a stage), slots of instances
     Instances = 32, // InstanceTable: registered instances of services
     StageOwners = 33, // OwnerStageExecutor: plan and state of the owners, the nodes that schedule stages for others, and the work that waits there
+    Placement = 34, // PlacementOwner: what is known of engines; OwnedPlacement: reports to be sent
     Accounts = 40, // AccountTable: rates and concurrency of client accounts
     Requests = 50, // RequestTable, ForwardService: requests in flight
     Estimates = 60, // measured times, retry budgets and deadlines: StageEstimates, RetryPolicy, ServiceRetryBudget, EngineTimeEstimator, StatedDeadlines
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -191,6 +191,9 @@
     ResultReleaser m_releaser;
     StageScheduler m_scheduler;
     OwnerStageExecutor m_stages;
+    std::unique_ptr<PlacementChannel> m_placementChannel;
+    PlacementOwner m_placementOwner;
+    OwnedPlacement m_placement;
     ForwardService m_service;
     DeploymentListener m_deploymentListener;
     InstanceListener m_instanceListener;
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -288,6 +288,7 @@
     EngineTimeEstimator &engineTimeEstimator;
     StatedDeadlines &statedDeadlines;
     CrashGuard &crashGuard;
+    EnginePlacement &placement;
     ChoicePolicy &serverChoice; // for backend servers that aren't model engines
     ChoicePolicy &engineChoice; // for model engines
     const UpstreamSettings &upstream;
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -1,5 +1,5 @@
-// ForwardRun: admission of a request and attempts at servers. Index of sections: [ADMISSION], [ATTEMPTS]. The stages are in run_stages.cpp, streamed
-// replies in run_streams.cpp, refusals and the end of a request in run_answers.cpp.
+// ForwardRun: admission of a request and attempts at servers. Index of sections: [ADMISSION], [ATTEMPTS]. The stages are in run_stages.cpp, what the
+// owners of engines are asked in run_placement.cpp, streamed replies in run_streams.cpp, refusals and the end of a request in run_answers.cpp.
 #include "forwarding/run.h"
 
 #include <algorithm>
@@ -387,7 +387,18 @@
     input.avoid = m_tried;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
     const ServiceSpec *service = m_deployment->service(m_service);
-    auto lease = m_dependencies.instances.acquire(input, service != nullptr && service->engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
+    const bool engine = service != nullptr && service->engine;
+    if (auto demand = engine ? placementDemand() : std::nullopt) {
+        if (auto placed = m_dependencies.placement.place(*demand, m_exchange)) {
+            input.wanted = *placed;
+            m_placed = std::move(demand);
+        }
+    }
+    auto lease = m_dependencies.instances.acquire(input, engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
+    const std::string chosen = lease ? lease->instance().id : std::string();
+    if (m_placed && chosen != input.wanted) {
+        m_placed.reset(); // the owner stops counting it when it hears nothing of it
+    }
     if (!lease) {
         m_lastError = lease.error().code;
         return AttemptOutcome::NotRun;
@@ -399,6 +410,7 @@
     UpstreamCall call(m_dependencies.upstream);
     const TimePoint began = m_dependencies.clock.now();
     if (const auto opened = call.open(instance.address, m_deadline, m_exchange); !opened) {
+        reportPlacement(std::nullopt);
         return handleFailure(opened.error(), *lease, began);
     }
     ++m_sentCount;
@@ -408,6 +420,7 @@
         head = call.awaitHead(m_deadline, m_exchange);
     }
     const AttemptOutcome outcome = head ? readReply(call, *head, *lease, began) : handleFailure(head.error(), *lease, began);
+    reportPlacement(std::nullopt);
     if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost) {
         reportCrash(instance);
     }
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -74,6 +74,9 @@
     void runAttempts();
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
+    std::vector<PromptPrefix> promptPrefixes() const; // of the shared parts
+    std::optional<PlacementDemand> placementDemand(); // nullopt: the request isn't for a model engine
+    void reportPlacement(std::optional<Duration> firstEventAfter);
     bool grantRepetition();
     bool queuedBeyondTarget() const;
     bool limitedBeyondTarget() const;
@@ -136,6 +139,7 @@
     bool m_mayHaveRun = false; // some server may have run the request
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
+    std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     bool m_isProbe = false; // see CrashGuard::Admission
     ErrorCode m_lastError = ErrorCode::NoFitServer;
     std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -306,7 +306,10 @@
         return viewsLocked(input, Limits::Ignored, now).empty() ? fail(ErrorCode::NoFitServer, "no usable instance of the service is registered")
                                                                 : fail(ErrorCode::ServersLimited);
     }
-    const std::string &id = views.at(policy.choose(input, views)).spec->id;
+    const auto wanted = std::find_if(views.begin(), views.end(), [&input](const InstanceView &view) {
+        return view.spec->id == input.wanted;
+    });
+    const std::string &id = wanted == views.end() ? views.at(policy.choose(input, views)).spec->id : wanted->spec->id;
     Entry &entry = m_entries.at(id);
     ++entry.outstanding;
     entry.unanswered.insert(now);
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -74,6 +74,7 @@
     std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
     std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
     std::string dataCentre; // preferred one; empty: this node's
+    std::string wanted; // id of the instance that is taken if it may get a request now; empty: the policy chooses
     bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
 };
 
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -162,8 +162,9 @@
     return std::make_unique<HttpStagePeerChannel>(settings);
 }
 
-PeerHandler::PeerHandler(StageScheduler &stages, RelayedTables relayed, const std::atomic<bool> &leaving, MetricsRegistry &metrics)
+PeerHandler::PeerHandler(StageScheduler &stages, PlacementOwner &placement, RelayedTables relayed, const std::atomic<bool> &leaving, MetricsRegistry &metrics)
     : m_stages(stages)
+    , m_placement(placement)
     , m_relayed(std::move(relayed))
     , m_leaving(leaving)
     , m_metrics(metrics)
@@ -184,7 +185,7 @@
 {
     const TimePoint until = std::chrono::steady_clock::now() + PeerReplyTimeout;
     Headers headers;
-    if (m_leaving && (exchange.path() == StageTaskPath || exchange.path() == RelayTablePath)) {
+    if (m_leaving && (exchange.path() == StageTaskPath || exchange.path() == RelayTablePath || exchange.path() == PlacementPath)) {
         headers.add("Content-Type", "application/json");
         (void)exchange.reply(200, headers, describeError(ErrorCode::PeerUnavailable), until);
     } else if (exchange.path() == StageTaskPath && exchange.head().method == "POST") {
@@ -193,6 +194,10 @@
         serveRelease(exchange);
     } else if (exchange.path() == RelayTablePath && exchange.head().method == "POST") {
         serveTable(exchange);
+    } else if (exchange.path() == PlacementPath && exchange.head().method == "POST") {
+        servePlacement(exchange);
+    } else if (exchange.path() == PlacementReportsPath && exchange.head().method == "POST") {
+        servePlacementReports(exchange);
     } else if (exchange.path() == AlivePath) {
         (void)exchange.reply(200, headers, "{}", until);
     } else if (exchange.path() == MetricsPath && exchange.head().method == "GET") {
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -14,6 +14,9 @@
 // Makes a channel through which this node has other nodes run stage tasks.
 std::unique_ptr<StagePeerChannel> makeStagePeerChannel(const UpstreamSettings &settings);
 
+// Makes a channel through which this node asks the owners of engines.
+std::unique_ptr<PlacementChannel> makePlacementChannel(const UpstreamSettings &settings);
+
 // Makes a channel through which this node gets tables of the platform's store from another node.
 std::unique_ptr<RelayChannel> makeRelayChannel(const UpstreamSettings &settings);
 
@@ -25,7 +28,7 @@
 {
 public:
     // `leaving`: set when this node is about to stop; then it takes no further work, and other nodes turn to others.
-    PeerHandler(StageScheduler &stages, RelayedTables relayed, const std::atomic<bool> &leaving, MetricsRegistry &metrics);
+    PeerHandler(StageScheduler &stages, PlacementOwner &placement, RelayedTables relayed, const std::atomic<bool> &leaving, MetricsRegistry &metrics);
     void serve(FrontExchange &exchange) override;
     std::string describeError(ErrorCode code) override;
     FrontLimits limits() override;
@@ -36,8 +39,11 @@
     void serveStageTask(FrontExchange &exchange);
     void serveRelease(FrontExchange &exchange);
     void serveTable(FrontExchange &exchange);
+    void servePlacement(FrontExchange &exchange);
+    void servePlacementReports(FrontExchange &exchange);
 
     StageScheduler &m_stages;
+    PlacementOwner &m_placement;
     const RelayedTables m_relayed;
     const std::atomic<bool> &m_leaving;
     MetricsRegistry &m_metrics;
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -133,6 +133,12 @@
     std::sort(services.begin(), services.end(), [](const OwnedService &a, const OwnedService &b) {
         return a.name < b.name;
     });
+    // After the stages' services, so that engines don't change which nodes own those.
+    for (const ServiceSpec &service : deployment ? deployment->services() : std::vector<ServiceSpec>()) {
+        if (const auto dataCentres = m_dependencies.instances.usableInstances(service.name)->dataCentres; service.engine && !dataCentres.empty()) {
+            services.push_back(OwnedService{service.name, dataCentres.size(), dataCentres});
+        }
+    }
     plan->candidates = planOwners(services, m_members.all(), m_settings.maxOwners);
     for (OwnedService &service : services) {
         plan->services.emplace(service.name, std::move(service));
@@ -215,6 +221,11 @@
     return std::nullopt;
 }
 
+std::optional<MemberRecord> OwnerStageExecutor::engineOwner(const std::string &service, const std::string &dataCentre)
+{
+    return ownerOf(service, preferredGroup(*currentPlan(), service, dataCentre));
+}
+
 void OwnerStageExecutor::submit(const Ref<StageRun> &run)
 {
     dispatchToOwner(run, m_settings.maxOwners);
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -30,6 +30,7 @@
 #include "deployment/deployment.h"
 #include "fleet/fleet.h"
 #include "instances/instances.h"
+#include "placement/placement.h"
 #include "transport/transport.h"
 
 #include <tuple>
@@ -567,7 +568,7 @@
 
 // Sends stage tasks to the owners of their services or instance groups. Handles of results to be released are sent to the owners as well,
 // because the owner tracks how much storage for results is in use at each instance.
-class OwnerStageExecutor final : public StageExecutor, public ResultSink
+class OwnerStageExecutor final : public StageExecutor, public ResultSink, public EngineOwnerLookup
 {
 public:
     OwnerStageExecutor(StageDependencies dependencies, StageScheduler &local, StagePeerChannel &peers, MemberTable &members, StageAssignment assignment,
@@ -575,6 +576,7 @@
     void submit(const Ref<StageRun> &run) override;
     Duration expectedWait(const std::string &service, const std::string &dataCentre) override;
     void release(const std::vector<std::string> &handles) override;
+    std::optional<MemberRecord> engineOwner(const std::string &service, const std::string &dataCentre) override;
 
 private:
     struct OwnerPlan : RefCounted<OwnerPlan> {
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -134,6 +134,7 @@
     CrashTable crashes{crashClock};
     LocalLedger ledger;
     CrashGuard crashGuard{crashes, ledger};
+    NoPlacement placement;
     std::unique_ptr<ChoicePolicy> choice = makeLeastOutstandingChoice();
     UpstreamSettings upstream;
     MetricsRegistry metrics;
@@ -161,7 +162,7 @@
         CHECK(deployments.install(makeRef<Deployment>(1, std::move(routes), std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
         deployments.confirmNewest(suspendAwareNow());
         service = std::make_unique<ForwardService>(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes,
-                                                                       statedDeadlines, crashGuard, *choice, *choice, upstream, metrics},
+                                                                       statedDeadlines, crashGuard, placement, *choice, *choice, upstream, metrics},
                                                    ForwardSettings{});
         handler = std::make_unique<ServiceHandler>(*service);
         front = std::make_unique<FrontServer>("callers", "127.0.0.1:0", *handler, pool);
--- a/tests/unit/stop_test.cpp
+++ b/tests/unit/stop_test.cpp
@@ -70,7 +70,8 @@
 {
     ResultReleaser releaser(channel, timers, pool);
     StageScheduler scheduler(StageDependencies{clock, deployments, instances, channel, budget, crashGuard, releaser, pool, timers, metrics});
-    PeerHandler handler(scheduler, RelayedTables{}, leaving, metrics);
+    PlacementOwner placement(clock, instances, deployments);
+    PeerHandler handler(scheduler, placement, RelayedTables{}, leaving, metrics);
     FrontServer server("peers", "127.0.0.1:0", handler, pool);
     const auto sender = makeStagePeerChannel(upstream);
     StageTask task;
