--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -84,6 +84,7 @@
 InstanceTable::InstanceTable(const Clock &clock, InstanceSettings settings)
     : m_clock(clock)
     , m_settings(std::move(settings))
+    , m_evacuations(m_settings.restoreDuration)
 {
 }
 
@@ -185,7 +186,7 @@
 
 bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
 {
-    return !entry.spec.draining && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
+    return !entry.spec.draining && !m_evacuations.includes(entry.spec.dataCentre) && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
 }
 
 void InstanceTable::Entry::removeUnanswered(TimePoint begun)
@@ -294,6 +295,7 @@
             return !view.recentlyUnreachable;
         });
     }
+    removeNotRestoredLocked(input, all, now);
     return all;
 }
 
