--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -50,6 +50,7 @@
     unsigned running = 0; // number of requests that the instance runs now
     unsigned waiting = 0; // number of requests in the instance's own queue
     unsigned slots = 0; // largest number of requests that the instance runs at the same time
+    double slowdown = 1; // how long work takes there at that moment, as a multiple of the usual time
 };
 
 // One instance, as input to a policy.
@@ -140,6 +141,7 @@
     std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
     std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
     std::string dataCentre; // preferred one; empty: this node's
+    std::string wanted; // id of the instance that is taken if it may get a request now; empty: the policy chooses
     bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
     DataCentreScope scope; // instances elsewhere aren't used
 };
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -617,7 +617,8 @@
 {
     const std::atomic<bool> leaving{false};
     SystemClock systemClock;
-    PeerHandler handler(scheduler, RelayedTables{}, leaving, metrics);
+    PlacementOwner placement(systemClock, instances, deployments);
+    PeerHandler handler(scheduler, placement, RelayedTables{}, leaving, metrics);
     FrontServer server("peers", "127.0.0.1:0", handler, pool);
     const auto peers = makeStagePeerChannel(UpstreamSettings{});
     StageTask task;
