evacuation_test, forwarding_test: servers of a test end before the pool's threads that use them

The runner of the tests saw evacuation_test abort ("double free or corruption") twice in three runs on a machine under load, and QueuedPieces.TheScopeOfATaskHoldsAtItsOwner alone once in 30 (segmentation fault).

Cause: FrontServer::stop() doesn't wait for handlers, which run on the pool, and the test destroyed its server and handler while the pool still ran one that had answered. EntryNode stops its pool before it destroys its parts, so the product isn't affected. Both tests with servers or executors of their own now stop the pool first, as the other groups do in teardown().

Ruled out: the moves between queues (the other three tests of the group with tasks: 0 of 30 each).

--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -28,6 +28,13 @@
     }
     return rows;
 }
+
+// Instance `index`, in a data centre of three: dc1, dc2, dc3, dc1, ...
+InstanceSpec makeInstance(int index)
+{
+    const std::string number = std::to_string(index);
+    return InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + index % 3), 8, false, 1};
+}
 } // namespace
 
 // Data centres dc1, dc2 and dc3 with two instances each.
@@ -43,8 +50,7 @@
     void setup() override
     {
         for (int i = 0; i < 6; ++i) {
-            const std::string number = std::to_string(i);
-            instances.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+            instances.upsert(makeInstance(i));
         }
     }
     void snapshot(const std::vector<std::string> &keys)
@@ -195,8 +201,7 @@
         for (std::size_t node = 0; node < Nodes; ++node) {
             nodes.push_back(std::make_unique<InstanceTable>(clock, settings));
             for (int i = 0; i < 12; ++i) {
-                const std::string number = std::to_string(i);
-                nodes.back()->upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+                nodes.back()->upsert(makeInstance(i));
             }
             nodes.back()->setEvacuated({"dc2"});
         }
@@ -266,8 +271,7 @@
     const auto policy = makePrefixAffinityChoice();
     InstanceTable usual(clock, settings);
     for (int i = 0; i < 12; ++i) {
-        const std::string number = std::to_string(i);
-        usual.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+        usual.upsert(makeInstance(i));
     }
     ChoiceInput input;
     input.service = Service;
@@ -494,23 +498,34 @@
         timers.stop();
         pool.stop();
     }
-    // A task in the group of data centre `index`, whose instance wants nothing for a while, so that the pieces wait.
-    Ref<StageRun> queued(std::size_t index)
+    StageTask makeTask(unsigned pieces, const InstanceGroup &group, const DataCentreScope &scope = {}) const
     {
-        InstanceStatement statement;
-        statement.pause = minutes(5);
-        instances.recordStatement("i" + std::to_string(index), statement);
         StageTask task;
         task.request = "r";
         task.service = Service;
-        task.pieces = 6;
+        task.pieces = pieces;
         task.pieceKey = "key";
-        task.group = InstanceGroup{index, 4};
-        task.dataCentre = "dc" + std::to_string(index);
+        task.group = group;
+        task.scope = scope;
         task.target = clock.now() + minutes(10);
         task.deadline = clock.now() + minutes(10);
+        return task;
+    }
+    Ref<StageRun> submit(StageExecutor & executor, const StageTask &task)
+    {
         const auto run = makeRef<StageRun>(task, progress);
-        scheduler.submit(run);
+        executor.submit(run);
+        return run;
+    }
+    // A task in the group of data centre `index`, whose instance wants nothing for a while, so that the pieces wait.
+    Ref<StageRun> queued(std::size_t index)
+    {
+        InstanceStatement statement;
+        statement.pause = minutes(5);
+        instances.recordStatement("i" + std::to_string(index), statement);
+        StageTask task = makeTask(6, InstanceGroup{index, 4});
+        task.dataCentre = "dc" + std::to_string(index);
+        const auto run = submit(scheduler, task);
         LONGS_EQUAL(6, static_cast<long>(scheduler.waitingPieces()));
         return run;
     }
@@ -570,24 +585,15 @@
 {
     instances.setEvacuated({"dc3"});
     instances.setEvacuated({});
-    const auto submit = [this] {
-        StageTask task;
-        task.request = "r";
-        task.service = Service;
-        task.pieces = 12;
-        task.group = InstanceGroup{3, 4};
-        task.target = clock.now() + minutes(10);
-        task.deadline = clock.now() + minutes(10);
-        const auto run = makeRef<StageRun>(task, progress);
-        scheduler.submit(run);
-        CHECK(ends(run));
+    const auto largestBatch = [this] {
+        CHECK(ends(submit(scheduler, makeTask(12, InstanceGroup{3, 4}))));
         return channel.largestBatch.exchange(0);
     };
-    LONGS_EQUAL(1, static_cast<long>(submit()));
+    LONGS_EQUAL(1, static_cast<long>(largestBatch()));
     clock.advance(InstanceSettings{}.restoreDuration / 2);
-    LONGS_EQUAL(2, static_cast<long>(submit()));
+    LONGS_EQUAL(2, static_cast<long>(largestBatch()));
     clock.advance(InstanceSettings{}.restoreDuration / 2);
-    LONGS_EQUAL(4, static_cast<long>(submit()));
+    LONGS_EQUAL(4, static_cast<long>(largestBatch()));
 }
 
 // Guards against pieces that reach a data centre outside the scope of their request: in a group of its own, in one for all, and when the group has none
@@ -595,16 +601,7 @@
 TEST(QueuedPieces, ReachOnlyDataCentresWithinTheirScope)
 {
     for (const std::size_t groups : {std::size_t{1}, std::size_t{2}, std::size_t{4}}) {
-        StageTask task;
-        task.request = "r" + std::to_string(groups);
-        task.service = Service;
-        task.pieces = 40;
-        task.group = InstanceGroup{0, groups};
-        task.scope = DataCentreScope({"dc1"});
-        task.target = clock.now() + minutes(10);
-        task.deadline = clock.now() + minutes(10);
-        const auto run = makeRef<StageRun>(task, progress);
-        scheduler.submit(run);
+        const auto run = submit(scheduler, makeTask(40, InstanceGroup{0, groups}, DataCentreScope({"dc1"})));
         CHECK(ends(run));
         CHECK(run->outcome()->has_value());
     }
@@ -621,11 +618,7 @@
     PeerHandler handler(scheduler, placement, RelayedTables{}, leaving, metrics);
     FrontServer server("peers", "127.0.0.1:0", handler, pool);
     const auto peers = makeStagePeerChannel(UpstreamSettings{});
-    StageTask task;
-    task.request = "r";
-    task.service = Service;
-    task.pieces = 1;
-    task.scope = DataCentreScope(std::set<std::string>{});
+    StageTask task = makeTask(1, InstanceGroup{}, DataCentreScope(std::set<std::string>{}));
     task.target = systemClock.now() + minutes(10);
     task.deadline = systemClock.now() + minutes(10);
     NeverCancelled neverCancelled;
@@ -640,6 +633,7 @@
     const auto served = callPeer(UpstreamSettings{}, PeerCall{server.address(), "/v1/stage-orders", old, until, until}, neverCancelled, alive);
     CHECK(served.has_value() && served->find("handles") != std::string::npos);
     server.stop();
+    pool.stop(); // its threads may still be in the server's handler when the answer has come
 }
 
 // Guards against pieces that reach another region through an owner of an earlier version, which doesn't heed scopes: they run at this node.
@@ -658,19 +652,12 @@
         return metrics.renderText().find("vanillanotch_stage_owner_failures_total") != std::string::npos;
     };
     for (const bool restricted : {true, false}) {
-        StageTask task;
-        task.request = "r";
-        task.service = Service;
-        task.pieces = 1;
-        task.scope = restricted ? DataCentreScope({"dc1"}) : DataCentreScope();
-        task.target = clock.now() + minutes(10);
-        task.deadline = clock.now() + minutes(10);
-        const auto run = makeRef<StageRun>(task, progress);
-        executor.submit(run);
-        CHECK(ends(run));
+        CHECK(ends(submit(executor, makeTask(1, InstanceGroup{}, restricted ? DataCentreScope({"dc1"}) : DataCentreScope()))));
         CHECK(failures() != restricted);
     }
     CHECK(decodeMember("n1", encodeMember(*earlier)).has_value() && !decodeMember("n1", encodeMember(*earlier))->keepsScopes);
     self.keepsScopes = true;
     CHECK(decodeMember("n1", encodeMember(self))->keepsScopes);
+    timers.stop();
+    pool.stop(); // its threads use the executor
 }
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -1111,6 +1111,7 @@
     LONGS_EQUAL(reached, second->requests);
     LONGS_EQUAL(0, stages.submitted);
     homesFront.stop();
+    pool.stop(); // its threads may still be in this server's handler
 }
 
 // Guards against callers' bytes that end the node (LOST): a key or an id that isn't UTF-8 can't be written in the JSON of stage calls. Such a request is
