--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -411,7 +411,6 @@
     UpstreamCall call(m_dependencies.upstream);
     const TimePoint began = m_dependencies.clock.now();
     if (const auto opened = call.open(instance.address, m_deadline, m_exchange); !opened) {
-        reportPlacement(std::nullopt);
         return handleFailure(opened.error(), *lease, began);
     }
     ++m_sentCount;
@@ -421,7 +420,7 @@
         head = call.awaitHead(m_deadline, m_exchange);
     }
     const AttemptOutcome outcome = head ? readReply(call, *head, *lease, began) : handleFailure(head.error(), *lease, began);
-    reportPlacement(std::nullopt);
+    reportPlacement(std::nullopt, InstanceCallOutcome::Inconclusive); // unless it was reported above
     if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost) {
         reportCrash(instance);
     }
@@ -441,6 +440,7 @@
     const Duration took = m_dependencies.clock.now() - began;
     m_lastError = failure.code;
     lease.finish(callOutcomeOf(failure), Duration::zero());
+    reportPlacement(std::nullopt, callOutcomeOf(failure));
     logEvent(LogLevel::Info, "request.attempt_failed",
              {{"request", m_request.attemptId},
               {"instance", m_lastInstance},
@@ -470,7 +470,9 @@
     }
     if (facts.notExecuted || facts.wrongInstance) {
         m_lastError = facts.wrongInstance ? ErrorCode::WrongInstance : head.status == 409 ? ErrorCode::InputsGone : ErrorCode::ServerBusy;
-        lease.finish(facts.wrongInstance ? InstanceCallOutcome::Unreachable : InstanceCallOutcome::Busy, Duration::zero());
+        const auto callOutcome = facts.wrongInstance ? InstanceCallOutcome::Unreachable : InstanceCallOutcome::Busy;
+        lease.finish(callOutcome, Duration::zero());
+        reportPlacement(std::nullopt, callOutcome);
         logEvent(LogLevel::Info, "request.not_executed", {{"request", m_request.attemptId}, {"instance", m_lastInstance}, {"status", head.status}});
         return AttemptOutcome::NotRun;
     }
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -76,8 +76,8 @@
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
     std::vector<PromptPrefix> promptPrefixes() const; // of the shared parts
-    std::optional<PlacementDemand> placementDemand(); // nullopt: the request isn't for a model engine
-    void reportPlacement(std::optional<Duration> firstEventAfter);
+    std::optional<PlacementDemand> placementDemand(); // nullopt: the engines are alike, so that their owner isn't asked
+    void reportPlacement(std::optional<Duration> firstEventAfter, InstanceCallOutcome outcome); // `outcome`: if there was no first event
     bool grantRepetition();
     bool queuedBeyondTarget() const;
     bool limitedBeyondTarget() const;
--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -65,7 +65,7 @@
         }
         if (m_streamStarted && !started) {
             lease.recordFirstEvent(m_firstEventAt - began);
-            reportPlacement(m_firstEventAt - began);
+            reportPlacement(m_firstEventAt - began, InstanceCallOutcome::Succeeded);
         }
         if (buffer.size() > PartialEventLimit) {
             return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -422,9 +422,19 @@
     if (const auto found = m_entries.find(id); found != m_entries.end() && load) {
         found->second.load = load;
         found->second.loadAt = m_clock.now();
+        if (load->slowdown > m_settings.unevenFactor || load->slowdown < 1 / m_settings.unevenFactor) {
+            m_unevenUntil[found->second.spec.service] = found->second.loadAt + m_settings.unevenDuration;
+        }
     }
 }
 
+bool InstanceTable::uneven(const std::string &service) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_unevenUntil.find(service);
+    return found != m_unevenUntil.end() && m_clock.now() < found->second;
+}
+
 void InstanceTable::recordTimeLocked(Entry &entry, Duration time, TimePoint now)
 {
     ShortestTimes shortest;
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -259,6 +259,9 @@
     std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     // An instance counts as slow when its expected time is longer than both `slowFactor` times the shortest of its service and `minSlowTime`.
     double slowFactor = 3.0;
+    // A slowdown beyond this range, in either direction, makes a service count as uneven for this long.
+    double unevenFactor = 1.2;
+    std::chrono::milliseconds unevenDuration{60000};
     std::chrono::milliseconds minSlowTime{500};
 };
 
@@ -365,6 +368,8 @@
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
     void report(const std::string &id, InstanceCallOutcome outcome, Duration time);
     void recordLoad(const std::string &id, const std::optional<ReportedLoad> &load); // as the instance has just stated it
+    // Some instance of the service has stated within InstanceSettings::unevenDuration that work takes another time there than usual.
+    bool uneven(const std::string &service) const;
     // Call it once, before use. The listener is called after each synchronise() and upsert(), without a lock held.
     void setChangeListener(std::function<void()> listener);
     std::size_t size() const;
@@ -447,6 +452,7 @@
         RequestRate admitted; // places a second
     };
     std::map<std::string, std::map<int, Queue>> m_queues; // by service and priority
+    std::map<std::string, TimePoint> m_unevenUntil; // by service
     std::function<void()> m_listener;
 };
 
--- a/src/peerhttp/placement_calls.cpp
+++ b/src/peerhttp/placement_calls.cpp
@@ -17,6 +17,20 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+constexpr const char *UnreachableName = "unreachable";
+constexpr const char *FailedName = "failed";
+constexpr const char *OtherName = "other";
+
+const char *nameOf(InstanceCallOutcome outcome)
+{
+    return outcome == InstanceCallOutcome::Unreachable ? UnreachableName : outcome == InstanceCallOutcome::Failed ? FailedName : OtherName;
+}
+
+InstanceCallOutcome outcomeOf(const std::string &name)
+{
+    return name == UnreachableName ? InstanceCallOutcome::Unreachable : name == FailedName ? InstanceCallOutcome::Failed : InstanceCallOutcome::Inconclusive;
+}
+
 std::string encodeDemand(const PlacementDemand &demand)
 {
     Json prefixes = Json::array();
@@ -89,6 +103,8 @@
             Json entry{{"attempt", report.attempt}, {"service", report.service}, {"instance", report.instance}};
             if (report.firstEventAfter) {
                 entry["first_event_us"] = report.firstEventAfter->count();
+            } else {
+                entry["outcome"] = nameOf(report.outcome);
             }
             list.push_back(std::move(entry));
         }
@@ -134,13 +150,16 @@
         std::vector<PlacementReport> reports;
         const Json json = Json::parse(exchange.body());
         for (const Json &entry : json.at("reports")) {
-            PlacementReport report{entry.at("attempt").get<std::string>(), entry.at("service").get<std::string>(), entry.at("instance").get<std::string>(), {}};
+            PlacementReport report{
+                entry.at("attempt").get<std::string>(), entry.at("service").get<std::string>(), entry.at("instance").get<std::string>(), {}, {}};
             if (entry.contains("first_event_us")) {
                 report.firstEventAfter = std::chrono::microseconds(entry.at("first_event_us").get<std::int64_t>());
+            } else {
+                report.outcome = outcomeOf(entry.value("outcome", std::string()));
             }
             reports.push_back(std::move(report));
         }
-        m_placement.record(reports);
+        m_placement.recordOfOtherNode(reports);
         (void)exchange.reply(200, headers, "{}", until);
     } catch (const Json::exception &) {
         logEvent(LogLevel::Warning, "peer.placement_unreadable", {{"error", ErrorCode::MalformedRequest}});
--- a/src/placement/owner.cpp
+++ b/src/placement/owner.cpp
@@ -114,6 +114,14 @@
     }
 }
 
+void PlacementOwner::recordOfOtherNode(const std::vector<PlacementReport> &reports)
+{
+    for (const PlacementReport &report : reports) {
+        m_instances.report(report.instance, report.firstEventAfter ? InstanceCallOutcome::Succeeded : report.outcome, Duration::zero());
+    }
+    record(reports);
+}
+
 //-----------------------------------------------------------------------------
 // OwnedPlacement
 //-----------------------------------------------------------------------------
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -45,12 +45,13 @@
     std::chrono::milliseconds targetIn{0}; // time left until the first event should come; negative: it should have come already
 };
 
-// What became of a placement. A report without `firstEventAfter` only says that the attempt has ended.
+// What became of a placement: the time to the first event, or how the attempt ended before it.
 struct PlacementReport {
     std::string attempt;
     std::string service;
     std::string instance;
     std::optional<std::chrono::microseconds> firstEventAfter; // from the call to the first event
+    InstanceCallOutcome outcome = InstanceCallOutcome::Inconclusive; // without a first event
 };
 
 //-----------------------------------------------------------------------------
@@ -139,6 +140,9 @@
     // Id of the chosen engine; nullopt: the data centre has none that may get a request now.
     std::optional<std::string> place(const PlacementDemand &demand);
     void record(const std::vector<PlacementReport> &reports);
+    // As record(), for reports of another node, whose outcomes this node's InstanceTable doesn't know. An engine that fails there would otherwise go on being
+    // chosen, since its queue looks short.
+    void recordOfOtherNode(const std::vector<PlacementReport> &reports);
 
 private:
     class BookChoice;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -158,6 +158,34 @@
         });
 }
 
+// Owners of engines, as the node sees them.
+class FixedOwner final : public EngineOwnerLookup
+{
+public:
+    std::optional<MemberRecord> engineOwner(const std::string & /*service*/, const std::string & /*dataCentre*/) override
+    {
+        return owner;
+    }
+    std::optional<MemberRecord> owner;
+};
+
+class ScriptedChannel final : public PlacementChannel
+{
+public:
+    Result<std::optional<std::string>> place(const std::string & /*peerAddress*/, const PlacementDemand & /*demand*/, TimePoint /*until*/,
+                                             CancellationWatch & /*cancellation*/) override
+    {
+        ++calls;
+        return answer;
+    }
+    Result<void> report(const std::string & /*peerAddress*/, const std::vector<PlacementReport> & /*reports*/, TimePoint /*until*/) override
+    {
+        return {};
+    }
+    Result<std::optional<std::string>> answer = fail(ErrorCode::PeerUnavailable);
+    unsigned calls = 0;
+};
+
 PlacementDemand demandFor(const std::string &attempt, std::uint64_t prefix, milliseconds targetIn = milliseconds(1000))
 {
     return PlacementDemand{attempt, "engines", "dc", {PromptPrefix{prefix, 10'000}}, 1000, {}, targetIn};
@@ -267,3 +295,79 @@
     }
     CHECK_TRUE(used > 20);
 }
+
+TEST_GROUP(PlacementOwners)
+{
+    ManualClock clock;
+    InstanceTable instances{clock, InstanceSettings{}};
+    DeploymentTable deployments{FreshnessSettings{}};
+    PlacementOwner local{clock, instances, deployments};
+    FixedOwner owners;
+    ScriptedChannel channel;
+    MetricsRegistry metrics;
+    GrowingPool pool{2};
+    WorkerPool background{1};
+    TimerQueue timers{background};
+    OwnedPlacement placement{clock, local, owners, channel, pool, timers, metrics};
+    NeverCancelled neverCancelled;
+
+    void setup() override
+    {
+        std::vector<ServiceSpec> services = {ServiceSpec{"engines", true, 64, 566'000, std::nullopt}};
+        CHECK(deployments.install(makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
+        instances.synchronise({InstanceSpec{"a", "engines", "10.0.0.1:1", "dc", 64, false, 1}, InstanceSpec{"b", "engines", "10.0.0.1:2", "dc", 64, false, 1},
+                               InstanceSpec{"c", "engines", "10.0.0.1:3", "elsewhere", 64, false, 1}});
+    }
+    void teardown() override
+    {
+        timers.stop();
+        pool.stop();
+    }
+};
+
+// Guards against requests that wait for an owner that doesn't answer, one after the other.
+TEST(PlacementOwners, ASilentOwnerIsLeftAloneForAWhile)
+{
+    owners.owner = MemberRecord{};
+    owners.owner->name = "owner";
+    CHECK_FALSE(placement.place(demandFor("1", 7), neverCancelled).has_value());
+    CHECK_FALSE(placement.place(demandFor("2", 7), neverCancelled).has_value());
+    LONGS_EQUAL(1, channel.calls);
+    clock.advance(PlacementSettings{}.peerPause + milliseconds(1));
+    channel.answer = std::optional<std::string>("b");
+    STRCMP_EQUAL("b", placement.place(demandFor("3", 7), neverCancelled).value_or("").c_str());
+}
+
+// Guards against an engine elsewhere, or one that was tried already.
+TEST(PlacementOwners, TheOwnerChoosesInTheDataCentreOnly)
+{
+    PlacementDemand demand = demandFor("1", 7);
+    const auto first = placement.place(demand, neverCancelled);
+    CHECK(first && *first != "c");
+    demand.avoid = {*first};
+    STRCMP_EQUAL(*first == "a" ? "b" : "a", placement.place(demand, neverCancelled).value_or("").c_str());
+    demand.dataCentre = "unknown";
+    CHECK_FALSE(placement.place(demand, neverCancelled).has_value());
+}
+
+// Guards against a crashed engine whose queue looks short: other nodes' failures count at the owner.
+TEST(PlacementOwners, AnEngineThatFailsForOtherNodesIsAvoided)
+{
+    const PlacementDemand demand = demandFor("1", 7);
+    const std::string first = placement.place(demand, neverCancelled).value_or("");
+    local.recordOfOtherNode({PlacementReport{"1", "engines", first, std::nullopt, InstanceCallOutcome::Unreachable}});
+    const std::string second = placement.place(demandFor("2", 7), neverCancelled).value_or("");
+    CHECK(second != first);
+}
+
+// Guards against owners that are asked where all engines are alike: a hash serves these better.
+TEST(PlacementOwners, AServiceCountsAsUnevenWhileItsInstancesSaySo)
+{
+    instances.recordLoad("a", ReportedLoad{1, 0, 64, 1.0});
+    CHECK_FALSE(instances.uneven("engines"));
+    instances.recordLoad("a", ReportedLoad{1, 0, 64, 2.5});
+    CHECK_TRUE(instances.uneven("engines"));
+    CHECK_FALSE(instances.uneven("others"));
+    clock.advance(InstanceSettings{}.unevenDuration + milliseconds(1));
+    CHECK_FALSE(instances.uneven("engines"));
+}
