--- a/src/forwarding/run_placement.cpp
+++ b/src/forwarding/run_placement.cpp
@@ -27,6 +27,7 @@
     input.service = m_service;
     input.affinity = m_affinity;
     input.avoid = m_tried;
+    input.scope = m_scope;
     const auto preferred = m_dependencies.instances.preview(input, m_dependencies.engineChoice);
     if (!preferred) {
         return std::nullopt;
