Cold times are decoded from entries, replies and services

Operators saw that servers crashed after a start or an evacuation: every node sent them as many requests as to warm ones, because nothing that says "cold" was read. This reads ColdStartS and ColdPerS of a service, ColdRemainingMs of a server's entry and X-Cold-Ms of a reply; nothing uses them yet.

A negative value counts as 0, one that is not a number as absent, one over ten minutes as ten minutes. Ruled out: refusing the entry or the configuration because of such a value, which would make a server or all routes unavailable. A JSON number that no double can hold (1e400) still makes the whole document invalid, as before: the parser refuses it.

--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -81,6 +81,8 @@
     unsigned engineSlots = 0; // requests that one engine runs at once
     std::size_t kvCapacityTokens = 0; // size of one engine's KV cache, in tokens
     std::optional<StageCapacity> stage; // nullopt: the service doesn't run stages
+    std::chrono::milliseconds coldStart{0}; // for which a server is cold after its start, if it doesn't state another time
+    double coldRequestsPerSecond = 0; // that a cold server tolerates from all nodes together; 0: no limit
 };
 
 struct AccountSpec { // a client account; requests name it by one of its API keys
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -17,6 +17,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "instances/cold.h"
 
 #include <set>
 #include <unordered_map>
@@ -38,6 +39,7 @@
     // When its process started, Unix ms by its own clock; tells restarts under the same id apart. An entry with an earlier start than the known one
     // is ignored, except one with 0 (unknown start).
     std::int64_t startedUnixMs = 0;
+    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold, as its entry states it; nullopt: not stated
 
     // Names this start of the instance, in at most 171 bytes, so that it fits into the key of a row: a longer id is replaced by its hash.
     std::string process() const;
@@ -104,6 +106,7 @@
     std::optional<double> requestsPerSecond; // that it takes from all nodes together, at least 0; nullopt: it states no limit
     bool leaving = false; // it is about to stop, and wants no further requests
     std::chrono::milliseconds pause{0}; // it wants nothing from this node for so long
+    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold; nullopt: it says nothing of this
 };
 
 // A node, the process on one entry VM that sends requests to instances.
