Cold instances get no more than their service's rate from all nodes together

Operators saw cold servers crash: each node sent them its full share. ColdLimiter (src/instances/cold.cpp) now says when a node may send a request to a cold instance, and InstanceTable asks it in allowedAtLocked, callableAt, acquire and countCall, so that first attempts, retries, resumed streams and stage calls count alike. Two nodes of the instance's data centre, by rendezvous hashing, share 0.75 times ColdPerS + 0.5; the owner of a stage group has the whole of it; a node that doesn't know the members takes a 12,000th of the rate, and nothing while another instance is warm. Cold instances get requests when each warm one has a load of 0.7 or more.

Ruled out: planLimitHolders for this. With 2,700 nodes 45 of them or more share an instance, each may send one at once, and a new node changes most holders, so that nodes with different lists exceed the rate. Also ruled out: time slots, which need equal clocks.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::milliseconds MembersBound{10000};
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
+constexpr Duration OwnedStagesInterval = std::chrono::seconds(1); // between two updates of the instances that this node calls as an owner
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
 // Before the end of stop(): requests that wait for their stages are refused, and those that were sent to a server during the stop end.
 constexpr Duration LastRefusalsTime = std::chrono::milliseconds(400);
@@ -39,6 +40,17 @@
     return name == "owner_groups" ? StageAssignment::OwnerGroups : StageAssignment::Owners;
 }
 
+std::map<std::string, ColdRule> coldRulesOf(const Deployment &deployment, StageAssignment assignment)
+{
+    std::map<std::string, ColdRule> rules;
+    for (const ServiceSpec &service : deployment.services()) {
+        if (service.coldRequestsPerSecond > 0) {
+            rules[service.name] = ColdRule{service.coldStart, service.coldRequestsPerSecond, service.stage && assignment != StageAssignment::EachNode};
+        }
+    }
+    return rules;
+}
+
 std::unique_ptr<ChoicePolicy> makeEngineChoice(const std::string &name)
 {
     if (name == "shortest_time") {
@@ -166,6 +178,9 @@
                                   {CrashesTable, &m_crashCache}},
                     m_leaving, m_metrics)
 {
+    m_deploymentListener.setInstalledListener([this] {
+        m_instances.setColdRules(coldRulesOf(*m_deployments.current(), parseStageAssignment(m_settings.stageSharing)));
+    });
     m_instances.setChangeListener([this] {
         m_scheduler.instancesChanged();
     });
@@ -208,6 +223,9 @@
         followTables();
     });
     beginAnnouncing();
+    m_timers.every(OwnedStagesInterval, [this] {
+        m_stages.publishOwned();
+    });
     m_timers.every(CrashCleanupInterval, [this] {
         m_pool.post([this] {
             removeExpiredCrashRows();
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -105,6 +105,7 @@
         entry.outstanding = outstanding;
     }
     entry.spec = spec;
+    recordColdEntryLocked(entry, !sameProcess, m_clock.now());
     entry.removeAt.reset();
     clearCachesLocked();
 }
@@ -146,6 +147,7 @@
             removeLocked(id, registryWorksFor, Duration::max(), now);
         }
         removeExpiredLocked(now);
+        m_hasBeenRead = true;
     }
     if (m_listener) {
         m_listener();
@@ -266,6 +268,7 @@
     for (const Entry *entry : entries) {
         InstanceView view = viewLocked(*entry, now);
         view.inPreferredDataCentre = entry->spec.dataCentre == dataCentre;
+        view.cold = coldRuleLocked(*entry, now) != std::nullopt;
         const Duration shortestTime = shortest.of(*entry, dataCentre);
         const Duration longestWait = entry->unanswered.empty() ? Duration::zero() : now - *entry->unanswered.begin();
         const bool known = entry->averageTime > Duration::zero() || longestWait > m_settings.minSlowTime;
@@ -294,6 +297,12 @@
             return !view.recentlyUnreachable;
         });
     }
+    const bool warmAvailable = std::any_of(all.begin(), all.end(), [this](const InstanceView &view) {
+        return !view.cold && !view.slow && view.load < m_settings.cold.busyLoad;
+    });
+    filterUnlessEmpty([warmAvailable](const InstanceView &view) {
+        return !warmAvailable || !view.cold;
+    });
     return all;
 }
 
@@ -313,6 +322,7 @@
     if (entry.limiter.limited()) {
         entry.limiter.countRequest(shareLocked(entry.spec), m_settings.limits, now);
     }
+    entry.cold.countRequest(now);
     return InstanceLease(this, entry.spec, now);
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -5,6 +5,7 @@
 //   [SPECS]   InstanceSpec, InstanceView
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
 //   [LIMITS]  RequestLimiter: requests to an instance that has stated a limit; planLimitHolders(): which nodes may send them; RequestRate
+//   cold.h    ColdLimiter: how long an instance is cold, and the requests that it gets meanwhile; planColdSenders(): which nodes may send them
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
 // Rules this aggregate enforces:
@@ -13,6 +14,7 @@
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
 //   - an instance that states a limit gets no more requests than that from all nodes together, and what it may not get does not go to
 //     one that is slow already;
+//   - a cold instance gets no more than its service's rate from all nodes together, also when nodes don't know each other;
 //   - an instance that states that it leaves gets nothing more from this node, and one that asks for a pause gets nothing until its end.
 #pragma once
 
@@ -64,6 +66,7 @@
     bool slow = false; // expectedTime is much longer than that of the service's other instances
     double failureRate = 0; // moving average of failures, 0 to 1; decays without new ones
     bool recentlyUnreachable = false; // was unreachable a short time ago
+    bool cold = false;
 };
 
 //-----------------------------------------------------------------------------
@@ -203,6 +206,7 @@
     std::string node; // name of this node
     std::string dataCentre; // of this node
     LimitSettings limits;
+    ColdSettings cold;
     // How long the statement of an instance that it leaves holds, unless it is started again or its entry is removed; it then has not left after all.
     std::chrono::milliseconds maxLeaving{600000};
     std::chrono::milliseconds maxPause{600000}; // a longer pause counts as this one
@@ -291,6 +295,11 @@
 
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
+    void setColdRules(std::map<std::string, ColdRule> rules); // by service; one without a rule has no cold instances
+    // The data centres, by service, whose instances this node alone calls as the owner of their stage work (ColdRule::calledByOwner).
+    void setOwnedStages(std::map<std::string, std::set<std::string>> dataCentres);
+    bool needsOwners() const; // some rule has calledByOwner
+    std::size_t coldCount() const; // instances that are cold
     // Records what an instance has said of itself in the head of a reply. An unknown id is ignored.
     void recordStatement(const std::string &id, const InstanceStatement &statement);
     // Time until limits and pauses let some usable instance of the service get a request from this node; zero: one may, or there is none at all.
@@ -340,6 +349,9 @@
         mutable RequestLimiter limiter; // refilled when it is read
         TimePoint leavingUntil{}; // until then its statement that it leaves holds
         TimePoint pausedUntil{};
+        mutable ColdLimiter cold; // notes the role in which it was asked last
+        mutable std::vector<std::string> coldSenders; // planned from the nodes of the version below
+        mutable std::uint64_t coldSendersOf = 0;
 
         void removeUnanswered(TimePoint begun);
     };
@@ -365,6 +377,11 @@
     Availability availabilityLocked(const std::string &service, TimePoint now) const;
     LimitShare shareLocked(const InstanceSpec &spec) const;
     TimePoint allowedAtLocked(const Entry &entry, TimePoint now) const;
+    std::optional<ColdRule> coldRuleLocked(const Entry &entry, TimePoint now) const;
+    ColdShare coldShareLocked(const Entry &entry, const ColdRule &rule) const;
+    TimePoint coldAllowedAtLocked(const Entry &entry, const ColdRule &rule, TimePoint now) const;
+    void recordColdEntryLocked(Entry &entry, bool isNew, TimePoint now);
+    void updateColdLocked(Entry &entry, TimePoint now);
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
@@ -386,7 +403,14 @@
     };
     void clearCachesLocked();
     mutable std::map<std::string, CachedList> m_lists; // by service; cleared when entries change
+    bool m_hasBeenRead = false; // synchronise() was called
+    std::map<std::string, ColdRule> m_coldRules; // by service
+    std::map<std::string, std::set<std::string>> m_ownedStages; // data centres by service
+    TimePoint m_ownedSince{};
     std::vector<NodePlace> m_nodes;
+    bool m_isListed = false; // this node is among m_nodes
+    TimePoint m_nodesSince{}; // when m_nodes has changed last
+    std::uint64_t m_nodesVersion = 0; // grows with each change of m_nodes
     std::size_t m_rank = 0; // of this node by name among m_nodes
     mutable std::map<std::string, std::map<std::string, std::vector<std::string>>> m_limitHolders; // by service; cleared when entries or nodes change
     struct Queue { // of one service and priority
--- a/src/instances/statements.cpp
+++ b/src/instances/statements.cpp
@@ -43,7 +43,18 @@
 void InstanceTable::setNodes(std::vector<NodePlace> nodes)
 {
     const Lock lock(m_mutex);
+    const bool unchanged = std::equal(nodes.begin(), nodes.end(), m_nodes.begin(), m_nodes.end(), [](const NodePlace &a, const NodePlace &b) {
+        return a.name == b.name && a.dataCentre == b.dataCentre;
+    });
+    if (unchanged) {
+        return;
+    }
     m_nodes = std::move(nodes);
+    m_nodesSince = m_clock.now();
+    ++m_nodesVersion;
+    m_isListed = std::any_of(m_nodes.begin(), m_nodes.end(), [this](const NodePlace &node) {
+        return node.name == m_settings.node;
+    });
     m_rank = static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [this](const NodePlace &node) {
         return node.name < m_settings.node;
     }));
@@ -74,7 +85,9 @@
 TimePoint InstanceTable::allowedAtLocked(const Entry &entry, TimePoint now) const
 {
     TimePoint allowed = entry.pausedUntil;
-    if (entry.limiter.limited()) {
+    if (const auto rule = coldRuleLocked(entry, now)) {
+        allowed = std::max(allowed, coldAllowedAtLocked(entry, *rule, now));
+    } else if (entry.limiter.limited()) {
         allowed = std::max(allowed, entry.limiter.allowedAt(shareLocked(entry.spec), m_settings.limits, now));
     }
     return allowed;
@@ -96,6 +109,10 @@
         Entry &entry = found->second;
         const TimePoint now = m_clock.now();
         entry.pausedUntil = std::max(entry.pausedUntil, now + pause);
+        if (statement.coldRemaining) {
+            entry.cold.recordReply(*statement.coldRemaining, now);
+            updateColdLocked(entry, now);
+        }
         if (statement.leaving) {
             leaves = now >= entry.leavingUntil;
             entry.leavingUntil = now + m_settings.maxLeaving;
@@ -136,7 +153,10 @@
         const TimePoint allowed = allowedAtLocked(entry, now);
         someAvailable = someAvailable || allowed <= now;
         earliest = std::min(earliest.value_or(TimePoint::max()), allowed > now ? allowed : now + SlowRecheck);
-        if (entry.limiter.limited()) {
+        if (const auto rule = coldRuleLocked(entry, now)) {
+            result.someLimited = true;
+            result.requestsPerSecond += entry.cold.rateOf(coldShareLocked(entry, *rule), *rule, m_settings.cold);
+        } else if (entry.limiter.limited()) {
             result.someLimited = true;
             result.requestsPerSecond += entry.limiter.rateOf(shareLocked(entry.spec));
         }
@@ -148,7 +168,7 @@
         someAvailable = !views.empty();
         result.someFree = std::any_of(views.begin(), views.end(), [this](const InstanceView &view) {
             const Entry &entry = m_entries.at(view.spec->id);
-            return !entry.limiter.limited();
+            return !entry.limiter.limited() && !view.cold;
         });
     }
     result.wait = earliest && !someAvailable ? *earliest - now : Duration::zero();
@@ -186,14 +206,21 @@
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
     const auto found = m_entries.find(id);
-    return found == m_entries.end() ? TimePoint{} : std::max(found->second.pausedUntil, found->second.limiter.allowedAt(LimitShare{}, m_settings.limits, now));
+    if (found == m_entries.end()) {
+        return TimePoint{};
+    }
+    const Entry &entry = found->second;
+    const auto rule = coldRuleLocked(entry, now);
+    return std::max(entry.pausedUntil, rule ? coldAllowedAtLocked(entry, *rule, now) : entry.limiter.allowedAt(LimitShare{}, m_settings.limits, now));
 }
 
 void InstanceTable::countCall(const std::string &id)
 {
     const Lock lock(m_mutex);
     if (const auto found = m_entries.find(id); found != m_entries.end()) {
-        found->second.limiter.countRequest(LimitShare{}, m_settings.limits, m_clock.now());
+        const TimePoint now = m_clock.now();
+        found->second.limiter.countRequest(LimitShare{}, m_settings.limits, now);
+        found->second.cold.countRequest(now);
     }
 }
 
--- a/src/stages/owners.cpp
+++ b/src/stages/owners.cpp
@@ -142,6 +142,25 @@
     return m_plan;
 }
 
+void OwnerStageExecutor::publishOwned()
+{
+    if (m_assignment == StageAssignment::EachNode || !m_dependencies.instances.needsOwners()) {
+        return;
+    }
+    const Ref<const OwnerPlan> plan = currentPlan();
+    const std::string self = m_members.self().name;
+    std::map<std::string, std::set<std::string>> owned;
+    for (const auto &[name, service] : plan->services) {
+        for (const std::string &dataCentre : service.dataCentres) {
+            const std::vector<MemberRecord> &candidates = plan->candidates.at(name).at(instanceGroupOf(service.dataCentres, dataCentre, service.groups));
+            if (!candidates.empty() && candidates.front().name == self) {
+                owned[name].insert(dataCentre);
+            }
+        }
+    }
+    m_dependencies.instances.setOwnedStages(std::move(owned));
+}
+
 std::size_t OwnerStageExecutor::pausedCandidates(const std::vector<MemberRecord> &candidates) const
 {
     const TimePoint now = m_dependencies.clock.now();
--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -575,6 +575,7 @@
     void submit(const Ref<StageRun> &run) override;
     Duration expectedWait(const std::string &service, const std::string &dataCentre) override;
     void release(const std::vector<std::string> &handles) override;
+    void publishOwned(); // tells the InstanceTable which instances this node calls as the first candidate for owner; to be called about once a second
 
 private:
     struct OwnerPlan : RefCounted<OwnerPlan> {
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -729,3 +729,31 @@
     CHECK(awaitEnd(third));
     LONGS_EQUAL(2, peers.receivedTasks);
 }
+
+// Guards against cold stage servers that nobody calls, or that several nodes call at their full rate: the owner of their group calls them.
+TEST(Scheduler, TheOwnerCallsColdInstances)
+{
+    InstanceSettings settings;
+    settings.node = "n1";
+    for (const bool ownsThem : {false, true}) {
+        InstanceTable table(clock, settings);
+        table.setColdRules({{"s", ColdRule{milliseconds(0), 8, true}}});
+        InstanceSpec spec{"i1", "s", "127.0.0.1:1", "dc1", 1, false, 1};
+        spec.coldRemaining = seconds(500);
+        table.synchronise({spec});
+        table.setNodes({NodePlace{"n1", "dc1"}, NodePlace{"n2", "dc1"}});
+        MemberRecord self;
+        self.name = "n1";
+        self.cores = ownsThem ? 1 : 0.001; // members with less than half of the largest cores come last
+        MemberTable members(clock, MembershipSettings{}, self);
+        MemberRecord other;
+        other.name = "n2";
+        other.cores = ownsThem ? 0.001 : 1;
+        members.merge({other});
+        FakePeers peers;
+        OwnerStageExecutor ownerExecutor(StageDependencies{clock, deployments, table, channel, retryBudget, crashGuard, releaser, pool, timers, metrics},
+                                         scheduler, peers, members, StageAssignment::Owners);
+        ownerExecutor.publishOwned();
+        CHECK(ownsThem == (table.callableAt("i1") < clock.now() + seconds(10)));
+    }
+}
