--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -190,6 +190,9 @@
     m_metrics.gauge("vanillanotch_instances_limited", [this] {
         return static_cast<double>(m_instances.limitedCount());
     });
+    m_metrics.gauge("vanillanotch_instances_cold", [this] {
+        return static_cast<double>(m_instances.coldCount());
+    });
     m_metrics.gauge("vanillanotch_pieces_waiting", [this] {
         return static_cast<double>(m_scheduler.waitingPieces());
     });
--- a/src/instances/cold.cpp
+++ b/src/instances/cold.cpp
@@ -133,6 +133,7 @@
             updateColdLocked(entry, now);
         }
     }
+    logColdChanges();
 }
 
 void InstanceTable::setOwnedStages(std::map<std::string, std::set<std::string>> dataCentres)
@@ -229,7 +230,27 @@
 {
     const auto found = m_coldRules.find(entry.spec.service);
     const ColdRule rule = found == m_coldRules.end() ? ColdRule{} : found->second;
-    (void)entry.cold.update(rule, m_settings.cold, now);
+    if (entry.cold.update(rule, m_settings.cold, now)) {
+        const Duration remaining = entry.cold.cold(rule, now) ? entry.cold.coldUntil(rule) - now : Duration::zero();
+        m_coldChanges.push_back(ColdChange{entry.spec.id, entry.spec.service, remaining, rule.requestsPerSecond});
+    }
+}
+
+void InstanceTable::logColdChanges()
+{
+    std::vector<ColdChange> changes;
+    {
+        const Lock lock(m_mutex);
+        changes.swap(m_coldChanges);
+    }
+    for (const ColdChange &change : changes) {
+        if (change.remaining > Duration::zero()) {
+            logEvent(LogLevel::Info, "server.cold",
+                     {{"instance", change.instance}, {"service", change.service}, {"remaining_ms", change.remaining}, {"per_s", change.requestsPerSecond}});
+        } else {
+            logEvent(LogLevel::Info, "server.warm", {{"instance", change.instance}, {"service", change.service}});
+        }
+    }
 }
 
 } // namespace vanillanotch
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -149,6 +149,7 @@
         removeExpiredLocked(now);
         m_hasBeenRead = true;
     }
+    logColdChanges();
     if (m_listener) {
         m_listener();
     }
@@ -160,6 +161,7 @@
         const Lock lock(m_mutex);
         upsertLocked(spec);
     }
+    logColdChanges();
     if (m_listener) {
         m_listener();
     }
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -381,7 +381,8 @@
     ColdShare coldShareLocked(const Entry &entry, const ColdRule &rule) const;
     TimePoint coldAllowedAtLocked(const Entry &entry, const ColdRule &rule, TimePoint now) const;
     void recordColdEntryLocked(Entry &entry, bool isNew, TimePoint now);
-    void updateColdLocked(Entry &entry, TimePoint now);
+    void updateColdLocked(Entry &entry, TimePoint now); // to be followed by logColdChanges() when the lock is released
+    void logColdChanges();
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
@@ -407,6 +408,13 @@
     std::map<std::string, ColdRule> m_coldRules; // by service
     std::map<std::string, std::set<std::string>> m_ownedStages; // data centres by service
     TimePoint m_ownedSince{};
+    struct ColdChange {
+        std::string instance;
+        std::string service;
+        Duration remaining{}; // zero: it is warm now
+        double requestsPerSecond = 0; // of the rule
+    };
+    std::vector<ColdChange> m_coldChanges; // not logged yet
     std::vector<NodePlace> m_nodes;
     bool m_isListed = false; // this node is among m_nodes
     TimePoint m_nodesSince{}; // when m_nodes has changed last
--- a/src/instances/statements.cpp
+++ b/src/instances/statements.cpp
@@ -111,8 +111,8 @@
         entry.pausedUntil = std::max(entry.pausedUntil, now + pause);
         if (statement.coldRemaining) {
             entry.cold.recordReply(*statement.coldRemaining, now);
-            updateColdLocked(entry, now);
         }
+        updateColdLocked(entry, now);
         if (statement.leaving) {
             leaves = now >= entry.leavingUntil;
             entry.leavingUntil = now + m_settings.maxLeaving;
@@ -125,6 +125,7 @@
             after = entry.limiter.requestsPerSecond();
         }
     }
+    logColdChanges();
     if (leaves) {
         logEvent(LogLevel::Info, "server.leaving", {{"instance", id}});
     }
