--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -84,6 +84,7 @@
 InstanceTable::InstanceTable(const Clock &clock, InstanceSettings settings)
     : m_clock(clock)
     , m_settings(std::move(settings))
+    , m_evacuations(m_settings.restoreDuration)
 {
 }
 
@@ -189,7 +190,7 @@
 
 bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
 {
-    return !entry.spec.draining && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
+    return !entry.spec.draining && !m_evacuations.includes(entry.spec.dataCentre) && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
 }
 
 void InstanceTable::Entry::removeUnanswered(TimePoint begun)
@@ -299,6 +300,7 @@
             return !view.recentlyUnreachable;
         });
     }
+    removeNotRestoredLocked(input, all, now);
     const bool warmAvailable = std::any_of(all.begin(), all.end(), [this](const InstanceView &view) {
         return !view.cold && !view.slow && view.load < m_settings.cold.busyLoad;
     });
@@ -317,7 +319,10 @@
         return viewsLocked(input, Limits::Ignored, now).empty() ? fail(ErrorCode::NoFitServer, "no usable instance of the service is registered")
                                                                 : fail(ErrorCode::ServersLimited);
     }
-    const std::string &id = views.at(policy.choose(input, views)).spec->id;
+    const auto wanted = std::find_if(views.begin(), views.end(), [&input](const InstanceView &view) {
+        return view.spec->id == input.wanted;
+    });
+    const std::string &id = wanted == views.end() ? views.at(policy.choose(input, views)).spec->id : wanted->spec->id;
     Entry &entry = m_entries.at(id);
     ++entry.outstanding;
     entry.unanswered.insert(now);
