--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -6,6 +6,7 @@
 //   [PLACES]  DataCentreScope: which data centres a request may use; Evacuations: those whose instances get nothing new
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
 //   [LIMITS]  RequestLimiter: requests to an instance that has stated a limit; planLimitHolders(): which nodes may send them; RequestRate
+//   cold.h    ColdLimiter: how long an instance is cold, and the requests that it gets meanwhile; planColdSenders(): which nodes may send them
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
 // Rules this aggregate enforces:
@@ -15,10 +16,12 @@
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
 //   - an instance that states a limit gets no more requests than that from all nodes together, and what it may not get does not go to
 //     one that is slow already;
+//   - a cold instance gets no more than its service's rate from all nodes together, also when nodes don't know each other;
 //   - an instance that states that it leaves gets nothing more from this node, and one that asks for a pause gets nothing until its end.
 #pragma once
 
 #include "base/base.h"
+#include "instances/cold.h"
 
 #include <set>
 #include <unordered_map>
@@ -40,6 +43,7 @@
     // When its process started, Unix ms by its own clock; tells restarts under the same id apart. An entry with an earlier start than the known one
     // is ignored, except one with 0 (unknown start).
     std::int64_t startedUnixMs = 0;
+    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold, as its entry states it; nullopt: not stated
 
     // Names this start of the instance, in at most 171 bytes, so that it fits into the key of a row: a longer id is replaced by its hash.
     std::string process() const;
@@ -65,6 +69,7 @@
     bool slow = false; // expectedTime is much longer than that of the service's other instances
     double failureRate = 0; // moving average of failures, 0 to 1; decays without new ones
     bool recentlyUnreachable = false; // was unreachable a short time ago
+    bool cold = false;
 };
 
 //-----------------------------------------------------------------------------
@@ -174,6 +179,7 @@
     std::optional<double> requestsPerSecond; // that it takes from all nodes together, at least 0; nullopt: it states no limit
     bool leaving = false; // it is about to stop, and wants no further requests
     std::chrono::milliseconds pause{0}; // it wants nothing from this node for so long
+    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold; nullopt: it says nothing of this
 };
 
 // A node, the process on one entry VM that sends requests to instances.
@@ -270,6 +276,7 @@
     std::string node; // name of this node
     std::string dataCentre; // of this node
     LimitSettings limits;
+    ColdSettings cold;
     // How long the statement of an instance that it leaves holds, unless it is started again or its entry is removed; it then has not left after all.
     std::chrono::milliseconds maxLeaving{600000};
     std::chrono::milliseconds maxPause{600000}; // a longer pause counts as this one
@@ -286,6 +293,9 @@
     std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     // An instance counts as slow when its expected time is longer than both `slowFactor` times the shortest of its service and `minSlowTime`.
     double slowFactor = 3.0;
+    // A slowdown beyond this range, in either direction, makes a service count as uneven for this long.
+    double unevenFactor = 1.2;
+    std::chrono::milliseconds unevenDuration{60000};
     std::chrono::milliseconds minSlowTime{500};
 };
 
@@ -368,6 +378,11 @@
 
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
+    void setColdRules(std::map<std::string, ColdRule> rules); // by service; one without a rule has no cold instances
+    // The data centres, by service, whose instances this node alone calls as the owner of their stage work (ColdRule::calledByOwner).
+    void setOwnedStages(std::map<std::string, std::set<std::string>> dataCentres);
+    bool needsOwners() const; // some rule has calledByOwner
+    std::size_t coldCount() const; // instances that are cold
     // Records what an instance has said of itself in the head of a reply. An unknown id is ignored.
     void recordStatement(const std::string &id, const InstanceStatement &statement);
     // Time until limits and pauses let some usable instance of the service within the scope get a request from this node; zero: one may, or there is none at
@@ -393,6 +408,8 @@
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
     void report(const std::string &id, InstanceCallOutcome outcome, Duration time);
     void recordLoad(const std::string &id, const std::optional<ReportedLoad> &load); // as the instance has just stated it
+    // Some instance of the service has stated within InstanceSettings::unevenDuration that work takes another time there than usual.
+    bool uneven(const std::string &service) const;
     // Call it once, before use. The listener is called after each synchronise() and upsert(), without a lock held.
     void setChangeListener(std::function<void()> listener);
     std::size_t size() const;
@@ -417,6 +434,9 @@
         mutable RequestLimiter limiter; // refilled when it is read
         TimePoint leavingUntil{}; // until then its statement that it leaves holds
         TimePoint pausedUntil{};
+        mutable ColdLimiter cold; // notes the role in which it was asked last
+        mutable std::vector<std::string> coldSenders; // planned from the nodes of the version below
+        mutable std::uint64_t coldSendersOf = 0;
 
         void removeUnanswered(TimePoint begun);
     };
@@ -442,6 +462,12 @@
     Availability availabilityLocked(const std::string &service, const DataCentreScope &scope, TimePoint now) const;
     LimitShare shareLocked(const InstanceSpec &spec) const;
     TimePoint allowedAtLocked(const Entry &entry, TimePoint now) const;
+    std::optional<ColdRule> coldRuleLocked(const Entry &entry, TimePoint now) const;
+    ColdShare coldShareLocked(const Entry &entry, const ColdRule &rule) const;
+    TimePoint coldAllowedAtLocked(const Entry &entry, const ColdRule &rule, TimePoint now) const;
+    void recordColdEntryLocked(Entry &entry, bool isNew, TimePoint now);
+    void updateColdLocked(Entry &entry, TimePoint now); // to be followed by logColdChanges() when the lock is released
+    void logColdChanges();
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
@@ -467,7 +493,21 @@
     };
     void clearCachesLocked();
     mutable std::map<std::string, CachedList> m_lists; // by service; cleared when entries change
+    bool m_hasBeenRead = false; // synchronise() was called
+    std::map<std::string, ColdRule> m_coldRules; // by service
+    std::map<std::string, std::set<std::string>> m_ownedStages; // data centres by service
+    TimePoint m_ownedSince{};
+    struct ColdChange {
+        std::string instance;
+        std::string service;
+        Duration remaining{}; // zero: it is warm now
+        double requestsPerSecond = 0; // of the rule
+    };
+    std::vector<ColdChange> m_coldChanges; // not logged yet
     std::vector<NodePlace> m_nodes;
+    bool m_isListed = false; // this node is among m_nodes
+    TimePoint m_nodesSince{}; // when m_nodes has changed last
+    std::uint64_t m_nodesVersion = 0; // grows with each change of m_nodes
     std::size_t m_rank = 0; // of this node by name among m_nodes
     mutable std::map<std::string, std::map<std::string, std::vector<std::string>>> m_limitHolders; // by service; cleared when entries or nodes change
     struct Queue { // of one service and priority
@@ -475,6 +515,7 @@
         RequestRate admitted; // places a second
     };
     std::map<std::string, std::map<int, Queue>> m_queues; // by service and priority
+    std::map<std::string, TimePoint> m_unevenUntil; // by service
     std::function<void()> m_listener;
 };
 
