Owners of engines: one home data centre for a prompt at all nodes, and nodes say where parts are cached

Cause, from the code: the data centre whose owner is asked followed each node's own view of the engines' health, so that nodes with different views asked different owners; and a new owner knew nothing of what is cached.

Ruled out: a store of the book (state that lasts isn't wanted for a hint).

Tests: placement_test PrefixesHaveOneHomeDataCentreInProportionToEngines, ANewOwnerLearnsWherePartsAreCached (both new with the interface).

--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -76,7 +76,9 @@
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
     std::vector<PromptPrefix> promptPrefixes() const; // of the shared parts
-    std::optional<PlacementDemand> placementDemand(); // nullopt: the engines are alike, so that their owner isn't asked
+    bool asksOwner() const; // for an engine
+    std::string engineDataCentre() const; // whose owner is asked
+    std::optional<PlacementDemand> placementDemand() const; // nullopt: the engines are alike, so that their owner isn't asked
     void reportPlacement(std::optional<Duration> firstEventAfter, InstanceCallOutcome outcome); // `outcome`: if there was no first event
     bool grantRepetition();
     bool queuedBeyondTarget() const;
--- a/src/forwarding/run_placement.cpp
+++ b/src/forwarding/run_placement.cpp
@@ -17,24 +17,42 @@
     return prefixes;
 }
 
-// The data centre is that of the engine which this node would choose, so that all nodes ask the same owner for the same shared parts.
-std::optional<PlacementDemand> ForwardRun::placementDemand()
+bool ForwardRun::asksOwner() const
 {
-    if (m_request.prompt.empty() || !m_dependencies.instances.uneven(m_service)) {
-        return std::nullopt;
+    return !m_request.prompt.empty() && m_dependencies.instances.uneven(m_service);
+}
+
+std::string ForwardRun::engineDataCentre() const
+{
+    std::map<std::string, EngineDataCentre> byName;
+    const InstanceListRef engines = m_dependencies.instances.usableInstances(m_service);
+    for (const InstanceSpec &engine : engines->specs) {
+        if (m_scope.allows(engine.dataCentre)) {
+            ++byName[engine.dataCentre].engines;
+        }
     }
-    ChoiceInput input;
-    input.service = m_service;
-    input.affinity = m_affinity;
-    input.avoid = m_tried;
-    input.scope = m_scope;
-    const auto preferred = m_dependencies.instances.preview(input, m_dependencies.engineChoice);
-    if (!preferred) {
+    std::vector<EngineDataCentre> dataCentres;
+    for (const auto &[name, found] : byName) {
+        dataCentres.push_back(EngineDataCentre{name, found.engines, m_dependencies.instances.restoredShare(name)});
+    }
+    return homeDataCentre(m_affinity, dataCentres);
+}
+
+std::optional<PlacementDemand> ForwardRun::placementDemand() const
+{
+    const std::string dataCentre = asksOwner() ? engineDataCentre() : std::string();
+    if (dataCentre.empty()) {
         return std::nullopt;
     }
-    const auto targetIn = toMilliseconds(m_target - m_dependencies.clock.now());
-    return PlacementDemand{
-        m_request.attemptId + "/" + std::to_string(m_tried.size()), m_service, preferred->dataCentre, promptPrefixes(), ownTokens(), m_tried, targetIn};
+    PlacementDemand demand;
+    demand.attempt = m_request.attemptId + "/" + std::to_string(m_tried.size());
+    demand.service = m_service;
+    demand.dataCentre = dataCentre;
+    demand.prefixes = promptPrefixes();
+    demand.ownTokens = ownTokens();
+    demand.avoid = m_tried;
+    demand.targetIn = toMilliseconds(m_target - m_dependencies.clock.now());
+    return demand;
 }
 
 void ForwardRun::reportPlacement(std::optional<Duration> firstEventAfter, InstanceCallOutcome outcome)
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -49,6 +49,10 @@
 // transfer.
 void ForwardRun::choosePreferredDataCentre()
 {
+    if (asksOwner()) {
+        m_preferredDataCentre = engineDataCentre();
+        return;
+    }
     ChoiceInput input;
     input.service = m_service;
     input.affinity = m_affinity;
--- a/src/peerhttp/placement_calls.cpp
+++ b/src/peerhttp/placement_calls.cpp
@@ -45,6 +45,7 @@
                      {"prefixes", std::move(prefixes)},
                      {"own_tokens", demand.ownTokens},
                      {"avoid", demand.avoid},
+                     {"last_engine", demand.lastEngine},
                      {"target_ms", demand.targetIn.count()}});
 }
 
@@ -61,6 +62,7 @@
         }
         demand.ownTokens = json.at("own_tokens").get<unsigned>();
         demand.avoid = json.at("avoid").get<std::set<std::string>>();
+        demand.lastEngine = json.value("last_engine", std::string());
         demand.targetIn = std::chrono::milliseconds(json.at("target_ms").get<std::int64_t>());
         return demand;
     } catch (const Json::exception &exception) {
--- a/src/placement/book.cpp
+++ b/src/placement/book.cpp
@@ -92,6 +92,11 @@
     return std::pow(engine.slowness, std::exp2(-seconds(now - engine.slownessAt) / seconds(m_settings.slownessHalfLife)));
 }
 
+std::size_t PlacementBook::cacheCapacity(const EngineCandidate &engine) const
+{
+    return static_cast<std::size_t>(static_cast<double>(engine.cacheTokens) * m_settings.cacheShare);
+}
+
 Duration PlacementBook::readTime(unsigned tokens) const
 {
     return m_settings.fixedTime + toDuration(tokens * m_tokenSeconds);
@@ -110,6 +115,14 @@
         engine.removeExpired(now - m_settings.maxUnreported);
         leastUncached = std::min(leastUncached, engine.uncachedTokens(demand.prefixes));
     }
+    if (leastUncached == shared && !demand.lastEngine.empty()) {
+        for (const EngineCandidate &candidate : candidates) {
+            if (candidate.id == demand.lastEngine) {
+                m_engines[candidate.id].use(demand.prefixes, cacheCapacity(candidate));
+                leastUncached = 0;
+            }
+        }
+    }
     const bool unknown = leastUncached == shared && !demand.prefixes.empty();
     const double target = std::chrono::duration<double>(demand.targetIn).count();
     std::size_t best = 0;
@@ -141,7 +154,7 @@
         state.busySince = now;
     }
     state.waiting.push_back(Placed{demand.attempt, work, state.wait(now) + work, read, now});
-    state.use(demand.prefixes, static_cast<std::size_t>(static_cast<double>(engine.cacheTokens) * m_settings.cacheShare));
+    state.use(demand.prefixes, cacheCapacity(engine));
 }
 
 void PlacementBook::recordReport(const PlacementReport &report, TimePoint now)
--- a/src/placement/owner.cpp
+++ b/src/placement/owner.cpp
@@ -1,6 +1,7 @@
 #include "placement/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillanotch
 {
@@ -8,8 +9,25 @@
 namespace
 {
 constexpr double MaxFailureRate = 0.35; // an engine that fails more often is chosen only when there is no other
+constexpr double ReturnedPart = 0.5; // of the requests with the same shared parts: from then on all of them return to a data centre whose evacuation was lifted
 } // namespace
 
+std::string homeDataCentre(std::uint64_t affinity, const std::vector<EngineDataCentre> &dataCentres)
+{
+    std::string best;
+    double bestRank = 0;
+    for (const EngineDataCentre &dataCentre : dataCentres) {
+        const bool returned = Evacuations::returningPart(affinity, dataCentre.name, dataCentre.restoredShare) >= ReturnedPart;
+        const double uniform = (static_cast<double>(stableHash(std::to_string(affinity) + "/" + dataCentre.name) >> 11U) + 0.5) * 0x1p-53;
+        const double rank = static_cast<double>(dataCentre.engines) / -std::log(uniform);
+        if (returned && rank > bestRank) {
+            best = dataCentre.name;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
 //-----------------------------------------------------------------------------
 // PlacementOwner
 //-----------------------------------------------------------------------------
@@ -140,6 +158,30 @@
 }
 
 std::optional<std::string> OwnedPlacement::place(const PlacementDemand &demand, CancellationWatch &cancellation)
+{
+    if (demand.prefixes.empty()) {
+        return ask(demand, cancellation);
+    }
+    PlacementDemand completed = demand;
+    const std::uint64_t prefix = demand.prefixes.back().hash;
+    {
+        const Lock lock(m_mutex);
+        if (const auto found = m_lastEngines.find(prefix); found != m_lastEngines.end()) {
+            completed.lastEngine = found->second;
+        }
+    }
+    auto placed = ask(completed, cancellation);
+    if (placed) {
+        const Lock lock(m_mutex);
+        if (m_lastEngines.size() >= m_settings.rememberedPrefixes) {
+            m_lastEngines.clear();
+        }
+        m_lastEngines[prefix] = *placed;
+    }
+    return placed;
+}
+
+std::optional<std::string> OwnedPlacement::ask(const PlacementDemand &demand, CancellationWatch &cancellation)
 {
     const auto owner = m_owners.engineOwner(demand.service, demand.dataCentre);
     if (!owner) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -42,9 +42,23 @@
     std::vector<PromptPrefix> prefixes; // the shortest first
     unsigned ownTokens = 0; // of the part that isn't shared
     std::set<std::string> avoid; // ids of engines that were tried already
+    // Engine that the asking node has last sent the same shared parts to; empty: none. An owner that has just taken over learns from it where they are
+    // cached.
+    std::string lastEngine;
     std::chrono::milliseconds targetIn{0}; // time left until the first event should come; negative: it should have come already
 };
 
+// A data centre that has engines of a service.
+struct EngineDataCentre {
+    std::string name;
+    std::size_t engines = 0;
+    double restoredShare = 1; // see InstanceTable::restoredShare()
+};
+
+// The data centre whose owner is asked for prompts with these shared parts, by rendezvous hashing in proportion to the engines. Health isn't considered: all
+// nodes have to ask the same owner, or the parts would be read in each data centre. Empty: there is none.
+std::string homeDataCentre(std::uint64_t affinity, const std::vector<EngineDataCentre> &dataCentres);
+
 // What became of a placement: the time to the first event, or how the attempt ended before it.
 struct PlacementReport {
     std::string attempt;
@@ -65,6 +79,7 @@
     std::chrono::milliseconds reportTimeout{500};
     // A placement without a report for this long isn't counted as work any more: its node has failed, or the report was lost.
     std::chrono::milliseconds maxUnreported{8000};
+    std::size_t rememberedPrefixes = 2000; // for which a node remembers the engine; beyond it all are forgotten
     std::chrono::microseconds fixedTime{20000}; // part of the time to the first event that doesn't depend on the prompt
     std::chrono::nanoseconds tokenTime{20000}; // time to read one token, until it has been learnt from reports
     // Without reports an engine's speed moves back to the usual one with this half-life: a slow engine would otherwise get no request that could show
@@ -121,6 +136,7 @@
         void use(const std::vector<PromptPrefix> &prefixes, std::size_t capacity);
     };
     double slownessOf(const Engine &engine, TimePoint now) const;
+    std::size_t cacheCapacity(const EngineCandidate &engine) const; // tokens of shared parts; 0: not limited
     Duration readTime(unsigned tokens) const; // at an engine of usual speed
 
     const PlacementSettings m_settings;
@@ -215,6 +231,7 @@
         std::string address; // of the owner
         std::vector<PlacementReport> list;
     };
+    std::optional<std::string> ask(const PlacementDemand &demand, CancellationWatch &cancellation);
     void flush();
 
     const Clock &m_clock;
@@ -228,6 +245,7 @@
     RankedMutex m_mutex{LockRank::Placement};
     std::map<std::string, TimePoint> m_pausedUntil; // by member name: owners that didn't answer
     std::map<std::string, Reports> m_reports; // by member name
+    std::unordered_map<std::uint64_t, std::string> m_lastEngines; // by hash of all shared parts; see PlacementDemand::lastEngine
     bool m_flushPlanned = false;
 };
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -85,7 +85,7 @@
             }
             const std::uint64_t shared = draw(m_random) < 1.0 / 3 ? 1 : prefix(m_random); // a third of the requests share one prefix
             const PlacementDemand demand{
-                std::to_string(number), "engines", "dc", {PromptPrefix{shared, 13'300}}, static_cast<unsigned>(std::min(ownTokens(m_random), 53'200.0)), {},
+                std::to_string(number), "engines", "dc", {PromptPrefix{shared, 13'300}}, static_cast<unsigned>(std::min(ownTokens(m_random), 53'200.0)), {}, {},
                 milliseconds(1000)};
             ModelEngine &engine = m_engines.at(choose(demand, candidates, now));
             const bool reads = engine.cached.insert(shared).second;
@@ -188,7 +188,7 @@
 
 PlacementDemand demandFor(const std::string &attempt, std::uint64_t prefix, milliseconds targetIn = milliseconds(1000))
 {
-    return PlacementDemand{attempt, "engines", "dc", {PromptPrefix{prefix, 10'000}}, 1000, {}, targetIn};
+    return PlacementDemand{attempt, "engines", "dc", {PromptPrefix{prefix, 10'000}}, 1000, {}, {}, targetIn};
 }
 
 const std::vector<EngineCandidate> TwoEngines{EngineCandidate{"a", 1, 0}, EngineCandidate{"b", 1, 0}};
@@ -270,7 +270,7 @@
     const auto twoRequests = [&](std::chrono::microseconds took) {
         std::vector<std::pair<PlacementDemand, std::size_t>> placed;
         for (unsigned i = 0; i < 2; ++i) {
-            const PlacementDemand demand{std::to_string(++number), "engines", "dc", {}, 2000, {}, milliseconds(1000)};
+            const PlacementDemand demand{std::to_string(++number), "engines", "dc", {}, 2000, {}, {}, milliseconds(1000)};
             placed.emplace_back(demand, book.choose(demand, TwoEngines, now));
             book.recordPlaced(demand, TwoEngines[placed.back().second], now);
         }
@@ -371,3 +371,30 @@
     clock.advance(InstanceSettings{}.unevenDuration + milliseconds(1));
     CHECK_FALSE(instances.uneven("engines"));
 }
+
+// Guards against parts that are read again after each change of the owner: nodes tell a new one where they have sent them.
+TEST(Placement, ANewOwnerLearnsWherePartsAreCached)
+{
+    for (const char *engine : {"a", "b"}) {
+        PlacementBook book;
+        PlacementDemand demand = demandFor("1", 7);
+        demand.lastEngine = engine;
+        STRCMP_EQUAL(engine, TwoEngines[book.choose(demand, TwoEngines, TimePoint{std::chrono::hours(1)})].id.c_str());
+    }
+}
+
+// Guards against nodes that ask different owners for the same parts, and against data centres that get more than their engines can serve.
+TEST(Placement, PrefixesHaveOneHomeDataCentreInProportionToEngines)
+{
+    const std::vector<EngineDataCentre> all{{"dc1", 40, 1}, {"dc2", 20, 1}};
+    std::map<std::string, unsigned> homes;
+    unsigned moved = 0;
+    for (std::uint64_t prefix = 1; prefix <= 3000; ++prefix) {
+        const std::string home = homeDataCentre(prefix, all);
+        ++homes[home];
+        moved += home == "dc1" && homeDataCentre(prefix, {{"dc1", 40, 1}, {"dc2", 20, 0.0}}) != "dc1" ? 1 : 0;
+    }
+    CHECK_TRUE(homes["dc1"] > 1850 && homes["dc1"] < 2150);
+    LONGS_EQUAL(0, moved);
+    STRCMP_EQUAL("", homeDataCentre(1, {}).c_str());
+}
