--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -149,7 +149,7 @@
     , m_stages(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_crashGuard, m_releaser, m_pool, m_timers, m_metrics},
                m_scheduler, *m_stagePeers, m_members, parseStageAssignment(settings.stageSharing))
     , m_placementChannel(makePlacementChannel(m_upstream))
-    , m_placementOwner(m_clock, m_instances, m_deployments)
+    , m_placementOwner(m_clock, m_instances, m_deployments, m_metrics)
     , m_placement(m_clock, m_placementOwner, m_stages, *m_placementChannel, m_pool, m_timers, m_metrics)
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
                                     m_crashGuard, m_placement, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -400,6 +400,7 @@
     }
     auto lease = m_dependencies.instances.acquire(input, engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
     const std::string chosen = lease ? lease->instance().id : std::string();
+    m_ownerChose = m_placed.has_value() && chosen == input.wanted;
     if (m_placed && chosen != input.wanted) {
         m_placed.reset(); // the owner stops counting it when it hears nothing of it
     }
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -143,6 +143,7 @@
     bool m_mayHaveRun = false; // some server may have run the request
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
+    bool m_ownerChose = false; // the engine of the current attempt
     std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     bool m_isProbe = false; // see CrashGuard::Admission
     ErrorCode m_lastError = ErrorCode::NoFitServer;
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -92,6 +92,7 @@
               {"prompt", m_request.prompt.empty() ? std::string() : m_request.prompt.front().id},
               {"prompt_parts", static_cast<std::uint64_t>(m_request.prompt.size())},
               {"sent", m_sentCount},
+              {"placed", m_ownerChose ? 1 : 0},
               {"status", m_outcome.status},
               {"code", m_outcome.answeredByServer ? 0 : static_cast<int>(m_outcome.code)},
               {"staged_ms", stagesTime},
--- a/src/placement/book.cpp
+++ b/src/placement/book.cpp
@@ -145,6 +145,12 @@
     return best;
 }
 
+bool PlacementBook::holds(const PlacementDemand &demand, const EngineCandidate &engine) const
+{
+    const auto found = m_engines.find(engine.id);
+    return found != m_engines.end() && found->second.uncachedTokens(demand.prefixes) == 0;
+}
+
 void PlacementBook::recordPlaced(const PlacementDemand &demand, const EngineCandidate &engine, TimePoint now)
 {
     Engine &state = m_engines[engine.id];
--- a/src/placement/owner.cpp
+++ b/src/placement/owner.cpp
@@ -65,6 +65,7 @@
         const Lock lock(m_owner.m_mutex);
         PlacementBook &book = m_owner.m_books.try_emplace(m_demand.service, m_owner.m_settings).first->second;
         const std::size_t chosen = book.choose(m_demand, candidates, now);
+        (book.holds(m_demand, candidates[chosen]) ? m_owner.m_cached : m_owner.m_uncached).add();
         book.recordPlaced(m_demand, candidates[chosen], now);
         m_found = true;
         return indexes[chosen];
@@ -98,10 +99,12 @@
     bool m_found = false;
 };
 
-PlacementOwner::PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, PlacementSettings settings)
+PlacementOwner::PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, MetricsRegistry &metrics, PlacementSettings settings)
     : m_clock(clock)
     , m_instances(instances)
     , m_deployments(deployments)
+    , m_cached(metrics.counter("vanillanotch_placements_total", "prefix=\"cached\""))
+    , m_uncached(metrics.counter("vanillanotch_placements_total", "prefix=\"read\""))
     , m_settings(settings)
 {
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -105,6 +105,7 @@
     explicit PlacementBook(PlacementSettings settings = {});
     // Index of the engine for the request. `candidates` isn't empty.
     std::size_t choose(const PlacementDemand &demand, const std::vector<EngineCandidate> &candidates, TimePoint now);
+    bool holds(const PlacementDemand &demand, const EngineCandidate &engine) const; // all shared parts of the prompt
     void recordPlaced(const PlacementDemand &demand, const EngineCandidate &engine, TimePoint now);
     void recordReport(const PlacementReport &report, TimePoint now);
     void retain(const std::set<std::string> &ids); // forgets all engines but these
@@ -152,7 +153,7 @@
 class PlacementOwner
 {
 public:
-    PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, PlacementSettings settings = {});
+    PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, MetricsRegistry &metrics, PlacementSettings settings = {});
     // Id of the chosen engine; nullopt: the data centre has none that may get a request now.
     std::optional<std::string> place(const PlacementDemand &demand);
     void record(const std::vector<PlacementReport> &reports);
@@ -166,6 +167,8 @@
     const Clock &m_clock;
     InstanceTable &m_instances;
     DeploymentTable &m_deployments;
+    Counter &m_cached; // placements at an engine that holds all shared parts
+    Counter &m_uncached;
     const PlacementSettings m_settings;
     RankedMutex m_mutex{LockRank::Placement};
     std::map<std::string, PlacementBook> m_books; // by service
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -301,10 +301,10 @@
     ManualClock clock;
     InstanceTable instances{clock, InstanceSettings{}};
     DeploymentTable deployments{FreshnessSettings{}};
-    PlacementOwner local{clock, instances, deployments};
+    MetricsRegistry metrics;
+    PlacementOwner local{clock, instances, deployments, metrics};
     FixedOwner owners;
     ScriptedChannel channel;
-    MetricsRegistry metrics;
     GrowingPool pool{2};
     WorkerPool background{1};
     TimerQueue timers{background};
--- a/tests/unit/stop_test.cpp
+++ b/tests/unit/stop_test.cpp
@@ -70,7 +70,7 @@
 {
     ResultReleaser releaser(channel, timers, pool);
     StageScheduler scheduler(StageDependencies{clock, deployments, instances, channel, budget, crashGuard, releaser, pool, timers, metrics});
-    PlacementOwner placement(clock, instances, deployments);
+    PlacementOwner placement(clock, instances, deployments, metrics);
     PeerHandler handler(scheduler, placement, RelayedTables{}, leaving, metrics);
     FrontServer server("peers", "127.0.0.1:0", handler, pool);
     const auto sender = makeStagePeerChannel(upstream);
