Each node learns the speed of engines from their replies

A node knew only a moving average of each instance's times, which mixes short and long prompts, and nothing of what instances state.

The line of EngineTimeEstimator stays one for each service. PrefixDemand estimates how many slots the requests of all nodes with a prompt prefix take. Requests begun since a report count in addition to it.

--- a/src/forwarding/estimates.cpp
+++ b/src/forwarding/estimates.cpp
@@ -30,21 +30,41 @@
     sums.xy += x * y;
 }
 
+std::optional<double> EngineTimeEstimator::Sums::secondsPerToken() const
+{
+    const double meanTokens = x / weight;
+    const double variance = xx / weight - meanTokens * meanTokens;
+    const double covariance = xy / weight - meanTokens * y / weight;
+    return variance > 1 ? std::optional(std::max(0.0, covariance / variance)) : std::nullopt; // a negative slope is noise: more tokens never take less time
+}
+
 Duration EngineTimeEstimator::estimate(const std::string &service, unsigned ownTokens) const
+{
+    return measuredEstimate(service, ownTokens).value_or(m_settings.defaultTime);
+}
+
+std::optional<Duration> EngineTimeEstimator::measuredEstimate(const std::string &service, unsigned ownTokens) const
 {
     const Lock lock(m_mutex);
     const auto found = m_sums.find(service);
     if (found == m_sums.end() || found->second.weight < m_settings.minSamples) {
-        return m_settings.defaultTime;
+        return std::nullopt;
     }
     const Sums &sums = found->second;
-    const double meanTokens = sums.x / sums.weight;
-    const double meanTime = sums.y / sums.weight;
-    const double variance = sums.xx / sums.weight - meanTokens * meanTokens;
-    const double covariance = sums.xy / sums.weight - meanTokens * meanTime;
-    const double perToken = variance > 1 ? std::max(0.0, covariance / variance) : 0.0; // a negative slope is noise: more tokens never take less time
-    const double seconds = meanTime + perToken * (ownTokens - meanTokens);
-    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)), m_settings.minimum, m_settings.maximum);
+    const std::chrono::duration<double> time(sums.y / sums.weight + sums.secondsPerToken().value_or(0) * (ownTokens - sums.x / sums.weight));
+    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(time), m_settings.minimum, m_settings.maximum);
+}
+
+Duration EngineTimeEstimator::timePerToken(const std::string &service) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_sums.find(service);
+    const auto measured = found == m_sums.end() || found->second.weight < m_settings.minSamples ? std::nullopt : found->second.secondsPerToken();
+    if (!measured) {
+        return m_settings.defaultTimePerToken;
+    }
+    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*measured)), m_settings.minTimePerToken,
+                                m_settings.maxTimePerToken);
 }
 
 //-----------------------------------------------------------------------------
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -145,16 +145,23 @@
     std::chrono::milliseconds maximum{2000}; // highest estimate
     double pastWeight = 0.98; // weight of all earlier samples when a new one is added: about the last 50 samples count
     double minSamples = 8; // the estimate is used from this weighted count of samples on
+    // Limits of timePerToken(); the default applies until prompts of different lengths were measured.
+    std::chrono::microseconds defaultTimePerToken{20};
+    std::chrono::microseconds minTimePerToken{10};
+    std::chrono::microseconds maxTimePerToken{150};
 };
 
 // Estimates the time from a call to an engine until its first event, from the number of tokens in the prompt's last part (`ownTokens`).
-// Uses one linear regression for each service; older samples weigh less. Thread-safe.
+// Uses one linear regression for each service; older samples weigh less.
+// Thread-safe.
 class EngineTimeEstimator
 {
 public:
     explicit EngineTimeEstimator(EngineTimeSettings settings = {});
     void record(const std::string &service, unsigned ownTokens, Duration took);
     Duration estimate(const std::string &service, unsigned ownTokens) const;
+    std::optional<Duration> measuredEstimate(const std::string &service, unsigned ownTokens) const; // nullopt: fewer than minSamples
+    Duration timePerToken(const std::string &service) const;
 
 private:
     struct Sums {
@@ -163,6 +170,8 @@
         double y = 0; // seconds
         double xx = 0;
         double xy = 0;
+
+        std::optional<double> secondsPerToken() const; // nullopt: all samples have about the same number of tokens
     };
 
     const EngineTimeSettings m_settings;
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/run.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace vanillanotch
@@ -339,6 +340,28 @@
     return m_request.prompt.empty() ? 0 : m_request.prompt.back().tokens;
 }
 
+unsigned ForwardRun::sharedTokens() const
+{
+    unsigned tokens = 0;
+    for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
+        tokens += std::min(m_request.prompt[i].tokens, std::numeric_limits<unsigned>::max() - tokens);
+    }
+    return tokens;
+}
+
+ChoiceInput ForwardRun::choiceInput() const
+{
+    ChoiceInput input;
+    input.service = m_service;
+    input.affinity = m_affinity;
+    if (streaming()) {
+        input.expectedTime = m_dependencies.engineTimeEstimator.measuredEstimate(m_service, ownTokens()).value_or(Duration::zero());
+        input.sharedTokens = sharedTokens();
+        input.timePerToken = m_dependencies.engineTimeEstimator.timePerToken(m_service);
+    }
+    return input;
+}
+
 std::string ForwardRun::promptIds() const
 {
     std::string ids;
@@ -381,9 +404,7 @@
 
 ForwardRun::AttemptOutcome ForwardRun::attempt()
 {
-    ChoiceInput input;
-    input.service = m_service;
-    input.affinity = m_affinity;
+    ChoiceInput input = choiceInput();
     input.avoid = m_tried;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
     const ServiceSpec *service = m_deployment->service(m_service);
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -78,14 +78,17 @@
     bool queuedBeyondTarget() const;
     bool limitedBeyondTarget() const;
     bool awaitLimits();
+    ChoiceInput choiceInput() const;
     unsigned ownTokens() const; // tokens of the prompt's last part, which belongs to this request or its session
+    unsigned sharedTokens() const; // of all other parts
     std::string promptIds() const; // of all parts, separated by commas
     ServerCall prepareCall(const InstanceSpec &instance) const;
     TimePoint firstReplyLimit() const;
     AttemptOutcome readReply(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began);
-    bool forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId);
+    bool forwardEvents(std::string &buffer, const ReplyHead &head, std::size_t bytes, std::optional<std::string> lastId);
+    void recordFirstEvent(InstanceLease &lease, Duration time) const;
     void reportCrash(const InstanceSpec &instance) const;
     AttemptOutcome handleFailure(const UpstreamFailure &failure, InstanceLease &lease, TimePoint began);
 
--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -14,7 +14,7 @@
 // Sends the first `bytes` of `buffer` to the caller and removes them from it. Only complete events are sent before the end of the stream, so
 // that a stream that breaks within an event can be resumed at another server after the last complete one. `lastId`: see EventScan. Returns
 // false when the caller has disconnected.
-bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId)
+bool ForwardRun::forwardEvents(std::string &buffer, const ReplyHead &head, std::size_t bytes, std::optional<std::string> lastId)
 {
     if (bytes == 0) {
         return true;
@@ -26,7 +26,6 @@
     if (!m_streamStarted) {
         m_streamStarted = true;
         m_firstEventAt = m_dependencies.clock.now();
-        m_dependencies.engineTimeEstimator.record(m_service, ownTokens(), m_firstEventAt - began);
         callerConnected = m_exchange.beginStream(head.status, m_dependencies.codec.replyHeaders(head), events, sendLimit);
         releaseResults(); // the engine has read the results of the stages by its first event
     } else {
@@ -36,6 +35,16 @@
     return callerConnected;
 }
 
+// What an instance's time is compared with is estimated before it is recorded itself. Where it isn't known whether the shared parts of the prompt were in
+// the cache, the time says nothing of the instance's speed.
+void ForwardRun::recordFirstEvent(InstanceLease &lease, Duration time) const
+{
+    EngineTimeEstimator &estimator = m_dependencies.engineTimeEstimator;
+    const bool comparable = sharedTokens() == 0 || lease.hasPrefix();
+    lease.recordFirstEvent(time, comparable ? estimator.measuredEstimate(m_service, ownTokens()).value_or(Duration::zero()) : Duration::zero());
+    estimator.record(m_service, ownTokens(), time);
+}
+
 ForwardRun::AttemptOutcome ForwardRun::relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began)
 {
     if (!m_streamStarted) {
@@ -60,11 +69,11 @@
             return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began);
         }
         const bool started = m_streamStarted;
-        if (!forwardEvents(buffer, head, began, complete ? buffer.size() : scan.completeBytes, scan.lastId)) {
+        if (!forwardEvents(buffer, head, complete ? buffer.size() : scan.completeBytes, scan.lastId)) {
             return handleFailure(UpstreamFailure{ErrorCode::CallerDisconnected, true, false}, lease, began);
         }
         if (m_streamStarted && !started) {
-            lease.recordFirstEvent(m_firstEventAt - began);
+            recordFirstEvent(lease, m_firstEventAt - began);
         }
         if (buffer.size() > PartialEventLimit) {
             return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
--- a/src/instances/choice.cpp
+++ b/src/instances/choice.cpp
@@ -6,6 +6,13 @@
 namespace vanillanotch
 {
 
+double prefixRank(std::uint64_t affinity, const InstanceSpec &spec)
+{
+    // -1 / log(u) with u uniform in (0, 1): for equal slots the order of the hashes. 52 bits, since u must not be rounded to 1.
+    const double uniform = std::ldexp(static_cast<double>(stableHash(std::to_string(affinity) + spec.id) >> 12) + 0.5, -52);
+    return -std::max(1U, spec.slots) / std::log(uniform);
+}
+
 namespace
 {
 // Round trip between data centres; added to the predicted time of an instance outside the preferred data centre.
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -45,8 +45,8 @@
 // InstanceLease
 //-----------------------------------------------------------------------------
 
-InstanceLease::InstanceLease(InstanceTable *table, InstanceSpec spec, TimePoint begun)
-    : m_table(table, Release{std::move(spec), begun})
+InstanceLease::InstanceLease(InstanceTable *table, InstanceSpec spec, TimePoint begun, std::uint64_t affinity, bool hasPrefix)
+    : m_table(table, Release{std::move(spec), begun, affinity, hasPrefix})
 {
 }
 
@@ -62,10 +62,10 @@
     }
 }
 
-void InstanceLease::recordFirstEvent(Duration time)
+void InstanceLease::recordFirstEvent(Duration time, Duration expected)
 {
     if (m_table) {
-        m_table->recordTime(instance().id, time);
+        m_table->recordFirstEvent(instance().id, time, expected, m_table.get_deleter().affinity);
     }
 }
 
@@ -74,6 +74,9 @@
     if (InstanceTable *table = m_table.release()) {
         table->release(instance().id, m_table.get_deleter().begun);
         table->report(instance().id, outcome, time);
+        if (outcome == InstanceCallOutcome::Succeeded) {
+            table->recordHeld(instance().service, m_table.get_deleter().begun);
+        }
     }
 }
 
@@ -231,7 +234,7 @@
     const unsigned slots = std::max(1U, entry.spec.slots);
     double occupied = entry.outstanding;
     if (entry.load && now - entry.loadAt < LoadReportMaxAge) {
-        occupied = std::max(occupied, static_cast<double>(entry.load->running + entry.load->waiting));
+        occupied = std::max(occupied, static_cast<double>(entry.load->running) + entry.load->waiting + entry.begunSinceLoad);
     }
     view.load = occupied / slots;
     const auto decay = [&](TimePoint since) {
@@ -240,6 +243,8 @@
     };
     view.failureRate = entry.failureRate * decay(entry.failureRateAt);
     view.recentlyUnreachable = now < entry.unreachableUntil;
+    view.timeFactor = entry.speed.learntFactor(m_settings.speed, now);
+    view.slowdown = entry.speed.statedFactor(m_settings.speed, now);
     return view;
 }
 
@@ -255,17 +260,23 @@
     std::vector<const Entry *> entries;
     ShortestTimes shortest;
     bool someLimited = false;
+    std::vector<double> prefixRanks;
     for (const auto &[id, entry] : m_entries) {
         if (entry.spec.service == input.service && usableLocked(entry, now)) {
             entries.push_back(&entry);
+            prefixRanks.push_back(input.affinity == 0 ? 0 : prefixRank(input.affinity, entry.spec));
             shortest.include(entry, dataCentre);
             someLimited = someLimited || entry.limiter.limited();
         }
     }
     std::vector<InstanceView> all;
-    for (const Entry *entry : entries) {
+    const double firstRank = prefixRanks.empty() ? 0 : *std::max_element(prefixRanks.begin(), prefixRanks.end());
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const Entry *entry = entries[i];
         InstanceView view = viewLocked(*entry, now);
         view.inPreferredDataCentre = entry->spec.dataCentre == dataCentre;
+        view.prefixRank = prefixRanks[i];
+        view.hasPrefix = input.affinity != 0 && (view.prefixRank == firstRank || entry->prefixes.contains(input.affinity, now));
         const Duration shortestTime = shortest.of(*entry, dataCentre);
         const Duration longestWait = entry->unanswered.empty() ? Duration::zero() : now - *entry->unanswered.begin();
         const bool known = entry->averageTime > Duration::zero() || longestWait > m_settings.minSlowTime;
@@ -297,6 +308,19 @@
     return all;
 }
 
+ChoiceInput InstanceTable::withPreferredCountLocked(const ChoiceInput &input, const std::vector<InstanceView> &views, TimePoint now) const
+{
+    ChoiceInput result = input;
+    if (const auto demand = m_demands.find(input.service); demand != m_demands.end() && input.affinity != 0) {
+        FleetSize fleet{std::max<std::size_t>(1, m_nodes.size()), views.size(), 0};
+        for (const InstanceView &view : views) {
+            fleet.slots += std::max(1U, view.spec->slots);
+        }
+        result.preferredCount = demand->second.preferredCount(input.affinity, fleet, now);
+    }
+    return result;
+}
+
 Result<InstanceLease> InstanceTable::acquire(const ChoiceInput &input, ChoicePolicy &policy)
 {
     const Lock lock(m_mutex);
@@ -306,14 +330,16 @@
         return viewsLocked(input, Limits::Ignored, now).empty() ? fail(ErrorCode::NoFitServer, "no usable instance of the service is registered")
                                                                 : fail(ErrorCode::ServersLimited);
     }
-    const std::string &id = views.at(policy.choose(input, views)).spec->id;
-    Entry &entry = m_entries.at(id);
+    const InstanceView &view = views.at(policy.choose(withPreferredCountLocked(input, views, now), views));
+    m_demands[input.service].countRequest(input.affinity, now);
+    Entry &entry = m_entries.at(view.spec->id);
     ++entry.outstanding;
+    ++entry.begunSinceLoad;
     entry.unanswered.insert(now);
     if (entry.limiter.limited()) {
         entry.limiter.countRequest(shareLocked(entry.spec), m_settings.limits, now);
     }
-    return InstanceLease(this, entry.spec, now);
+    return InstanceLease(this, entry.spec, now, input.affinity, view.hasPrefix);
 }
 
 std::optional<InstanceSpec> InstanceTable::preview(const ChoiceInput &input, ChoicePolicy &policy) const
@@ -327,7 +353,7 @@
     if (views.empty()) {
         return std::nullopt;
     }
-    return *views.at(policy.choose(input, views)).spec;
+    return *views.at(policy.choose(withPreferredCountLocked(input, views, now), views)).spec;
 }
 
 InstanceListRef InstanceTable::usableInstances(const std::string &service) const
@@ -403,20 +429,36 @@
     recordLoad(id, load);
 }
 
-void InstanceTable::recordTime(const std::string &id, Duration time)
+void InstanceTable::recordFirstEvent(const std::string &id, Duration time, Duration expected, std::uint64_t affinity)
 {
     const Lock lock(m_mutex);
     if (const auto found = m_entries.find(id); found != m_entries.end()) {
-        recordTimeLocked(found->second, time, m_clock.now());
+        const TimePoint now = m_clock.now();
+        recordTimeLocked(found->second, time, now);
+        found->second.speed.recordTime(time, expected, m_settings.speed, now);
+        if (affinity != 0) {
+            found->second.prefixes.record(affinity, now);
+        }
     }
 }
 
+void InstanceTable::recordHeld(const std::string &service, TimePoint begun)
+{
+    const Lock lock(m_mutex);
+    m_demands[service].recordHeld(m_clock.now() - begun);
+}
+
 void InstanceTable::recordLoad(const std::string &id, const std::optional<ReportedLoad> &load)
 {
     const Lock lock(m_mutex);
     if (const auto found = m_entries.find(id); found != m_entries.end() && load) {
         found->second.load = load;
         found->second.loadAt = m_clock.now();
+        found->second.begunSinceLoad = 0;
+        found->second.speed.recordSlowdown(load->slowdown, found->second.loadAt);
+        if (load->slowdown != 1) {
+            m_demands[found->second.spec.service].recordSlowdown();
+        }
     }
 }
 
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -17,6 +17,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "instances/speed.h"
 
 #include <set>
 #include <unordered_map>
@@ -56,10 +57,15 @@
     const InstanceSpec *spec = nullptr;
     bool inPreferredDataCentre = false; // in the preferred data centre (ChoiceInput::dataCentre; if that is empty, this node's)
     unsigned outstanding = 0; // number of this node's requests that are running there
-    double load = 0; // (running + waiting) / slots; the higher of this node's own count and a recent report of the instance
+    // (running + waiting) / slots; the higher of this node's own count and a recent report of the instance, with this node's requests since then.
+    double load = 0;
     // Expected time until its reply begins: the moving average (see InstanceSettings::timeHalfLife) or, when that is longer, how long a request
     // has been waiting there for its reply. Zero: unknown.
     Duration expectedTime{};
+    double timeFactor = 1; // how long work takes there, as a multiple of the service's usual time, by this node's measurements
+    double slowdown = 1; // the same, beyond timeFactor, as the instance has stated it a moment ago
+    double prefixRank = 0; // of the instance for the shared parts of the prompt, see prefixRank()
+    bool hasPrefix = false; // the first in that order, or has read the shared parts for this node lately: they are probably in its cache
     bool slow = false; // expectedTime is much longer than that of the service's other instances
     double failureRate = 0; // moving average of failures, 0 to 1; decays without new ones
     bool recentlyUnreachable = false; // was unreachable a short time ago
@@ -74,9 +80,18 @@
     std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
     std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
     std::string dataCentre; // preferred one; empty: this node's
+    Duration expectedTime{}; // until the first event at an engine of usual speed that has the shared parts cached; zero: unknown
+    unsigned sharedTokens = 0; // tokens of the shared parts of the prompt
+    Duration timePerToken{}; // that an engine of usual speed takes to read one
+    std::size_t preferredCount = 1; // instances that are preferred for the shared parts; set by InstanceTable
     bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
 };
 
+// The rank of an instance for the shared parts of a prompt; the highest is the first in the order of preference (weighted rendezvous hashing). All nodes
+// compute the same, and adding or removing an instance doesn't change the order of the others. An instance is the first for a share of all prompts
+// in proportion to its registered slots. Measured speeds aren't used: they differ from node to node and would move prompts from cache to cache.
+double prefixRank(std::uint64_t affinity, const InstanceSpec &spec);
+
 // choose() is called with the lock of InstanceTable held: it must not block or do I/O. `views` isn't empty; the result is an index into it.
 class ChoicePolicy
 {
@@ -88,10 +103,10 @@
 // Chooses the instance with the shortest predicted time for a request. The prediction has a random factor, so that nodes which see the
 // same figures spread their requests.
 std::unique_ptr<ChoicePolicy> makeShortestTimeChoice();
-// Prefix affinity: every node chooses the same instance for the same prompt prefix, because the cache of that instance holds the
-// prefix. The hash of prefix and instance id orders the instances; the first one is chosen that was not unreachable a short time ago,
-// doesn't fail often and isn't overloaded. If there is none, the first of all is chosen. A request without affinity gets the instance with the
-// shortest predicted time.
+// Prefix affinity: every node prefers the same instance for the same prompt prefix, because the cache of that instance holds the
+// prefix. In the order of InstanceView::prefixRank, the first instance is preferred that was not unreachable a short time ago, doesn't fail often
+// and isn't overloaded. While ChoiceInput::expectedTime is known, another instance with room is chosen if its predicted time, with the time to read the
+// prefix where it isn't cached, is clearly shorter. If none has room, the one with the shortest predicted time is chosen, as for requests without affinity.
 std::unique_ptr<ChoicePolicy> makePrefixAffinityChoice();
 // Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
 std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
@@ -217,6 +232,7 @@
     // An instance counts as slow when its expected time is longer than both `slowFactor` times the shortest of its service and `minSlowTime`.
     double slowFactor = 3.0;
     std::chrono::milliseconds minSlowTime{500};
+    SpeedSettings speed;
 };
 
 class InstanceTable;
@@ -255,19 +271,26 @@
 {
 public:
     InstanceLease() = default;
-    InstanceLease(InstanceTable *table, InstanceSpec spec, TimePoint begun);
+    InstanceLease(InstanceTable *table, InstanceSpec spec, TimePoint begun, std::uint64_t affinity = 0, bool hasPrefix = false);
     const InstanceSpec &instance() const
     {
         return m_table.get_deleter().spec;
     }
     void recordReply(const std::optional<ReportedLoad> &load);
-    void recordFirstEvent(Duration time);
+    bool hasPrefix() const // InstanceView::hasPrefix when it was chosen
+    {
+        return m_table.get_deleter().hasPrefix;
+    }
+    // `expected`: by an engine of usual speed; zero: unknown.
+    void recordFirstEvent(Duration time, Duration expected = Duration::zero());
     void finish(InstanceCallOutcome outcome, Duration time); // `time`: until the reply came; zero: unknown, or recorded before
 
 private:
     struct Release { // releases the slot without reporting an outcome
         InstanceSpec spec;
         TimePoint begun{};
+        std::uint64_t affinity = 0; // ChoiceInput::affinity
+        bool hasPrefix = false;
         void operator()(InstanceTable *table) const;
     };
     std::unique_ptr<InstanceTable, Release> m_table;
@@ -327,6 +350,9 @@
         std::multiset<TimePoint> unanswered; // when the outstanding requests began whose replies haven't
         std::optional<ReportedLoad> load;
         TimePoint loadAt{}; // when the load was reported
+        unsigned begunSinceLoad = 0; // this node's requests since then
+        InstanceSpeed speed;
+        RecentPrefixes prefixes;
         Duration averageTime{};
         TimePoint averageTimeAt{}; // when the average was updated
         double failureRate = 0;
@@ -362,6 +388,7 @@
     std::vector<InstanceView> viewsLocked(const ChoiceInput &input, Limits limits, TimePoint now) const;
     Availability availabilityLocked(const std::string &service, TimePoint now) const;
     LimitShare shareLocked(const InstanceSpec &spec) const;
+    ChoiceInput withPreferredCountLocked(const ChoiceInput &input, const std::vector<InstanceView> &views, TimePoint now) const;
     TimePoint allowedAtLocked(const Entry &entry, TimePoint now) const;
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
@@ -371,7 +398,8 @@
     void removeExpiredLocked(TimePoint now);
     void release(const std::string &id, TimePoint begun);
     void recordReply(const std::string &id, TimePoint begun, const std::optional<ReportedLoad> &load);
-    void recordTime(const std::string &id, Duration time);
+    void recordFirstEvent(const std::string &id, Duration time, Duration expected, std::uint64_t affinity);
+    void recordHeld(const std::string &service, TimePoint begun);
     void recordTimeLocked(Entry &entry, Duration time, TimePoint now);
 
     const Clock &m_clock;
@@ -391,6 +419,7 @@
         unsigned places = 0;
         RequestRate admitted; // places a second
     };
+    std::map<std::string, PrefixDemand> m_demands; // by service
     std::map<std::string, std::map<int, Queue>> m_queues; // by service and priority
     std::function<void()> m_listener;
 };
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -516,6 +516,25 @@
     CHECK(times.estimate("others", 1000) == settings.defaultTime);
 }
 
+// Guards against an engine choice by a time per token that nothing supports: too few prompts, prompts of one length, or noise.
+TEST(Estimates, TheTimePerTokenIsBounded)
+{
+    const EngineTimeSettings settings;
+    EngineTimeEstimator times;
+    CHECK(times.timePerToken("engines") == settings.defaultTimePerToken);
+    CHECK_FALSE(times.measuredEstimate("engines", 1000).has_value());
+    for (unsigned i = 0; i < 40; ++i) {
+        times.record("engines", 500 + 100 * (i % 10), milliseconds(100) + std::chrono::microseconds(30) * (500 + 100 * (i % 10)));
+        times.record("same", 700, milliseconds(100 + i));
+        times.record("falling", 100 * i, milliseconds(900 - 10 * i));
+    }
+    const Duration measured = times.timePerToken("engines");
+    CHECK(measured > std::chrono::microseconds(29) && measured < std::chrono::microseconds(31));
+    CHECK(times.timePerToken("same") == settings.defaultTimePerToken);
+    CHECK(times.timePerToken("falling") == settings.minTimePerToken);
+    CHECK(times.measuredEstimate("engines", 1000).has_value());
+}
+
 // Guards against a falling line through the measured times, which would give too short estimates for long prompts.
 TEST(Estimates, LongerPromptsAreNeverExpectedToBeFaster)
 {
