--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -74,6 +74,7 @@
         }
         if (m_streamStarted && !started) {
             recordFirstEvent(lease, m_firstEventAt - began);
+            reportPlacement(m_firstEventAt - began);
         }
         if (buffer.size() > PartialEventLimit) {
             return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -87,6 +87,7 @@
 InstanceTable::InstanceTable(const Clock &clock, InstanceSettings settings)
     : m_clock(clock)
     , m_settings(std::move(settings))
+    , m_evacuations(m_settings.restoreDuration)
 {
 }
 
@@ -188,7 +189,7 @@
 
 bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
 {
-    return !entry.spec.draining && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
+    return !entry.spec.draining && !m_evacuations.includes(entry.spec.dataCentre) && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
 }
 
 void InstanceTable::Entry::removeUnanswered(TimePoint begun)
@@ -305,22 +306,10 @@
             return !view.recentlyUnreachable;
         });
     }
+    removeNotRestoredLocked(input, all, now);
     return all;
 }
 
-ChoiceInput InstanceTable::withPreferredCountLocked(const ChoiceInput &input, const std::vector<InstanceView> &views, TimePoint now) const
-{
-    ChoiceInput result = input;
-    if (const auto demand = m_demands.find(input.service); demand != m_demands.end() && input.affinity != 0) {
-        FleetSize fleet{std::max<std::size_t>(1, m_nodes.size()), views.size(), 0};
-        for (const InstanceView &view : views) {
-            fleet.slots += std::max(1U, view.spec->slots);
-        }
-        result.preferredCount = demand->second.preferredCount(input.affinity, fleet, now);
-    }
-    return result;
-}
-
 Result<InstanceLease> InstanceTable::acquire(const ChoiceInput &input, ChoicePolicy &policy)
 {
     const Lock lock(m_mutex);
@@ -330,7 +319,10 @@
         return viewsLocked(input, Limits::Ignored, now).empty() ? fail(ErrorCode::NoFitServer, "no usable instance of the service is registered")
                                                                 : fail(ErrorCode::ServersLimited);
     }
-    const InstanceView &view = views.at(policy.choose(withPreferredCountLocked(input, views, now), views));
+    const auto wanted = std::find_if(views.begin(), views.end(), [&input](const InstanceView &view) {
+        return view.spec->id == input.wanted;
+    });
+    const InstanceView &view = wanted == views.end() ? views.at(policy.choose(withPreferredCountLocked(input, views, now), views)) : *wanted;
     m_demands[input.service].countRequest(input.affinity, now);
     Entry &entry = m_entries.at(view.spec->id);
     ++entry.outstanding;
@@ -429,25 +421,6 @@
     recordLoad(id, load);
 }
 
-void InstanceTable::recordFirstEvent(const std::string &id, Duration time, Duration expected, std::uint64_t affinity)
-{
-    const Lock lock(m_mutex);
-    if (const auto found = m_entries.find(id); found != m_entries.end()) {
-        const TimePoint now = m_clock.now();
-        recordTimeLocked(found->second, time, now);
-        found->second.speed.recordTime(time, expected, m_settings.speed, now);
-        if (affinity != 0) {
-            found->second.prefixes.record(affinity, now);
-        }
-    }
-}
-
-void InstanceTable::recordHeld(const std::string &service, TimePoint begun)
-{
-    const Lock lock(m_mutex);
-    m_demands[service].recordHeld(m_clock.now() - begun);
-}
-
 void InstanceTable::recordLoad(const std::string &id, const std::optional<ReportedLoad> &load)
 {
     const Lock lock(m_mutex);
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -4,11 +4,13 @@
 // Index of sections:
 //   [SPECS]   InstanceSpec, InstanceView
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
+//   [PLACES]  Evacuations: data centres whose instances get nothing new
 //   [LIMITS]  RequestLimiter: requests to an instance that has stated a limit; planLimitHolders(): which nodes may send them; RequestRate
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
 // Rules this aggregate enforces:
 //   - a draining or removed instance gets no new work;
+//   - an instance in an evacuated data centre gets no new work, whichever way that comes;
 //   - an instance that can't be reached is avoided for a while, unless that would exclude more than half of its service's instances;
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
 //   - an instance that states a limit gets no more requests than that from all nodes together, and what it may not get does not go to
@@ -84,6 +86,7 @@
     unsigned sharedTokens = 0; // tokens of the shared parts of the prompt
     Duration timePerToken{}; // that an engine of usual speed takes to read one
     std::size_t preferredCount = 1; // instances that are preferred for the shared parts; set by InstanceTable
+    std::string wanted; // id of the instance that is taken if it may get a request now; empty: the policy chooses
     bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
 };
 
@@ -111,6 +114,45 @@
 // Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
 std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
 
+//-----------------------------------------------------------------------------
+// [PLACES]
+//-----------------------------------------------------------------------------
+
+// The evacuated data centres, and those that get their load back after an evacuation. Not thread-safe.
+class Evacuations
+{
+public:
+    explicit Evacuations(Duration restoreDuration)
+        : m_restoreDuration(restoreDuration)
+    {
+    }
+    struct Change {
+        std::vector<std::string> evacuated;
+        std::vector<std::string> restored;
+        bool empty() const
+        {
+            return evacuated.empty() && restored.empty();
+        }
+    };
+    Change replace(std::set<std::string> dataCentres, TimePoint now); // returns how the set differs from the former one
+    bool includes(const std::string &dataCentre) const
+    {
+        return m_dataCentres.count(dataCentre) > 0;
+    }
+    bool restoring(TimePoint now) const; // some data centre is getting its load back
+    // 0 when an evacuation of the data centre has just been lifted, rising to 1 over restoreDuration; 1 for all others.
+    double restoredShare(const std::string &dataCentre, TimePoint now) const;
+    // Part of the requests that may go to a data centre at `share` (0 to 1). The servers there look idle, and get most of the requests that may go there;
+    // so the part rises with the square of the share. Requests with the same `affinity` (0: none) return together, each affinity within another
+    // third of the time.
+    static double returningPart(std::uint64_t affinity, const std::string &dataCentre, double share);
+
+private:
+    const Duration m_restoreDuration;
+    std::set<std::string> m_dataCentres;
+    std::map<std::string, TimePoint> m_restoredAt; // by data centre; those whose last evacuation was lifted
+};
+
 //-----------------------------------------------------------------------------
 // [LIMITS]
 //-----------------------------------------------------------------------------
@@ -229,6 +271,7 @@
     // Half-life, without new outcomes, of what an instance's average time has beyond the shortest one of its service. Without it an instance
     // that was slow once would get no request that could show that it isn't any more.
     std::chrono::milliseconds timeHalfLife{4000};
+    std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     // An instance counts as slow when its expected time is longer than both `slowFactor` times the shortest of its service and `minSlowTime`.
     double slowFactor = 3.0;
     std::chrono::milliseconds minSlowTime{500};
@@ -310,6 +353,14 @@
     // grace counts from then, since the instance may have left as long ago as that. The change listener isn't called.
     void remove(const std::string &id, Duration registryWorksFor = Duration::max(), Duration seenAgo = Duration::max());
 
+    // Replaces the set of evacuated data centres. One without registered instances may be among them, and counts once instances register there.
+    void setEvacuated(std::set<std::string> dataCentres);
+    std::size_t evacuatedCount() const; // evacuated data centres with registered instances
+    // How far the instances of a data centre have got their load back after its evacuation, 0 to 1; see Evacuations.
+    double restoredShare(const std::string &dataCentre) const;
+    // The service has no usable instance, and an evacuation is in force. Its requests are refused at once, since waiting for an instance is of no use.
+    bool noneLeft(const std::string &service) const;
+
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
     // Records what an instance has said of itself in the head of a reply. An unknown id is ignored.
@@ -331,8 +382,8 @@
     // What acquire() would choose; takes no slot. nullopt: the service has no usable instance.
     std::optional<InstanceSpec> preview(const ChoiceInput &input, ChoicePolicy &policy) const;
     InstanceListRef usableInstances(const std::string &service) const; // the same object until the table changes
-    bool usable(const std::string &id)
-        const; // neither draining nor leaving by its own statement, and either registered or, after its entry expired, still kept for missingEntryGrace
+    bool usable(const std::string &id) const; // neither draining, leaving by its own statement nor in an evacuated data centre, and either registered or, after
+                                              // its entry expired, still kept for missingEntryGrace
     bool recentlyUnreachable(const std::string &id) const;
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
     void report(const std::string &id, InstanceCallOutcome outcome, Duration time);
@@ -393,6 +444,9 @@
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
+    // Removes the instances of data centres to which this request may not return yet. Some instances remain.
+    void removeNotRestoredLocked(const ChoiceInput &input, std::vector<InstanceView> &views, TimePoint now) const;
+    std::set<std::string> evacuatedLocked() const; // evacuated data centres with registered instances
     void upsertLocked(const InstanceSpec &spec);
     void removeLocked(const std::string &id, Duration registryWorksFor, Duration seenAgo, TimePoint now);
     void removeExpiredLocked(TimePoint now);
@@ -406,6 +460,7 @@
     const InstanceSettings m_settings;
     mutable RankedMutex m_mutex{LockRank::Instances};
     std::map<std::string, Entry> m_entries;
+    Evacuations m_evacuations;
     struct CachedList {
         InstanceListRef list;
         TimePoint validUntil{}; // when the next of its instances isn't usable any more
--- a/src/instances/speed.cpp
+++ b/src/instances/speed.cpp
@@ -1,4 +1,4 @@
-#include "instances/speed.h"
+#include "instances/instances.h"
 
 #include <algorithm>
 #include <cmath>
@@ -122,4 +122,36 @@
     return static_cast<std::size_t>(std::clamp(std::ceil(taken / wanted), 1.0, static_cast<double>(fleet.instances)));
 }
 
+ChoiceInput InstanceTable::withPreferredCountLocked(const ChoiceInput &input, const std::vector<InstanceView> &views, TimePoint now) const
+{
+    ChoiceInput result = input;
+    if (const auto demand = m_demands.find(input.service); demand != m_demands.end() && input.affinity != 0) {
+        FleetSize fleet{std::max<std::size_t>(1, m_nodes.size()), views.size(), 0};
+        for (const InstanceView &view : views) {
+            fleet.slots += std::max(1U, view.spec->slots);
+        }
+        result.preferredCount = demand->second.preferredCount(input.affinity, fleet, now);
+    }
+    return result;
+}
+
+void InstanceTable::recordFirstEvent(const std::string &id, Duration time, Duration expected, std::uint64_t affinity)
+{
+    const Lock lock(m_mutex);
+    if (const auto found = m_entries.find(id); found != m_entries.end()) {
+        const TimePoint now = m_clock.now();
+        recordTimeLocked(found->second, time, now);
+        found->second.speed.recordTime(time, expected, m_settings.speed, now);
+        if (affinity != 0) {
+            found->second.prefixes.record(affinity, now);
+        }
+    }
+}
+
+void InstanceTable::recordHeld(const std::string &service, TimePoint begun)
+{
+    const Lock lock(m_mutex);
+    m_demands[service].recordHeld(m_clock.now() - begun);
+}
+
 } // namespace vanillanotch
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -134,6 +134,7 @@
     CrashTable crashes{crashClock};
     LocalLedger ledger;
     CrashGuard crashGuard{crashes, ledger};
+    NoPlacement placement;
     std::unique_ptr<ChoicePolicy> choice = makeLeastOutstandingChoice();
     UpstreamSettings upstream;
     MetricsRegistry metrics;
@@ -161,7 +162,7 @@
         CHECK(deployments.install(makeRef<Deployment>(1, std::move(routes), std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
         deployments.confirmNewest(suspendAwareNow());
         service = std::make_unique<ForwardService>(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes,
-                                                                       statedDeadlines, crashGuard, *choice, *choice, upstream, metrics},
+                                                                       statedDeadlines, crashGuard, placement, *choice, *choice, upstream, metrics},
                                                    ForwardSettings{});
         handler = std::make_unique<ServiceHandler>(*service);
         front = std::make_unique<FrontServer>("callers", "127.0.0.1:0", *handler, pool);
@@ -631,6 +632,22 @@
     }
 }
 
+// Guards against requests that wait for their deadline, or whose stages run in vain, while all data centres are evacuated.
+TEST(Forwarding, WithoutAServerOutsideEvacuatedDataCentresARequestIsRefusedAtOnce)
+{
+    instances->synchronise({InstanceSpec{"i1", "staged", first->address(), "dc1", 64, false, 1}, InstanceSpec{"i2", "stage", "127.0.0.1:1", "dc1", 1, false, 1},
+                            InstanceSpec{"i3", "again", first->address(), "dc1", 64, false, 1}});
+    instances->setEvacuated({"dc1"});
+    for (const char *route : {"staged", "again"}) {
+        const CallerAnswer answer = Caller(front->address()).call("POST", route, "a1");
+        LONGS_EQUAL(503, answer.status);
+        STRCMP_EQUAL(describeRefusal(ErrorCode::NoFitServer).c_str(), answer.body.c_str());
+        CHECK(answer.took < RouteTimeout);
+    }
+    LONGS_EQUAL(0, stages.submitted);
+    LONGS_EQUAL(0, first->requests);
+}
+
 // A planned stop under load: requests that still wait for their stages when the stop ends are refused, as not run, and those that are
 // admitted during the stop end before it does. None is cut off without an answer.
 TEST(Forwarding, APlannedStopAnswersTheRequestsThatWait)
