--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::milliseconds MembersBound{10000};
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
+constexpr Duration OwnedStagesInterval = std::chrono::seconds(1); // between two updates of the instances that this node calls as an owner
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
 // Before the end of stop(): requests that wait for their stages are refused, and those that were sent to a server during the stop end.
 constexpr Duration LastRefusalsTime = std::chrono::milliseconds(400);
@@ -39,6 +40,17 @@
     return name == "owner_groups" ? StageAssignment::OwnerGroups : StageAssignment::Owners;
 }
 
+std::map<std::string, ColdRule> coldRulesOf(const Deployment &deployment, StageAssignment assignment)
+{
+    std::map<std::string, ColdRule> rules;
+    for (const ServiceSpec &service : deployment.services()) {
+        if (service.coldRequestsPerSecond > 0) {
+            rules[service.name] = ColdRule{service.coldStart, service.coldRequestsPerSecond, service.stage && assignment != StageAssignment::EachNode};
+        }
+    }
+    return rules;
+}
+
 std::unique_ptr<ChoicePolicy> makeEngineChoice(const std::string &name)
 {
     if (name == "shortest_time") {
@@ -54,6 +66,7 @@
     self.dataCentre = settings.dataCentre;
     self.peerAddress = settings.peerAddress;
     self.cores = settings.cores;
+    self.keepsScopes = true;
     // Microseconds of the wall clock, to tell restarts of one node apart. Values of different nodes are never compared.
     self.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     return self;
@@ -75,6 +88,13 @@
     return instances;
 }
 
+ForwardSettings forwardSettings(const EntrySettings &settings)
+{
+    ForwardSettings forwarding;
+    forwarding.regions = settings.regions;
+    return forwarding;
+}
+
 RetryBudgetSettings retryBudgetSettings(const EntrySettings &settings)
 {
     RetryBudgetSettings retryBudget;
@@ -133,7 +153,7 @@
     , m_placement(m_clock, m_placementOwner, m_stages, *m_placementChannel, m_pool, m_timers, m_metrics)
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
                                     m_crashGuard, m_placement, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
-                ForwardSettings{})
+                forwardSettings(settings))
     , m_deploymentListener(m_deployments, m_instances, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(
@@ -170,6 +190,9 @@
                                   {CrashesTable, &m_crashCache}},
                     m_leaving, m_metrics)
 {
+    m_deploymentListener.setInstalledListener([this] {
+        m_instances.setColdRules(coldRulesOf(*m_deployments.current(), parseStageAssignment(m_settings.stageSharing)));
+    });
     m_instances.setChangeListener([this] {
         m_scheduler.instancesChanged();
     });
@@ -179,6 +202,9 @@
     m_metrics.gauge("vanillanotch_instances_limited", [this] {
         return static_cast<double>(m_instances.limitedCount());
     });
+    m_metrics.gauge("vanillanotch_instances_cold", [this] {
+        return static_cast<double>(m_instances.coldCount());
+    });
     m_metrics.gauge("vanillanotch_data_centres_evacuated", [this] {
         return static_cast<double>(m_instances.evacuatedCount());
     });
@@ -215,6 +241,9 @@
         followTables();
     });
     beginAnnouncing();
+    m_timers.every(OwnedStagesInterval, [this] {
+        m_stages.publishOwned();
+    });
     m_timers.every(CrashCleanupInterval, [this] {
         m_pool.post([this] {
             removeExpiredCrashRows();
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -76,8 +76,8 @@
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
     std::vector<PromptPrefix> promptPrefixes() const; // of the shared parts
-    std::optional<PlacementDemand> placementDemand(); // nullopt: the request isn't for a model engine
-    void reportPlacement(std::optional<Duration> firstEventAfter);
+    std::optional<PlacementDemand> placementDemand(); // nullopt: the engines are alike, so that their owner isn't asked
+    void reportPlacement(std::optional<Duration> firstEventAfter, InstanceCallOutcome outcome); // `outcome`: if there was no first event
     bool grantRepetition();
     bool queuedBeyondTarget() const;
     bool limitedBeyondTarget() const;
@@ -123,6 +123,7 @@
     std::string m_service;
     std::string m_account;
     std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
+    DataCentreScope m_scope; // of the home regions of route and account
     int m_priority = 0;
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
     TimePoint m_target{}; // by when the answer should be sent, to be within the route's target latency
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -109,6 +109,7 @@
         entry.outstanding = outstanding;
     }
     entry.spec = spec;
+    recordColdEntryLocked(entry, !sameProcess, m_clock.now());
     entry.removeAt.reset();
     clearCachesLocked();
 }
@@ -150,7 +151,9 @@
             removeLocked(id, registryWorksFor, Duration::max(), now);
         }
         removeExpiredLocked(now);
+        m_hasBeenRead = true;
     }
+    logColdChanges();
     if (m_listener) {
         m_listener();
     }
@@ -162,6 +165,7 @@
         const Lock lock(m_mutex);
         upsertLocked(spec);
     }
+    logColdChanges();
     if (m_listener) {
         m_listener();
     }
@@ -263,7 +267,7 @@
     bool someLimited = false;
     std::vector<double> prefixRanks;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service == input.service && usableLocked(entry, now)) {
+        if (entry.spec.service == input.service && input.scope.allows(entry.spec.dataCentre) && usableLocked(entry, now)) {
             entries.push_back(&entry);
             prefixRanks.push_back(input.affinity == 0 ? 0 : prefixRank(input.affinity, entry.spec));
             shortest.include(entry, dataCentre);
@@ -278,6 +282,7 @@
         view.inPreferredDataCentre = entry->spec.dataCentre == dataCentre;
         view.prefixRank = prefixRanks[i];
         view.hasPrefix = input.affinity != 0 && (view.prefixRank == firstRank || entry->prefixes.contains(input.affinity, now));
+        view.cold = coldRuleLocked(*entry, now) != std::nullopt;
         const Duration shortestTime = shortest.of(*entry, dataCentre);
         const Duration longestWait = entry->unanswered.empty() ? Duration::zero() : now - *entry->unanswered.begin();
         const bool known = entry->averageTime > Duration::zero() || longestWait > m_settings.minSlowTime;
@@ -307,6 +312,12 @@
         });
     }
     removeNotRestoredLocked(input, all, now);
+    const bool warmAvailable = std::any_of(all.begin(), all.end(), [this](const InstanceView &view) {
+        return !view.cold && !view.slow && view.load < m_settings.cold.busyLoad;
+    });
+    filterUnlessEmpty([warmAvailable](const InstanceView &view) {
+        return !warmAvailable || !view.cold;
+    });
     return all;
 }
 
@@ -331,6 +342,7 @@
     if (entry.limiter.limited()) {
         entry.limiter.countRequest(shareLocked(entry.spec), m_settings.limits, now);
     }
+    entry.cold.countRequest(now);
     return InstanceLease(this, entry.spec, now, input.affinity, view.hasPrefix);
 }
 
@@ -429,12 +441,20 @@
         found->second.loadAt = m_clock.now();
         found->second.begunSinceLoad = 0;
         found->second.speed.recordSlowdown(load->slowdown, found->second.loadAt);
-        if (load->slowdown != 1) {
+        if (load->slowdown > m_settings.unevenFactor || load->slowdown < 1 / m_settings.unevenFactor) {
+            m_unevenUntil[found->second.spec.service] = found->second.loadAt + m_settings.unevenDuration;
             m_demands[found->second.spec.service].recordSlowdown();
         }
     }
 }
 
+bool InstanceTable::uneven(const std::string &service) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_unevenUntil.find(service);
+    return found != m_unevenUntil.end() && m_clock.now() < found->second;
+}
+
 void InstanceTable::recordTimeLocked(Entry &entry, Duration time, TimePoint now)
 {
     ShortestTimes shortest;
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -3,9 +3,10 @@
 //
 // Index of sections:
 //   [SPECS]   InstanceSpec, InstanceView
+//   [PLACES]  DataCentreScope: which data centres a request may use; Evacuations: those whose instances get nothing new
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
-//   [PLACES]  Evacuations: data centres whose instances get nothing new
 //   [LIMITS]  RequestLimiter: requests to an instance that has stated a limit; planLimitHolders(): which nodes may send them; RequestRate
+//   cold.h    ColdLimiter: how long an instance is cold, and the requests that it gets meanwhile; planColdSenders(): which nodes may send them
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
 // Rules this aggregate enforces:
@@ -15,10 +16,12 @@
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
 //   - an instance that states a limit gets no more requests than that from all nodes together, and what it may not get does not go to
 //     one that is slow already;
+//   - a cold instance gets no more than its service's rate from all nodes together, also when nodes don't know each other;
 //   - an instance that states that it leaves gets nothing more from this node, and one that asks for a pause gets nothing until its end.
 #pragma once
 
 #include "base/base.h"
+#include "instances/cold.h"
 #include "instances/speed.h"
 
 #include <set>
@@ -41,6 +44,7 @@
     // When its process started, Unix ms by its own clock; tells restarts under the same id apart. An entry with an earlier start than the known one
     // is ignored, except one with 0 (unknown start).
     std::int64_t startedUnixMs = 0;
+    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold, as its entry states it; nullopt: not stated
 
     // Names this start of the instance, in at most 171 bytes, so that it fits into the key of a row: a longer id is replaced by its hash.
     std::string process() const;
@@ -71,52 +75,38 @@
     bool slow = false; // expectedTime is much longer than that of the service's other instances
     double failureRate = 0; // moving average of failures, 0 to 1; decays without new ones
     bool recentlyUnreachable = false; // was unreachable a short time ago
+    bool cold = false;
 };
 
 //-----------------------------------------------------------------------------
-// [CHOICE]
+// [PLACES]
 //-----------------------------------------------------------------------------
 
-struct ChoiceInput {
-    std::string service;
-    std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
-    std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
-    std::string dataCentre; // preferred one; empty: this node's
-    Duration expectedTime{}; // until the first event at an engine of usual speed that has the shared parts cached; zero: unknown
-    unsigned sharedTokens = 0; // tokens of the shared parts of the prompt
-    Duration timePerToken{}; // that an engine of usual speed takes to read one
-    std::size_t preferredCount = 1; // instances that are preferred for the shared parts; set by InstanceTable
-    std::string wanted; // id of the instance that is taken if it may get a request now; empty: the policy chooses
-    bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
-};
-
-// The rank of an instance for the shared parts of a prompt; the highest is the first in the order of preference (weighted rendezvous hashing). All nodes
-// compute the same, and adding or removing an instance doesn't change the order of the others. An instance is the first for a share of all prompts
-// in proportion to its registered slots. Measured speeds aren't used: they differ from node to node and would move prompts from cache to cache.
-double prefixRank(std::uint64_t affinity, const InstanceSpec &spec);
+using DataCentreRegions = std::map<std::string, std::string>; // region by data centre
 
-// choose() is called with the lock of InstanceTable held: it must not block or do I/O. `views` isn't empty; the result is an index into it.
-class ChoicePolicy
+// The data centres whose instances a request may use: all, unless it is restricted.
+class DataCentreScope
 {
 public:
-    virtual ~ChoicePolicy() = default;
-    virtual std::size_t choose(const ChoiceInput &input, const std::vector<InstanceView> &views) = 0;
-};
-
-// Chooses the instance with the shortest predicted time for a request. The prediction has a random factor, so that nodes which see the
-// same figures spread their requests.
-std::unique_ptr<ChoicePolicy> makeShortestTimeChoice();
-// Prefix affinity: every node prefers the same instance for the same prompt prefix, because the cache of that instance holds the
-// prefix. In the order of InstanceView::prefixRank, the first instance is preferred that was not unreachable a short time ago, doesn't fail often
-// and isn't overloaded. While ChoiceInput::expectedTime is known, another instance with room is chosen if its predicted time, with the time to read the
-// prefix where it isn't cached, is clearly shorter. If none has room, the one with the shortest predicted time is chosen, as for requests without affinity.
-std::unique_ptr<ChoicePolicy> makePrefixAffinityChoice();
-// Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
-std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
+    DataCentreScope() = default;
+    explicit DataCentreScope(std::set<std::string> dataCentres) // no others
+        : m_dataCentres(std::move(dataCentres))
+    {
+    }
+    // Takes away the data centres outside `regions`, and those whose region isn't known; an empty set takes nothing away.
+    void restrictTo(const std::set<std::string> &regions, const DataCentreRegions &regionOf);
+    bool allows(const std::string &dataCentre) const
+    {
+        return !m_dataCentres || m_dataCentres->count(dataCentre) > 0;
+    }
+    const std::optional<std::set<std::string>> &dataCentres() const // nullopt: not restricted
+    {
+        return m_dataCentres;
+    }
 
-//-----------------------------------------------------------------------------
-// [PLACES]
-//-----------------------------------------------------------------------------
+private:
+    std::optional<std::set<std::string>> m_dataCentres;
+};
 
 // The evacuated data centres, and those that get their load back after an evacuation. Not thread-safe.
 class Evacuations
@@ -153,6 +143,48 @@
     std::map<std::string, TimePoint> m_restoredAt; // by data centre; those whose last evacuation was lifted
 };
 
+//-----------------------------------------------------------------------------
+// [CHOICE]
+//-----------------------------------------------------------------------------
+
+struct ChoiceInput {
+    std::string service;
+    std::set<std::string> avoid; // ids of instances already tried; used again only when there is no other
+    std::uint64_t affinity = 0; // hash of the shared parts of the prompt; 0: none
+    std::string dataCentre; // preferred one; empty: this node's
+    std::string wanted; // id of the instance that is taken if it may get a request now; empty: the policy chooses
+    Duration expectedTime{}; // until the first event at an engine of usual speed that has the shared parts cached; zero: unknown
+    unsigned sharedTokens = 0; // tokens of the shared parts of the prompt
+    Duration timePerToken{}; // that an engine of usual speed takes to read one
+    std::size_t preferredCount = 1; // instances that are preferred for the shared parts; set by InstanceTable
+    bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
+    DataCentreScope scope; // instances elsewhere aren't used
+};
+
+// The rank of an instance for the shared parts of a prompt; the highest is the first in the order of preference (weighted rendezvous hashing). All nodes
+// compute the same, and adding or removing an instance doesn't change the order of the others. An instance is the first for a share of all prompts
+// in proportion to its registered slots. Measured speeds aren't used: they differ from node to node and would move prompts from cache to cache.
+double prefixRank(std::uint64_t affinity, const InstanceSpec &spec);
+
+// choose() is called with the lock of InstanceTable held: it must not block or do I/O. `views` isn't empty; the result is an index into it.
+class ChoicePolicy
+{
+public:
+    virtual ~ChoicePolicy() = default;
+    virtual std::size_t choose(const ChoiceInput &input, const std::vector<InstanceView> &views) = 0;
+};
+
+// Chooses the instance with the shortest predicted time for a request. The prediction has a random factor, so that nodes which see the
+// same figures spread their requests.
+std::unique_ptr<ChoicePolicy> makeShortestTimeChoice();
+// Prefix affinity: every node prefers the same instance for the same prompt prefix, because the cache of that instance holds the
+// prefix. In the order of InstanceView::prefixRank, the first instance is preferred that was not unreachable a short time ago, doesn't fail often
+// and isn't overloaded. While ChoiceInput::expectedTime is known, another instance with room is chosen if its predicted time, with the time to read the
+// prefix where it isn't cached, is clearly shorter. If none has room, the one with the shortest predicted time is chosen, as for requests without affinity.
+std::unique_ptr<ChoicePolicy> makePrefixAffinityChoice();
+// Chooses the instance with the fewest outstanding requests, ties at random. It can be set in place of prefix affinity, to compare the two.
+std::unique_ptr<ChoicePolicy> makeLeastOutstandingChoice();
+
 //-----------------------------------------------------------------------------
 // [LIMITS]
 //-----------------------------------------------------------------------------
@@ -162,6 +194,7 @@
     std::optional<double> requestsPerSecond; // that it takes from all nodes together, at least 0; nullopt: it states no limit
     bool leaving = false; // it is about to stop, and wants no further requests
     std::chrono::milliseconds pause{0}; // it wants nothing from this node for so long
+    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold; nullopt: it says nothing of this
 };
 
 // A node, the process on one entry VM that sends requests to instances.
@@ -258,6 +291,7 @@
     std::string node; // name of this node
     std::string dataCentre; // of this node
     LimitSettings limits;
+    ColdSettings cold;
     // How long the statement of an instance that it leaves holds, unless it is started again or its entry is removed; it then has not left after all.
     std::chrono::milliseconds maxLeaving{600000};
     std::chrono::milliseconds maxPause{600000}; // a longer pause counts as this one
@@ -274,6 +308,9 @@
     std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     // An instance counts as slow when its expected time is longer than both `slowFactor` times the shortest of its service and `minSlowTime`.
     double slowFactor = 3.0;
+    // A slowdown beyond this range, in either direction, makes a service count as uneven for this long.
+    double unevenFactor = 1.2;
+    std::chrono::milliseconds unevenDuration{60000};
     std::chrono::milliseconds minSlowTime{500};
     SpeedSettings speed;
 };
@@ -358,19 +395,25 @@
     std::size_t evacuatedCount() const; // evacuated data centres with registered instances
     // How far the instances of a data centre have got their load back after its evacuation, 0 to 1; see Evacuations.
     double restoredShare(const std::string &dataCentre) const;
-    // The service has no usable instance, and an evacuation is in force. Its requests are refused at once, since waiting for an instance is of no use.
-    bool noneLeft(const std::string &service) const;
+    // The service has no usable instance within the scope, and the scope is restricted or an evacuation is in force: such requests are refused at
+    // once, since waiting for an instance is of no use. False while nothing is registered at all, for example because the registry wasn't read yet.
+    bool noneLeft(const std::string &service, const DataCentreScope &scope = {}) const;
 
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
+    void setColdRules(std::map<std::string, ColdRule> rules); // by service; one without a rule has no cold instances
+    // The data centres, by service, whose instances this node alone calls as the owner of their stage work (ColdRule::calledByOwner).
+    void setOwnedStages(std::map<std::string, std::set<std::string>> dataCentres);
+    bool needsOwners() const; // some rule has calledByOwner
+    std::size_t coldCount() const; // instances that are cold
     // Records what an instance has said of itself in the head of a reply. An unknown id is ignored.
     void recordStatement(const std::string &id, const InstanceStatement &statement);
-    // Time until limits and pauses let some usable instance of the service get a request from this node; zero: one may, or there is none at all.
-    // While one is limited, those that are slow (InstanceView::slow) may not: they have as much as they can do.
-    Duration limitedFor(const std::string &service) const;
+    // Time until limits and pauses let some usable instance of the service within the scope get a request from this node; zero: one may, or there is none at
+    // all. While one is limited, those that are slow (InstanceView::slow) may not: they have as much as they can do.
+    Duration limitedFor(const std::string &service, const DataCentreScope &scope = {}) const;
     // The same for a request that arrives now: requests with a QueuePlace that are as urgent or more are sent before it, and those that are more urgent
     // go on coming at their present rate.
-    Duration limitedForNext(const std::string &service, int priority) const;
+    Duration limitedForNext(const std::string &service, int priority, const DataCentreScope &scope = {}) const;
     // When a node that alone calls an instance for all others (the owner of its stage work) may call it next; in the past: at once.
     TimePoint callableAt(const std::string &id) const;
     void countCall(const std::string &id); // a call by such a node
@@ -388,6 +431,8 @@
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
     void report(const std::string &id, InstanceCallOutcome outcome, Duration time);
     void recordLoad(const std::string &id, const std::optional<ReportedLoad> &load); // as the instance has just stated it
+    // Some instance of the service has stated within InstanceSettings::unevenDuration that work takes another time there than usual.
+    bool uneven(const std::string &service) const;
     // Call it once, before use. The listener is called after each synchronise() and upsert(), without a lock held.
     void setChangeListener(std::function<void()> listener);
     std::size_t size() const;
@@ -415,6 +460,9 @@
         mutable RequestLimiter limiter; // refilled when it is read
         TimePoint leavingUntil{}; // until then its statement that it leaves holds
         TimePoint pausedUntil{};
+        mutable ColdLimiter cold; // notes the role in which it was asked last
+        mutable std::vector<std::string> coldSenders; // planned from the nodes of the version below
+        mutable std::uint64_t coldSendersOf = 0;
 
         void removeUnanswered(TimePoint begun);
     };
@@ -437,10 +485,16 @@
     // Heeded: only those that may get a request now. It is empty or not whatever `input.avoid` says, so that a request which finds none can wait
     // for limitedFor().
     std::vector<InstanceView> viewsLocked(const ChoiceInput &input, Limits limits, TimePoint now) const;
-    Availability availabilityLocked(const std::string &service, TimePoint now) const;
+    Availability availabilityLocked(const std::string &service, const DataCentreScope &scope, TimePoint now) const;
     LimitShare shareLocked(const InstanceSpec &spec) const;
     ChoiceInput withPreferredCountLocked(const ChoiceInput &input, const std::vector<InstanceView> &views, TimePoint now) const;
     TimePoint allowedAtLocked(const Entry &entry, TimePoint now) const;
+    std::optional<ColdRule> coldRuleLocked(const Entry &entry, TimePoint now) const;
+    ColdShare coldShareLocked(const Entry &entry, const ColdRule &rule) const;
+    TimePoint coldAllowedAtLocked(const Entry &entry, const ColdRule &rule, TimePoint now) const;
+    void recordColdEntryLocked(Entry &entry, bool isNew, TimePoint now);
+    void updateColdLocked(Entry &entry, TimePoint now); // to be followed by logColdChanges() when the lock is released
+    void logColdChanges();
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
@@ -467,7 +521,21 @@
     };
     void clearCachesLocked();
     mutable std::map<std::string, CachedList> m_lists; // by service; cleared when entries change
+    bool m_hasBeenRead = false; // synchronise() was called
+    std::map<std::string, ColdRule> m_coldRules; // by service
+    std::map<std::string, std::set<std::string>> m_ownedStages; // data centres by service
+    TimePoint m_ownedSince{};
+    struct ColdChange {
+        std::string instance;
+        std::string service;
+        Duration remaining{}; // zero: it is warm now
+        double requestsPerSecond = 0; // of the rule
+    };
+    std::vector<ColdChange> m_coldChanges; // not logged yet
     std::vector<NodePlace> m_nodes;
+    bool m_isListed = false; // this node is among m_nodes
+    TimePoint m_nodesSince{}; // when m_nodes has changed last
+    std::uint64_t m_nodesVersion = 0; // grows with each change of m_nodes
     std::size_t m_rank = 0; // of this node by name among m_nodes
     mutable std::map<std::string, std::map<std::string, std::vector<std::string>>> m_limitHolders; // by service; cleared when entries or nodes change
     struct Queue { // of one service and priority
@@ -476,6 +544,7 @@
     };
     std::map<std::string, PrefixDemand> m_demands; // by service
     std::map<std::string, std::map<int, Queue>> m_queues; // by service and priority
+    std::map<std::string, TimePoint> m_unevenUntil; // by service
     std::function<void()> m_listener;
 };
 
