--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -384,9 +384,7 @@
 
 ForwardRun::AttemptOutcome ForwardRun::attempt()
 {
-    ChoiceInput input;
-    input.service = m_service;
-    input.affinity = m_affinity;
+    ChoiceInput input = choiceInput();
     input.avoid = m_tried;
     input.scope = m_scope;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
--- a/src/forwarding/run_placement.cpp
+++ b/src/forwarding/run_placement.cpp
@@ -1,11 +1,35 @@
-// ForwardRun: what the owner of a data centre's engines is asked and told.
+// ForwardRun: what the choice of an engine depends on; what the owner of a data centre's engines is asked and told.
 #include "forwarding/run.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace vanillanotch
 {
 
+unsigned ForwardRun::sharedTokens() const
+{
+    unsigned tokens = 0;
+    for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i) {
+        tokens += std::min(m_request.prompt[i].tokens, std::numeric_limits<unsigned>::max() - tokens);
+    }
+    return tokens;
+}
+
+ChoiceInput ForwardRun::choiceInput() const
+{
+    ChoiceInput input;
+    input.service = m_service;
+    input.affinity = m_affinity;
+    if (streaming()) {
+        input.expectedTime = m_dependencies.engineTimeEstimator.measuredEstimate(m_service, ownTokens()).value_or(Duration::zero());
+        input.sharedTokens = sharedTokens();
+        input.timePerToken = m_dependencies.engineTimeEstimator.timePerToken(m_service);
+    }
+    return input;
+}
+
 std::vector<PromptPrefix> ForwardRun::promptPrefixes() const
 {
     std::vector<PromptPrefix> prefixes;
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -45,8 +45,8 @@
 // InstanceLease
 //-----------------------------------------------------------------------------
 
-InstanceLease::InstanceLease(InstanceTable *table, InstanceSpec spec, TimePoint begun)
-    : m_table(table, Release{std::move(spec), begun})
+InstanceLease::InstanceLease(InstanceTable *table, InstanceSpec spec, TimePoint begun, std::uint64_t affinity, bool hasPrefix)
+    : m_table(table, Release{std::move(spec), begun, affinity, hasPrefix})
 {
 }
 
@@ -62,10 +62,10 @@
     }
 }
 
-void InstanceLease::recordFirstEvent(Duration time)
+void InstanceLease::recordFirstEvent(Duration time, Duration expected)
 {
     if (m_table) {
-        m_table->recordTime(instance().id, time);
+        m_table->recordFirstEvent(instance().id, time, expected, m_table.get_deleter().affinity);
     }
 }
 
@@ -74,6 +74,9 @@
     if (InstanceTable *table = m_table.release()) {
         table->release(instance().id, m_table.get_deleter().begun);
         table->report(instance().id, outcome, time);
+        if (outcome == InstanceCallOutcome::Succeeded) {
+            table->recordHeld(instance().service, m_table.get_deleter().begun);
+        }
     }
 }
 
@@ -236,7 +239,7 @@
     const unsigned slots = std::max(1U, entry.spec.slots);
     double occupied = entry.outstanding;
     if (entry.load && now - entry.loadAt < LoadReportMaxAge) {
-        occupied = std::max(occupied, static_cast<double>(entry.load->running + entry.load->waiting));
+        occupied = std::max(occupied, static_cast<double>(entry.load->running) + entry.load->waiting + entry.begunSinceLoad);
     }
     view.load = occupied / slots;
     const auto decay = [&](TimePoint since) {
@@ -245,6 +248,8 @@
     };
     view.failureRate = entry.failureRate * decay(entry.failureRateAt);
     view.recentlyUnreachable = now < entry.unreachableUntil;
+    view.timeFactor = entry.speed.learntFactor(m_settings.speed, now);
+    view.slowdown = entry.speed.statedFactor(m_settings.speed, now);
     return view;
 }
 
@@ -260,17 +265,23 @@
     std::vector<const Entry *> entries;
     ShortestTimes shortest;
     bool someLimited = false;
+    std::vector<double> prefixRanks;
     for (const auto &[id, entry] : m_entries) {
         if (entry.spec.service == input.service && input.scope.allows(entry.spec.dataCentre) && usableLocked(entry, now)) {
             entries.push_back(&entry);
+            prefixRanks.push_back(input.affinity == 0 ? 0 : prefixRank(input.affinity, entry.spec));
             shortest.include(entry, dataCentre);
             someLimited = someLimited || entry.limiter.limited();
         }
     }
     std::vector<InstanceView> all;
-    for (const Entry *entry : entries) {
+    const double firstRank = prefixRanks.empty() ? 0 : *std::max_element(prefixRanks.begin(), prefixRanks.end());
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const Entry *entry = entries[i];
         InstanceView view = viewLocked(*entry, now);
         view.inPreferredDataCentre = entry->spec.dataCentre == dataCentre;
+        view.prefixRank = prefixRanks[i];
+        view.hasPrefix = input.affinity != 0 && (view.prefixRank == firstRank || entry->prefixes.contains(input.affinity, now));
         view.cold = coldRuleLocked(*entry, now) != std::nullopt;
         const Duration shortestTime = shortest.of(*entry, dataCentre);
         const Duration longestWait = entry->unanswered.empty() ? Duration::zero() : now - *entry->unanswered.begin();
@@ -322,15 +333,17 @@
     const auto wanted = std::find_if(views.begin(), views.end(), [&input](const InstanceView &view) {
         return view.spec->id == input.wanted;
     });
-    const std::string &id = wanted == views.end() ? views.at(policy.choose(input, views)).spec->id : wanted->spec->id;
-    Entry &entry = m_entries.at(id);
+    const InstanceView &view = wanted == views.end() ? views.at(policy.choose(withPreferredCountLocked(input, views, now), views)) : *wanted;
+    m_demands[input.service].countRequest(input.affinity, now);
+    Entry &entry = m_entries.at(view.spec->id);
     ++entry.outstanding;
+    ++entry.begunSinceLoad;
     entry.unanswered.insert(now);
     if (entry.limiter.limited()) {
         entry.limiter.countRequest(shareLocked(entry.spec), m_settings.limits, now);
     }
     entry.cold.countRequest(now);
-    return InstanceLease(this, entry.spec, now);
+    return InstanceLease(this, entry.spec, now, input.affinity, view.hasPrefix);
 }
 
 std::optional<InstanceSpec> InstanceTable::preview(const ChoiceInput &input, ChoicePolicy &policy) const
@@ -344,7 +357,7 @@
     if (views.empty()) {
         return std::nullopt;
     }
-    return *views.at(policy.choose(input, views)).spec;
+    return *views.at(policy.choose(withPreferredCountLocked(input, views, now), views)).spec;
 }
 
 InstanceListRef InstanceTable::usableInstances(const std::string &service) const
@@ -420,22 +433,17 @@
     recordLoad(id, load);
 }
 
-void InstanceTable::recordTime(const std::string &id, Duration time)
-{
-    const Lock lock(m_mutex);
-    if (const auto found = m_entries.find(id); found != m_entries.end()) {
-        recordTimeLocked(found->second, time, m_clock.now());
-    }
-}
-
 void InstanceTable::recordLoad(const std::string &id, const std::optional<ReportedLoad> &load)
 {
     const Lock lock(m_mutex);
     if (const auto found = m_entries.find(id); found != m_entries.end() && load) {
         found->second.load = load;
         found->second.loadAt = m_clock.now();
+        found->second.begunSinceLoad = 0;
+        found->second.speed.recordSlowdown(load->slowdown, found->second.loadAt);
         if (load->slowdown > m_settings.unevenFactor || load->slowdown < 1 / m_settings.unevenFactor) {
             m_unevenUntil[found->second.spec.service] = found->second.loadAt + m_settings.unevenDuration;
+            m_demands[found->second.spec.service].recordSlowdown();
         }
     }
 }
