--- a/src/forwarding/run_placement.cpp
+++ b/src/forwarding/run_placement.cpp
@@ -48,18 +48,10 @@
 
 std::string ForwardRun::engineDataCentre() const
 {
-    std::map<std::string, EngineDataCentre> byName;
     const InstanceListRef engines = m_dependencies.instances.usableInstances(m_service);
-    for (const InstanceSpec &engine : engines->specs) {
-        if (m_scope.allows(engine.dataCentre)) {
-            ++byName[engine.dataCentre].engines;
-        }
-    }
-    std::vector<EngineDataCentre> dataCentres;
-    for (const auto &[name, found] : byName) {
-        dataCentres.push_back(EngineDataCentre{name, found.engines, m_dependencies.instances.restoredShare(name)});
-    }
-    return homeDataCentre(m_affinity, dataCentres);
+    return homeDataCentre(m_affinity, *engines, m_scope, [this](const std::string &dataCentre) {
+        return m_dependencies.instances.restoredShare(dataCentre);
+    });
 }
 
 std::optional<PlacementDemand> ForwardRun::placementDemand() const
--- a/src/placement/book.cpp
+++ b/src/placement/book.cpp
@@ -13,8 +13,8 @@
 constexpr double MaxRatio = 4.0; // a report that differs more from what was expected counts as this
 constexpr double MaxSlowness = 8.0;
 constexpr unsigned MinTokensToLearn = 500; // shorter prompts say little about the time of a token
-// While no engine holds a prefix, the engines' expected times are raised by up to this share, in an order that depends on the prefix only. An owner that
-// has just taken over then tends to the same engine as other nodes that don't know more.
+// While no engine holds a prefix, the engines' expected times are raised by up to this share, in the order of
+// prefixRank(). An owner that knows nothing yet then tends to the engines that the nodes have chosen by themselves.
 constexpr double HashSpread = 0.3;
 
 double seconds(Duration duration)
@@ -133,7 +133,7 @@
         double time = seconds(engine.wait(now)) + seconds(readTime(demand.ownTokens + uncached)) * slownessOf(engine, now) * candidates[i].slowdown;
         if (unknown) {
             const auto hash = stableHash(std::to_string(demand.prefixes.back().hash) + candidates[i].id);
-            time *= 1.0 + HashSpread * static_cast<double>(hash >> 11U) * 0x1p-53;
+            time *= 1.0 + HashSpread * (1.0 - static_cast<double>(hash >> 11U) * 0x1p-53);
         }
         const double reread = (uncached - leastUncached) * m_tokenSeconds;
         const double cost = time + m_settings.rereadWeight * reread + m_settings.lateWeight * std::max(0.0, time - target);
--- a/src/placement/owner.cpp
+++ b/src/placement/owner.cpp
@@ -1,7 +1,6 @@
 #include "placement/placement.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace vanillanotch
 {
@@ -12,20 +11,24 @@
 constexpr double ReturnedPart = 0.5; // of the requests with the same shared parts: from then on all of them return to a data centre whose evacuation was lifted
 } // namespace
 
-std::string homeDataCentre(std::uint64_t affinity, const std::vector<EngineDataCentre> &dataCentres)
+std::string homeDataCentre(std::uint64_t affinity, const InstanceList &engines, const DataCentreScope &scope,
+                           const std::function<double(const std::string &)> &restoredShare)
 {
-    std::string best;
-    double bestRank = 0;
-    for (const EngineDataCentre &dataCentre : dataCentres) {
-        const bool returned = Evacuations::returningPart(affinity, dataCentre.name, dataCentre.restoredShare) >= ReturnedPart;
-        const double uniform = (static_cast<double>(stableHash(std::to_string(affinity) + "/" + dataCentre.name) >> 11U) + 0.5) * 0x1p-53;
-        const double rank = static_cast<double>(dataCentre.engines) / -std::log(uniform);
-        if (returned && rank > bestRank) {
-            best = dataCentre.name;
-            bestRank = rank;
+    std::set<std::string> allowed;
+    for (const std::string &dataCentre : engines.dataCentres) {
+        if (scope.allows(dataCentre) && Evacuations::returningPart(affinity, dataCentre, restoredShare(dataCentre)) >= ReturnedPart) {
+            allowed.insert(dataCentre);
         }
     }
-    return best;
+    const InstanceSpec *first = nullptr;
+    double firstRank = 0;
+    for (const InstanceSpec &engine : engines.specs) {
+        if (const double rank = prefixRank(affinity, engine); rank > firstRank && allowed.count(engine.dataCentre) > 0) {
+            first = &engine;
+            firstRank = rank;
+        }
+    }
+    return first == nullptr ? std::string() : first->dataCentre;
 }
 
 //-----------------------------------------------------------------------------
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -48,16 +48,11 @@
     std::chrono::milliseconds targetIn{0}; // time left until the first event should come; negative: it should have come already
 };
 
-// A data centre that has engines of a service.
-struct EngineDataCentre {
-    std::string name;
-    std::size_t engines = 0;
-    double restoredShare = 1; // see InstanceTable::restoredShare()
-};
-
-// The data centre whose owner is asked for prompts with these shared parts, by rendezvous hashing in proportion to the engines. Health isn't considered: all
-// nodes have to ask the same owner, or the parts would be read in each data centre. Empty: there is none.
-std::string homeDataCentre(std::uint64_t affinity, const std::vector<EngineDataCentre> &dataCentres);
+// The data centre whose owner is asked for prompts with these shared parts: that of the first engine in the order of prefixRank(), which nodes choose by
+// themselves too. Health isn't considered: all nodes have to ask the same owner, or the parts would be read in each data centre. `restoredShare` is
+// InstanceTable::restoredShare(). Empty: `engines` has none in the scope.
+std::string homeDataCentre(std::uint64_t affinity, const InstanceList &engines, const DataCentreScope &scope,
+                           const std::function<double(const std::string &)> &restoredShare);
 
 // What became of a placement: the time to the first event, or how the attempt ended before it.
 struct PlacementReport {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -386,15 +386,33 @@
 // Guards against nodes that ask different owners for the same parts, and against data centres that get more than their engines can serve.
 TEST(Placement, PrefixesHaveOneHomeDataCentreInProportionToEngines)
 {
-    const std::vector<EngineDataCentre> all{{"dc1", 40, 1}, {"dc2", 20, 1}};
+    const auto engines = [](unsigned inFirst, unsigned inSecond) {
+        std::vector<InstanceSpec> specs;
+        for (unsigned i = 0; i < inFirst + inSecond; ++i) {
+            specs.push_back(InstanceSpec{"engine-" + std::to_string(i), "engines", "10.0.0.1:1", i < inFirst ? "dc1" : "dc2", 64, false, 1});
+        }
+        return InstanceList(std::move(specs));
+    };
+    const InstanceList all = engines(40, 20);
+    const InstanceList without = engines(40, 0);
+    const auto restored = [](const std::string & /*dataCentre*/) {
+        return 1.0;
+    };
+    const auto justLifted = [](const std::string &dataCentre) {
+        return dataCentre == "dc2" ? 0.0 : 1.0;
+    };
     std::map<std::string, unsigned> homes;
     unsigned moved = 0;
+    unsigned returned = 0;
     for (std::uint64_t prefix = 1; prefix <= 3000; ++prefix) {
-        const std::string home = homeDataCentre(prefix, all);
+        const std::string home = homeDataCentre(prefix, all, {}, restored);
         ++homes[home];
-        moved += home == "dc1" && homeDataCentre(prefix, {{"dc1", 40, 1}, {"dc2", 20, 0.0}}) != "dc1" ? 1 : 0;
+        moved += home == "dc1" && homeDataCentre(prefix, without, {}, restored) != "dc1" ? 1 : 0;
+        returned += homeDataCentre(prefix, all, {}, justLifted) == "dc2" ? 1 : 0;
     }
     CHECK_TRUE(homes["dc1"] > 1850 && homes["dc1"] < 2150);
     LONGS_EQUAL(0, moved);
-    STRCMP_EQUAL("", homeDataCentre(1, {}).c_str());
+    LONGS_EQUAL(0, returned); // at the moment in which the evacuation is lifted
+    STRCMP_EQUAL("dc2", homeDataCentre(1, all, DataCentreScope({"dc2"}), restored).c_str());
+    STRCMP_EQUAL("", homeDataCentre(1, engines(0, 0), {}, restored).c_str());
 }
