--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -614,7 +614,7 @@
 {
     const std::atomic<bool> leaving{false};
     SystemClock systemClock;
-    PlacementOwner placement(systemClock, instances, deployments);
+    PlacementOwner placement(systemClock, instances, deployments, metrics);
     PeerHandler handler(scheduler, placement, RelayedTables{}, leaving, metrics);
     FrontServer server("peers", "127.0.0.1:0", handler, pool);
     const auto peers = makeStagePeerChannel(UpstreamSettings{});
