Tests of callers that are not under our control, on the code as it stands

What operators saw: such callers ended a process, which ran out of memory. The tests start one node with 1,200 descriptors and a body limit of 1 MiB, and send it one kind of message at a time.

The stand-in of an instance takes the length of its answer from the query of a request.

--- a/tests/standins/instance_standin.cpp
+++ b/tests/standins/instance_standin.cpp
@@ -10,6 +10,9 @@
 //   wrong INSTANCE ATTEMPT input=NAME | piece-input=NAME   the instance was given the input NAME, which belongs to another
 //     request; input: with a plain request or stream, piece-input: with a stage call
 //
+// A plain request or stream may ask for a long answer by its query: bytes=N makes a plain answer, or the data of each event, at least N bytes long, and
+// events=N asks for a stream of N events.
+//
 //   POST /control?fail=PERCENT   answers this percentage of the plain requests and streams with 500
 //   POST /control?slow=FACTOR    multiplies all service times by this factor
 //   POST /control?leaving=1      says in all answers that it leaves, and goes on serving
@@ -142,7 +145,7 @@
         } else if (FLAGS_kind == "engine") {
             stream(exchange, attempt);
         } else {
-            exchange.reply(200, "text/plain", "answer to " + attempt);
+            exchange.reply(200, "text/plain", padded(exchange, "answer to " + attempt));
         }
         --m_plainCalls;
     }
@@ -160,12 +163,20 @@
         }
     }
 
+    static std::string padded(HttpExchange &exchange, std::string text)
+    {
+        const std::string bytes = exchange.query("bytes");
+        text.resize(std::max(text.size(), bytes.empty() ? std::size_t{0} : std::stoul(bytes)), 'x');
+        return text;
+    }
+
     void stream(HttpExchange &exchange, const std::string &attempt)
     {
+        const int events = exchange.query("events").empty() ? FLAGS_events : std::stoi(exchange.query("events"));
         const std::string lastEventId = exchange.header("Last-Event-Id");
         std::ostream &out = exchange.beginStream("text/event-stream");
-        for (int id = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1; id <= FLAGS_events; ++id) {
-            out << "id: " << id << "\ndata: " << attempt << "." << id << "\n\n" << std::flush;
+        for (int id = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1; id <= events; ++id) {
+            out << "id: " << id << "\ndata: " << padded(exchange, attempt + "." + std::to_string(id)) << "\n\n" << std::flush;
             if (!out) {
                 return; // the caller disconnected
             }
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -199,13 +199,15 @@
 
 void EntryCluster::startNode(NodeEntry &entry) const
 {
-    entry.process = std::make_unique<Process>(Process::NoWait{}, binaryPath("src/vanillanotch-entryd"),
-                                              std::vector<std::string>{"--settings=" + entry.settingsFile}, m_folder + "/" + entry.name + ".log");
+    entry.process =
+        std::make_unique<Process>(Process::NoWait{}, binaryPath("src/vanillanotch-entryd"), std::vector<std::string>{"--settings=" + entry.settingsFile},
+                                  m_folder + "/" + entry.name + ".log", entry.maxDescriptors);
 }
 
-void EntryCluster::addNode(const std::string &dataCentre)
+void EntryCluster::addNode(const std::string &dataCentre, const NodeOptions &options)
 {
     NodeEntry entry;
+    entry.maxDescriptors = options.maxDescriptors;
     entry.name = "entry-" + std::to_string(m_nodes.size() + 1);
     entry.settingsFile = m_folder + "/" + entry.name + ".yaml";
     entry.callerAddress = freeAddress();
@@ -214,7 +216,8 @@
     entry.storeLink = link.at("id").get<std::size_t>();
     std::ofstream(entry.settingsFile) << "node: " << entry.name << "\ndata_centre: " << dataCentre << "\ncaller_address: " << entry.callerAddress
                                       << "\nreadiness_address: " << entry.readinessAddress << "\npeer_address: " << freeAddress()
-                                      << "\nstore_address: " << link.at("address").get<std::string>() << "\nretry_extra: 50\n";
+                                      << "\nstore_address: " << link.at("address").get<std::string>() << "\nretry_extra: 50\n"
+                                      << options.settings;
     startNode(entry);
     m_nodes.push_back(std::move(entry));
 }
@@ -253,7 +256,7 @@
                         {Json{{"Name", "plain"}}, Json{{"Name", "engine"}, {"Engine", {{"Slots", 8}}}}, Json{{"Name", "first"}, {"Pieces", pieces}},
                          Json{{"Name", "second"}, {"Pieces", pieces}}}},
                        {"Tenants", {Json{{"Name", "tenant"}, {"ApiKeys", apiKeys}}}},
-                       {"Limits", {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 65536}, {"HeaderTimeoutMs", 2000}, {"IdleTimeoutMs", 15000}}}};
+                       {"Limits", {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", m_maxBodyBytes}, {"HeaderTimeoutMs", 2000}, {"IdleTimeoutMs", 15000}}}};
     putConfiguration(configuration.dump());
 }
 
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -55,6 +55,11 @@
     bool resumed = false; // the instance continued a stream that another one began
 };
 
+struct NodeOptions {
+    unsigned maxDescriptors = 0; // limit of the process's open descriptors; 0: that of the test
+    std::string settings; // further lines of the settings file
+};
+
 class EntryCluster
 {
 public:
@@ -65,7 +70,7 @@
     // learned of the new server.
     void addServer(const std::string &service, const std::string &kind, const std::vector<std::string> &arguments = {});
     void addDefaultServers(); // two servers of each of the services that writeConfiguration() names: plain, engine, first, second
-    void addNode(const std::string &dataCentre = "dc1"); // reaches the store through its own link of the fault proxy
+    void addNode(const std::string &dataCentre = "dc1", const NodeOptions &options = {}); // reaches the store through its own link of the fault proxy
     void restartNode(std::size_t nodeIndex); // ends the node with SIGKILL and starts it with the same settings
     void restartServer(std::size_t serverIndex); // ends the server with SIGKILL, removes its row in the store, and starts a new instance with a new id
     // Writes the next version of the configuration to the store: one route for each CallKind, the four services, and one client
@@ -75,6 +80,10 @@
     {
         m_routeTimeout = timeout;
     }
+    void setMaxBodyBytes(std::size_t bytes) // largest body of a request, in the configurations that are written from now on
+    {
+        m_maxBodyBytes = bytes;
+    }
     void writeMalformedConfiguration(); // writes text that cannot be decoded as the next version of the configuration
     bool awaitReady(Duration timeout = std::chrono::seconds(30)); // waits until every node is ready and answers a request; false: not within `timeout`
 
@@ -115,6 +124,10 @@
     {
         return m_nodes.at(nodeIndex).callerAddress;
     }
+    std::string readinessAddress(std::size_t nodeIndex) const
+    {
+        return m_nodes.at(nodeIndex).readinessAddress;
+    }
     std::vector<Execution> executions() const;
     // Attempt ids in the ledger lines of that server with this event, as named in instance_standin.cpp; in the order of the ledger.
     std::vector<std::string> ledgerAttempts(const std::string &event, std::size_t serverIndex) const;
@@ -127,6 +140,7 @@
         std::string settingsFile;
         std::string callerAddress;
         std::string readinessAddress;
+        unsigned maxDescriptors = 0; // as in NodeOptions
         std::size_t storeLink = 0; // id of the link in the fault proxy
         std::unique_ptr<Process> process;
     };
@@ -147,6 +161,7 @@
     std::vector<NodeEntry> m_nodes;
     std::vector<ServerEntry> m_servers;
     std::chrono::milliseconds m_routeTimeout{4000};
+    std::size_t m_maxBodyBytes = 65536;
     std::uint64_t m_version = 0; // version of the configuration that was written last
     unsigned m_startedInstances = 0; // number of instances started so far; part of each instance's id, so that no id is used twice
 };
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -70,12 +71,13 @@
     }
 }
 
-Process::Process(NoWait /*tag*/, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
+Process::Process(NoWait /*tag*/, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, unsigned maxDescriptors)
 {
-    start(program, arguments, logFile, std::nullopt);
+    start(program, arguments, logFile, std::nullopt, maxDescriptors);
 }
 
-void Process::start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output)
+void Process::start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output,
+                    unsigned maxDescriptors)
 {
     std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
@@ -87,6 +89,9 @@
     if (m_pid == 0) {
         ::dup2(output.value_or(log), STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        if (const rlimit limit{maxDescriptors, maxDescriptors}; maxDescriptors > 0 && ::setrlimit(RLIMIT_NOFILE, &limit) != 0) {
+            ::_exit(127);
+        }
         ::execv(program.c_str(), argv.data());
         ::_exit(127);
     }
--- a/tests/support/harness.h
+++ b/tests/support/harness.h
@@ -38,7 +38,8 @@
     struct NoWait {
     };
     // Returns without waiting for output; all output goes to the log file, so address() returns an empty string.
-    Process(NoWait tag, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
+    // `maxDescriptors`: the program's limit of open descriptors; 0: that of the test.
+    Process(NoWait tag, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, unsigned maxDescriptors = 0);
     ~Process(); // sends SIGKILL if the program still runs
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
@@ -54,7 +55,8 @@
 
 private:
     // `output`: descriptor that becomes standard output; nullopt: standard output goes to the log file.
-    void start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output);
+    void start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output,
+               unsigned maxDescriptors = 0);
 
     pid_t m_pid = -1;
     bool m_reaped = false; // the ended program's status was collected by waitpid()
