--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -274,6 +274,8 @@
     std::chrono::milliseconds engineMargin{250}; // added to the expected time until an engine's first event when the target of a stage is computed
     std::size_t maxReplyBytes = 8 * 1024 * 1024; // largest body of a reply that isn't streamed, bytes; a larger reply counts as a failure of the attempt
     std::size_t maxRunningRequests = 400; // largest number of requests running at the same time, each on a thread of its own; further ones get status 503
+    // Counted for each running request beside its body: the stack of its thread, what it receives from its server, and its small allocations.
+    std::size_t bytesOfRun = 48 * 1024;
     std::size_t maxTotalBodyBytes = 48 * 1024 * 1024; // largest total size of the bodies of all running requests, bytes; a request beyond it gets status 503
 };
 
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -1,5 +1,5 @@
 // ForwardRun: admission of a request and attempts at servers. Index of sections: [ADMISSION], [ATTEMPTS]. The stages are in run_stages.cpp, streamed
-// replies in run_streams.cpp, refusals and the end of a request in run_answers.cpp.
+// replies in run_streams.cpp, plain replies, refusals and the end of a request in run_answers.cpp.
 #include "forwarding/run.h"
 
 #include <algorithm>
@@ -18,6 +18,7 @@
 {
     switch (failure.code) {
     case ErrorCode::CallerDisconnected:
+    case ErrorCode::Overloaded: // this node had no memory for the reply
         return InstanceCallOutcome::Inconclusive;
     case ErrorCode::ConnectFailed:
         return InstanceCallOutcome::Unreachable;
@@ -26,23 +27,10 @@
     }
 }
 
-// True for 5xx: the request may succeed at another server.
-bool isServerFailure(int status)
-{
-    return status >= 500;
-}
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
 }
-
-// True for the statuses that tell the caller that the request did not run. A server's reply with one of them is not passed on as it is,
-// because the request may have run although the server sent that status.
-bool promisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
 } // namespace
 
 ForwardRun::ForwardRun(ForwardDependencies &dependencies, const ForwardSettings &settings, FrontExchange &exchange, RunContext context)
@@ -221,8 +209,9 @@
 RequestTraits ForwardRun::allTraits() const
 {
     RequestTraits traits = partTraits();
-    const std::string head = m_account + "\n" + m_exchange.head().method + " " + m_exchange.head().target + "\n" + promptIds() + "\n";
-    traits.whole = std::to_string(stableHash(head + std::string(m_exchange.body())));
+    std::string text = m_account + "\n" + m_exchange.head().method + " " + m_exchange.head().target + "\n" + promptIds() + "\n";
+    text.reserve(text.size() + m_exchange.body().size());
+    traits.whole = std::to_string(stableHash(text.append(m_exchange.body())));
     return traits;
 }
 
@@ -475,30 +464,4 @@
     return relayPlain(call, head, lease, began);
 }
 
-ForwardRun::AttemptOutcome ForwardRun::relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began)
-{
-    auto body = call.readAll(m_settings.maxReplyBytes, m_deadline, m_exchange);
-    if (!body) {
-        return handleFailure(body.error(), lease, began);
-    }
-    const ReplyFacts facts = m_dependencies.codec.readReply(head, m_request.attemptId);
-    const Duration took = m_dependencies.clock.now() - began;
-    if (isServerFailure(head.status)) {
-        lease.finish(InstanceCallOutcome::Failed, took);
-        m_lastError = ErrorCode::ServerRejected;
-        if (facts.hasSeal && !promisesNotRun(head.status)) {
-            m_serverFailure.emplace(head, std::move(*body));
-        }
-        return AttemptOutcome::Failed;
-    }
-    lease.finish(InstanceCallOutcome::Succeeded, took);
-    if (promisesNotRun(head.status)) {
-        m_lastError = ErrorCode::ServerRejected; // the server did not state that the request did not run, so the request may have run
-        return AttemptOutcome::Unknown;
-    }
-    m_outcome = ForwardOutcome{head.status, ErrorCode::ServerRejected, true};
-    (void)m_exchange.reply(head.status, m_dependencies.codec.replyHeaders(head), *body, m_deadline + m_settings.answerMargin);
-    return AttemptOutcome::Answered;
-}
-
 } // namespace vanillanotch
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -23,6 +23,33 @@
 };
 
 // Handles one request; execute() blocks the calling thread until the request has ended.
+// True for 5xx: the request may succeed at another server.
+inline bool isServerFailure(int status)
+{
+    return status >= 500;
+}
+
+// Memory for a reply that is being read, beside what the request holds otherwise. Waits for it, `until` at the latest.
+class ReplyMemory final : public MemoryGrant
+{
+public:
+    ReplyMemory(FrontExchange &exchange, std::size_t otherBytes, TimePoint until)
+        : m_exchange(exchange)
+        , m_otherBytes(otherBytes)
+        , m_until(until)
+    {
+    }
+    bool hold(std::size_t bytes) override
+    {
+        return m_exchange.hold(m_otherBytes + bytes, m_until);
+    }
+
+private:
+    FrontExchange &m_exchange;
+    const std::size_t m_otherBytes;
+    const TimePoint m_until;
+};
+
 class ForwardRun
 {
 public:
@@ -84,6 +111,7 @@
     TimePoint firstReplyLimit() const;
     AttemptOutcome readReply(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
+    std::size_t heldBytes() const; // what this request holds beside the reply that is being read
     AttemptOutcome relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began);
     bool forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId);
     void reportCrash(const InstanceSpec &instance) const;
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -1,4 +1,4 @@
-// ForwardRun: refusals, failure replies, and what is logged at the end of a request.
+// ForwardRun: plain replies, refusals, failure replies, and what is logged at the end of a request.
 #include "forwarding/run.h"
 
 #include <algorithm>
@@ -6,6 +6,48 @@
 namespace vanillanotch
 {
 
+namespace
+{
+// True for the statuses that tell the caller that the request did not run. A server's reply with one of them is not passed on as it is,
+// because the request may have run although the server sent that status.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+} // namespace
+
+std::size_t ForwardRun::heldBytes() const
+{
+    return m_settings.bytesOfRun + m_exchange.body().size() + (m_serverFailure ? m_serverFailure->second.capacity() : 0);
+}
+
+ForwardRun::AttemptOutcome ForwardRun::relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began)
+{
+    ReplyMemory memory(m_exchange, heldBytes(), m_deadline);
+    auto body = call.readAll(m_settings.maxReplyBytes, m_deadline, m_exchange, memory);
+    if (!body) {
+        return handleFailure(body.error(), lease, began);
+    }
+    const ReplyFacts facts = m_dependencies.codec.readReply(head, m_request.attemptId);
+    const Duration took = m_dependencies.clock.now() - began;
+    if (isServerFailure(head.status)) {
+        lease.finish(InstanceCallOutcome::Failed, took);
+        m_lastError = ErrorCode::ServerRejected;
+        if (facts.hasSeal && !promisesNotRun(head.status)) {
+            m_serverFailure.emplace(head, std::move(*body));
+        }
+        return AttemptOutcome::Failed;
+    }
+    lease.finish(InstanceCallOutcome::Succeeded, took);
+    if (promisesNotRun(head.status)) {
+        m_lastError = ErrorCode::ServerRejected; // the server did not state that the request did not run, so the request may have run
+        return AttemptOutcome::Unknown;
+    }
+    m_outcome = ForwardOutcome{head.status, ErrorCode::ServerRejected, true};
+    (void)m_exchange.replyLong(head.status, m_dependencies.codec.replyHeaders(head), std::move(*body), m_deadline + m_settings.answerMargin);
+    return AttemptOutcome::Answered;
+}
+
 void ForwardRun::refuse(ErrorCode code)
 {
     int status = 503;
--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -8,6 +8,8 @@
 
 namespace
 {
+constexpr std::size_t SmallBuffer = 64 * 1024; // bytes of events that a stream keeps allocated
+constexpr std::size_t StreamReadBytes = 2 * Connection::ReceiveBytes; // room for one read and for what came with the head
 constexpr std::size_t PartialEventLimit = 1024 * 1024; // maximum size of an incomplete event, bytes
 } // namespace
 
@@ -33,6 +35,10 @@
         callerConnected = m_exchange.streamBytes(events, sendLimit);
     }
     buffer.erase(0, bytes);
+    if (buffer.empty() && buffer.capacity() > SmallBuffer) {
+        freeMemory(buffer); // a single long event must not take memory until the stream ends
+        (void)m_exchange.tryHold(heldBytes());
+    }
     return callerConnected;
 }
 
@@ -46,7 +52,11 @@
     TimePoint silentAt = m_streamStarted ? m_dependencies.clock.now() + m_settings.streamSilenceLimit : firstReplyLimit();
     bool hasEvents = false; // of this server
     bool mayMove = m_route->resumable && m_sentCount < m_route->maxAttempts;
+    ReplyMemory memory(m_exchange, heldBytes(), m_deadline);
     for (bool complete = false; !complete;) {
+        if (!growWithin(buffer, buffer.size() + StreamReadBytes, PartialEventLimit + StreamReadBytes, 0, memory)) {
+            return handleFailure(UpstreamFailure{ErrorCode::Overloaded, true, false}, lease, began);
+        }
         const auto read = call.readBody(buffer, mayMove ? std::min(silentAt, m_deadline) : m_deadline, m_exchange);
         if (!read && read.error().code != ErrorCode::ServerTimeout) {
             return handleFailure(read.error(), lease, began);
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -233,10 +233,39 @@
     }
 }
 
+namespace
+{
+class UnlimitedMemory final : public MemoryGrant
+{
+public:
+    bool hold(std::size_t /*bytes*/) override
+    {
+        return true;
+    }
+};
+} // namespace
+
 tl::expected<std::string, UpstreamFailure> UpstreamCall::readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation)
+{
+    UnlimitedMemory unlimited;
+    return readAll(limit, until, cancellation, unlimited);
+}
+
+tl::expected<std::string, UpstreamFailure> UpstreamCall::readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation, MemoryGrant &memory)
 {
     std::string body;
+    if (m_framing.kind == BodyKind::Length && m_framing.length > limit) {
+        return tl::unexpected(failure(ErrorCode::InvalidReply));
+    }
+    const std::size_t known = m_framing.kind == BodyKind::Length ? m_framing.length : limit + Connection::ReceiveBytes;
     for (;;) {
+        // What was received already, or one more read; memory for a body of known length is taken at once, so that several of them don't each hold a part
+        // and wait for the rest.
+        const std::size_t next = std::max(m_connection->received().size(), Connection::ReceiveBytes);
+        const std::size_t wanted = m_framing.kind == BodyKind::Length ? known : body.size() + next;
+        if (!m_bodyComplete && !growWithin(body, wanted, known, 0, memory)) {
+            return tl::unexpected(failure(ErrorCode::Overloaded));
+        }
         const auto complete = readBody(body, until, cancellation);
         if (!complete) {
             return tl::unexpected(complete.error());
--- a/src/transport/messages.cpp
+++ b/src/transport/messages.cpp
@@ -11,6 +11,8 @@
 {
 constexpr std::size_t MaxChunkLineBytes = 1024; // longest size line or trailer line, bytes
 constexpr std::size_t MaxTrailerBytes = 8 * 1024; // longest trailer section, bytes
+constexpr std::size_t MaxTrailerLines = 256; // most trailer lines
+constexpr std::size_t MaxExtensionBytes = 64 * 1024; // longest chunk extensions of a whole body, bytes; no caller is known to send any
 constexpr std::size_t MaxChunkSizeDigits = 8; // most hexadecimal digits of a size: sizes up to 4 GB, which is more than any body may have
 
 char toLower(char c)
@@ -82,6 +84,7 @@
 
 Result<void> parseFields(std::string_view block, Headers &headers, ErrorCode code)
 {
+    headers.reserve(static_cast<std::size_t>(std::count(block.begin(), block.end(), '\n'))); // so that a head of many lines takes no more than it needs
     for (;;) {
         const auto line = nextLine(block);
         if (!line) {
@@ -180,6 +183,17 @@
     m_fields.push_back(HeaderField{std::move(name), std::move(value)});
 }
 
+std::size_t Headers::heldBytes() const
+{
+    static const std::size_t inlineBytes = std::string().capacity(); // that a string holds without an allocation
+    std::size_t bytes = m_fields.capacity() * sizeof(HeaderField);
+    for (const HeaderField &field : m_fields) {
+        bytes += field.name.capacity() > inlineBytes ? field.name.capacity() : 0;
+        bytes += field.value.capacity() > inlineBytes ? field.value.capacity() : 0;
+    }
+    return bytes;
+}
+
 void Headers::remove(std::string_view name)
 {
     m_fields.erase(std::remove_if(m_fields.begin(), m_fields.end(),
@@ -314,20 +328,24 @@
 
 const std::string_view LastChunk = "0\r\n\r\n";
 
+const std::string_view ChunkEnd = "\r\n";
+
+std::string chunkBegin(std::size_t size)
+{
+    std::array<char, 20> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, 16).ptr;
+    return std::string(digits.data(), end).append("\r\n");
+}
+
 void appendChunk(std::string &out, std::string_view data)
 {
-    std::array<char, 20> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
-    out.append(size.data(), end);
-    out += "\r\n";
-    out += data;
-    out += "\r\n";
+    out.append(chunkBegin(data.size())).append(data).append(ChunkEnd);
 }
 
-Result<bool> ChunkDecoder::takeLine(std::string &in, std::string &line)
+Result<bool> ChunkDecoder::takeLine(std::string_view &in, std::string_view &line)
 {
     const std::size_t end = in.find('\n');
-    if (end == std::string::npos) {
+    if (end == std::string_view::npos) {
         return in.size() > MaxChunkLineBytes
             ? Result<bool>(fail(ErrorCode::MalformedRequest, "expected a line of the chunked coding within the limit; its end is still missing"))
             : Result<bool>(false);
@@ -337,17 +355,28 @@
                     "expected a line of the chunked coding that ends with CR LF; it ends with a bare LF or is longer than the limit");
     }
     line = in.substr(0, end - 1);
-    in.erase(0, end + 1);
+    in.remove_prefix(end + 1);
     return true;
 }
 
-Result<void> ChunkDecoder::feed(std::string &in, std::string &out)
+Result<void> ChunkDecoder::feed(std::string &in, std::string &out, std::size_t limit)
+{
+    std::string_view rest = in;
+    auto fed = decode(rest, out, limit);
+    in.erase(0, in.size() - rest.size()); // once for all chunks: with chunks of one byte, erasing each would take time that grows with the square
+    return fed;
+}
+
+Result<void> ChunkDecoder::decode(std::string_view &in, std::string &out, std::size_t limit)
 {
     while (m_state != State::Done) {
         if (m_state == State::Data) {
             const std::size_t taken = std::min(m_chunkLeft, in.size());
+            if (taken > limit - std::min(limit, out.size())) {
+                return fail(ErrorCode::BodyTooLarge);
+            }
             out.append(in, 0, taken);
-            in.erase(0, taken);
+            in.remove_prefix(taken);
             m_chunkLeft -= taken;
             if (m_chunkLeft > 0) {
                 return {};
@@ -355,7 +384,7 @@
             m_state = State::DataEnd;
             continue;
         }
-        std::string line;
+        std::string_view line;
         const auto whole = takeLine(in, line);
         if (!whole) {
             return tl::unexpected(whole.error());
@@ -363,30 +392,44 @@
         if (!*whole) {
             return {};
         }
-        if (m_state == State::DataEnd) {
-            if (!line.empty()) {
-                return fail(ErrorCode::MalformedRequest, "expected CR LF after the data of a chunk; further bytes came: the chunk is longer than its size");
-            }
-            m_state = State::Size;
-        } else if (m_state == State::Trailer) {
-            m_trailerBytes += line.size();
-            if (m_trailerBytes > MaxTrailerBytes) {
-                return fail(ErrorCode::MalformedRequest, "expected the trailers of a chunked body within the limit; they are longer");
-            }
-            m_state = line.empty() ? State::Done : State::Trailer;
-        } else {
-            const std::string_view digits = std::string_view(line).substr(0, line.find(';'));
-            std::size_t size = 0;
-            const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
-            const bool valid = !digits.empty() && digits.size() <= MaxChunkSizeDigits && digits.front() != '-' && error == std::errc();
-            if (!valid || end != digits.data() + digits.size()) {
-                return fail(ErrorCode::MalformedRequest, "expected a chunk size in hexadecimal digits; it is empty, too long or holds other characters");
-            }
-            m_chunkLeft = size;
-            m_state = size == 0 ? State::Trailer : State::Data;
+        if (auto taken = endLine(line); !taken) {
+            return taken;
         }
     }
     return {};
 }
 
+Result<void> ChunkDecoder::endLine(std::string_view line)
+{
+    if (m_state == State::DataEnd) {
+        if (!line.empty()) {
+            return fail(ErrorCode::MalformedRequest, "expected CR LF after the data of a chunk; further bytes came: the chunk is longer than its size");
+        }
+        m_state = State::Size;
+        return {};
+    }
+    if (m_state == State::Trailer) {
+        m_trailerBytes += line.size();
+        if (m_trailerBytes > MaxTrailerBytes || ++m_trailerLines > MaxTrailerLines) {
+            return fail(ErrorCode::MalformedRequest, "expected the trailers of a chunked body within the limit; they are longer");
+        }
+        m_state = line.empty() ? State::Done : State::Trailer;
+        return {};
+    }
+    const std::string_view digits = line.substr(0, line.find(';'));
+    m_extensionBytes += line.size() - digits.size();
+    if (m_extensionBytes > MaxExtensionBytes) {
+        return fail(ErrorCode::MalformedRequest, "expected the chunk extensions of a body within the limit; they are longer");
+    }
+    std::size_t size = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
+    const bool valid = !digits.empty() && digits.size() <= MaxChunkSizeDigits && digits.front() != '-' && error == std::errc();
+    if (!valid || end != digits.data() + digits.size()) {
+        return fail(ErrorCode::MalformedRequest, "expected a chunk size in hexadecimal digits; it is empty, too long or holds other characters");
+    }
+    m_chunkLeft = size;
+    m_state = size == 0 ? State::Trailer : State::Data;
+    return {};
+}
+
 } // namespace vanillanotch
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -1,10 +1,10 @@
-#include "transport/transport.h"
+#include "transport/front.h"
 
 #include <Poco/Net/NetException.h>
 
 #include <algorithm>
 #include <cerrno>
-#include <poll.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,185 +15,34 @@
 namespace
 {
 constexpr int ListenBacklog = 512; // connections that the system queues until they are accepted
-constexpr std::size_t MaxPipelinedBytes = 64 * 1024; // bytes of further requests that are read ahead while one is served; beyond it reading pauses
-constexpr Duration ErrorReplyTimeout = std::chrono::seconds(1); // for sending the reply to a request that could not be read
-constexpr Duration ExpiryCheckInterval = std::chrono::seconds(1); // time between two searches for connections that were idle too long
+constexpr Duration ExpiryCheckInterval = std::chrono::seconds(1); // longest time between two searches for connections whose time is up
+constexpr Duration ShortageCheckInterval = std::chrono::milliseconds(500); // time between two checks of the shares of stalled connections
+constexpr Duration AcceptRetryInterval = std::chrono::milliseconds(50); // time until accepting is tried again after a pause
 constexpr std::size_t MaxEventsPerWait = 64; // most events taken by one epoll_wait()
+constexpr std::size_t ConnectionEvictionDivisor = 32; // the part of all connections that is closed at once to make room for new ones
+constexpr Duration MinStall = std::chrono::milliseconds(250); // a connection with progress within this time isn't closed for others
+constexpr int ReceiveBufferBytes = 256 * 1024; // of a caller's socket; the system's own limit of some MB for each connection is too much for small VMs
+constexpr int MaxUnsentBytes = 128 * 1024; // most bytes that a caller's socket takes before it has sent them
 // While the server closes, a connection without any request yet is kept this long after it was accepted.
 constexpr Duration FirstRequestGrace = std::chrono::seconds(1);
 constexpr Duration ClosingCheckInterval = std::chrono::milliseconds(100); // as ExpiryCheckInterval, while the server closes
-
-// True when bytes have arrived that were not received yet.
-bool hasArrivedBytes(int descriptor)
-{
-    char byte = 0;
-    return ::recv(descriptor, &byte, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
-}
-
 } // namespace
 
-// A caller's connection. A thread of the pool owns it while a request is received and served; between requests the server's event thread
-// owns it.
-class FrontConnection
-{
-public:
-    explicit FrontConnection(const Poco::Net::StreamSocket &socket)
-        : io(socket)
-        , descriptor(io.descriptor())
-    {
-    }
-    Connection io;
-    const int descriptor; // key in FrontServer::m_connections; keeps its value after the socket is closed
-    bool disconnected = false; // the caller disconnected, did not take a reply in time, or its connection was aborted
-    bool idle = false; // true: the event thread owns it; guarded by the server's mutex
-    TimePoint idleSince{}; // default value: it was never idle, so it isn't registered with epoll yet; guarded by the server's mutex
-    bool used = false; // a request was received or begun on it; guarded by the server's mutex
-};
-
-//-----------------------------------------------------------------------------
-// FrontExchange
-//-----------------------------------------------------------------------------
-
-FrontExchange::FrontExchange(FrontServer &server, FrontConnection &connection, RequestHead head, std::string body, TimePoint arrived)
-    : m_server(server)
-    , m_connection(connection)
-    , m_head(std::move(head))
-    , m_body(std::move(body))
-    , m_arrived(arrived)
-    , m_closeAfterReply(m_head.minorVersion == 0 || m_head.headers.listContains("Connection", "close"))
-{
-}
-
-std::string_view FrontExchange::path() const
-{
-    const std::string_view target = m_head.target;
-    return target.substr(0, target.find('?'));
-}
-
-std::string FrontExchange::encodeHead(int status, const Headers &headers)
-{
-    m_closeAfterReply = m_closeAfterReply || m_server.closing();
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\n";
-    for (const HeaderField &field : headers.all()) {
-        text += field.name + ": " + field.value + "\r\n";
-    }
-    if (m_closeAfterReply) {
-        text += "Connection: close\r\n";
-    }
-    return text;
-}
-
-bool FrontExchange::send(std::string_view bytes, TimePoint until)
-{
-    assertNoLockHeld("FrontExchange::send");
-    while (!bytes.empty() && !m_connection.disconnected) {
-        const IoState state = m_connection.io.send(bytes);
-        if (state == IoState::Reset) {
-            m_connection.disconnected = true;
-        } else if (state == IoState::WouldBlock) {
-            pollfd entry{m_connection.io.descriptor(), POLLOUT, 0};
-            (void)::poll(&entry, 1, pollTimeout(until).count());
-            if (std::chrono::steady_clock::now() >= until) {
-                m_connection.disconnected = true; // a caller that has not taken the bytes by `until` counts as disconnected
-            }
-        }
-    }
-    return !m_connection.disconnected;
-}
-
-bool FrontExchange::reply(int status, const Headers &headers, std::string_view body, TimePoint until)
-{
-    m_replied = true;
-    std::string text = encodeHead(status, headers);
-    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    if (m_head.method != "HEAD") {
-        text += body;
-    }
-    return send(text, until);
-}
-
-bool FrontExchange::beginStream(int status, const Headers &headers, std::string_view firstBytes, TimePoint until)
-{
-    m_replied = true;
-    m_streaming = true;
-    m_chunked = m_head.minorVersion == 1;
-    m_closeAfterReply = m_closeAfterReply || !m_chunked;
-    std::string text = encodeHead(status, headers);
-    text += m_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
-    if (m_chunked && !firstBytes.empty()) {
-        appendChunk(text, firstBytes);
-    } else {
-        text += firstBytes;
-    }
-    return send(text, until);
-}
-
-bool FrontExchange::streamBytes(std::string_view bytes, TimePoint until)
-{
-    if (!m_chunked || bytes.empty()) {
-        return send(bytes, until);
-    }
-    std::string text;
-    appendChunk(text, bytes);
-    return send(text, until);
-}
-
-bool FrontExchange::endStream(TimePoint until)
-{
-    m_streaming = false;
-    return m_chunked ? send(LastChunk, until) : !m_connection.disconnected;
-}
-
-void FrontExchange::abort()
-{
-    m_replied = true;
-    m_connection.disconnected = true;
-    if (!m_streaming || !m_chunked) {
-        m_connection.io.resetOnClose(); // not for a chunked stream: a reset could discard what the caller hasn't read yet
-    }
-}
-
-bool FrontExchange::cancelled() const
-{
-    return m_connection.disconnected;
-}
-
-void FrontExchange::preparePoll(pollfd &entry) const
-{
-    const bool full = m_connection.io.received().size() >= MaxPipelinedBytes;
-    entry.fd = m_connection.disconnected ? -1 : m_connection.io.descriptor();
-    entry.events = static_cast<short>(full ? POLLRDHUP : POLLIN | POLLRDHUP);
-    entry.revents = 0;
-}
-
-void FrontExchange::checkPoll(const pollfd &entry)
-{
-    if (entry.fd < 0 || entry.revents == 0) {
-        return;
-    }
-    if ((entry.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0) {
-        m_connection.disconnected = true;
-        return;
-    }
-    // What is received is the end of the connection, or bytes of a further request, which are kept until this request has been served.
-    const IoState state = m_connection.io.receive();
-    if (state == IoState::Closed || state == IoState::Reset) {
-        m_connection.disconnected = true;
-    }
-}
-
-//-----------------------------------------------------------------------------
-// FrontServer
-//-----------------------------------------------------------------------------
-
-FrontServer::FrontServer(std::string name, const std::string &address, FrontHandler &handler, GrowingPool &pool)
+FrontServer::FrontServer(std::string name, const std::string &address, FrontHandler &handler, GrowingPool &pool, const FrontCapacity &capacity)
     : m_name(std::move(name))
     , m_handler(handler)
     , m_pool(pool)
+    , m_capacity(capacity)
+    , m_budget(capacity.memory)
+    , m_eviction(makeLongestStalledFirst(MinStall))
     , m_epoll(::epoll_create1(EPOLL_CLOEXEC))
     , m_wakeup(makeRef<WakeupSignal>())
 {
     m_listener.bind(Poco::Net::SocketAddress(address), true, false); // no SO_REUSEPORT: a shared port would split callers between two daemons
+    const auto listener = static_cast<int>(m_listener.impl()->sockfd());
+    // Accepted sockets inherit both.
+    (void)::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes, sizeof ReceiveBufferBytes);
+    (void)::setsockopt(listener, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &MaxUnsentBytes, sizeof MaxUnsentBytes);
     m_listener.listen(ListenBacklog);
     m_listener.setBlocking(false);
     for (const int descriptor : {static_cast<int>(m_listener.impl()->sockfd()), m_wakeup->descriptor()}) {
@@ -243,9 +92,11 @@
 void FrontServer::runEventLoop()
 {
     std::array<epoll_event, MaxEventsPerWait> events{};
-    TimePoint nextExpiryCheck = std::chrono::steady_clock::now() + ExpiryCheckInterval;
+    TimePoint nextShortageCheck = std::chrono::steady_clock::now() + ShortageCheckInterval;
+    m_nextCheck = nextShortageCheck;
     while (!m_stopping) {
-        const int count = ::epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), pollTimeout(nextExpiryCheck).count());
+        const TimePoint wake = m_acceptPaused ? std::min(m_nextCheck, std::chrono::steady_clock::now() + AcceptRetryInterval) : m_nextCheck;
+        const int count = ::epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), pollTimeout(wake).count());
         for (int i = 0; i < count; ++i) {
             const int descriptor = events.at(static_cast<std::size_t>(i)).data.fd;
             if (descriptor == m_wakeup->descriptor()) {
@@ -253,248 +104,235 @@
             } else if (descriptor == static_cast<int>(m_listener.impl()->sockfd())) {
                 accept();
             } else {
-                serveReadable(descriptor);
+                handleEvent(descriptor);
             }
         }
-        if (!m_accepting || std::chrono::steady_clock::now() >= nextExpiryCheck) {
+        if (m_acceptPaused) {
+            accept();
+        }
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (!m_accepting || now >= m_nextCheck) {
+            m_nextCheck = now + (m_accepting ? ExpiryCheckInterval : ClosingCheckInterval);
             closeExpired();
-            nextExpiryCheck = std::chrono::steady_clock::now() + (m_accepting ? ExpiryCheckInterval : ClosingCheckInterval);
+        }
+        if (now >= nextShortageCheck) {
+            nextShortageCheck = now + ShortageCheckInterval;
+            checkShortages();
         }
     }
 }
 
+//-----------------------------------------------------------------------------
+// Accepting
+//-----------------------------------------------------------------------------
+
+// Has the event thread wake, or not wake, for new connections.
+void FrontServer::listenFor(bool connections)
+{
+    if (m_acceptPaused == !connections) {
+        return;
+    }
+    m_acceptPaused = !connections;
+    m_acceptPauses += connections ? 0 : 1;
+    epoll_event event{};
+    event.events = connections ? std::uint32_t{EPOLLIN} : 0U;
+    event.data.fd = static_cast<int>(m_listener.impl()->sockfd());
+    (void)::epoll_ctl(m_epoll, EPOLL_CTL_MOD, event.data.fd, &event);
+}
+
 void FrontServer::accept()
 {
+    if (m_listenerClosed) {
+        return;
+    }
     for (;;) {
+        if (connectionCount() >= m_capacity.maxConnections) {
+            // Some more than are needed at the moment, so that the connections aren't searched for each new one.
+            if (!evict(EvictionNeed{0, 1 + m_capacity.maxConnections / ConnectionEvictionDivisor})) {
+                listenFor(false);
+                return;
+            }
+            continue;
+        }
         try {
             const Poco::Net::StreamSocket socket = m_listener.acceptConnection();
-            auto connection = std::make_unique<FrontConnection>(socket);
+            auto connection = std::make_unique<FrontConnection>(*this, m_budget, socket);
             FrontConnection &added = *connection;
             {
                 const Lock lock(m_mutex);
                 m_connections[added.descriptor] = std::move(connection);
             }
-            awaitNextRequest(added);
-        } catch (const Poco::Exception &) {
-            return; // no further connection is waiting, or the system can't accept one at the moment
+            park(added, Park::Idle);
+        } catch (const Poco::Exception &exception) {
+            const int error = exception.code();
+            const bool exhausted = error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+            // No further connection is waiting; or the system can't accept one at the moment, and would report the waiting ones without a pause.
+            listenFor(!exhausted);
+            return;
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Connections that the event thread owns
+//-----------------------------------------------------------------------------
+
+void FrontServer::handleEvent(int descriptor)
+{
+    try {
+        handleReadiness(descriptor);
+    } catch (const std::exception &exception) {
+        // One connection must not end the event thread.
+        logEvent(LogLevel::Error, "connection.failed", {{"server", m_name}, {"detail", exception.what()}});
+        const Lock lock(m_mutex);
+        if (const auto found = m_connections.find(descriptor); found != m_connections.end() && found->second->state == FrontConnection::State::Owned) {
+            found->second->deadline = TimePoint{};
+            found->second->state = FrontConnection::State::Draining; // closeExpired() closes it
         }
     }
 }
 
-void FrontServer::serveReadable(int descriptor)
+void FrontServer::handleReadiness(int descriptor)
 {
     FrontConnection *connection = nullptr;
+    FrontConnection::State state{};
     {
         const Lock lock(m_mutex);
         const auto found = m_connections.find(descriptor);
-        if (found == m_connections.end() || !found->second->idle) {
+        if (found == m_connections.end() || found->second->state == FrontConnection::State::Owned) {
             return;
         }
         connection = found->second.get();
-        connection->idle = false;
+        state = connection->state;
+        leaveParked(*connection);
         connection->used = true;
     }
-    ++m_activeRequests;
-    m_pool.post([this, connection] {
-        try {
-            serve(*connection);
-        } catch (const std::exception &exception) {
-            // One request must not end the process, and with it all others.
-            logEvent(LogLevel::Error, "request.handler_failed", {{"server", m_name}, {"detail", exception.what()}});
-            connection->io.resetOnClose(); // what was sent must not look complete
-            closeConnection(*connection);
-        }
-        --m_activeRequests;
-    });
-}
-
-// Hands the connection to the event thread, which waits until the connection becomes readable.
-void FrontServer::awaitNextRequest(FrontConnection &connection)
-{
-    epoll_event event{};
-    event.events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
-    event.data.fd = connection.descriptor;
-    const Lock lock(m_mutex);
-    const bool registered = connection.idleSince != TimePoint{};
-    connection.idle = true;
-    connection.idleSince = std::chrono::steady_clock::now();
-    (void)::epoll_ctl(m_epoll, registered ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, connection.descriptor, &event);
-}
-
-void FrontServer::closeConnection(FrontConnection &connection)
-{
-    std::unique_ptr<FrontConnection> owned;
-    {
-        const Lock lock(m_mutex);
-        const auto found = m_connections.find(connection.descriptor);
-        owned = std::move(found->second);
-        m_connections.erase(found);
-        // Closed only here and in closeExpired(), with the lock held and after the entry was erased: once it is closed, a new connection may get the
-        // same descriptor, which is the key in m_connections.
-        owned->io.close();
+    switch (state) {
+    case FrontConnection::State::Sending:
+        sendRest(*connection);
+        break;
+    case FrontConnection::State::Draining:
+        drain(*connection);
+        break;
+    default:
+        receive(*connection);
+        break;
     }
 }
 
-std::size_t FrontServer::connectionCount() const
-{
-    const Lock lock(m_mutex);
-    return m_connections.size();
-}
-
 void FrontServer::closeExpired()
 {
     if (!m_accepting && !m_listenerClosed) {
         accept(); // connections that the system has accepted already would be reset when the listener is closed
         m_listener.close();
         m_listenerClosed = true;
+        m_acceptPaused = false;
     }
     const Duration idleTimeout = m_handler.limits().idleTimeout;
     const TimePoint now = std::chrono::steady_clock::now();
-    const Lock lock(m_mutex);
-    for (auto it = m_connections.begin(); it != m_connections.end();) {
-        const FrontConnection &connection = *it->second;
-        const Duration limit = m_accepting ? idleTimeout : connection.used ? Duration::zero() : FirstRequestGrace;
-        // A request that has arrived is served: the event thread is about to hear of it.
-        const bool expired = connection.idle && now - connection.idleSince >= limit && !hasArrivedBytes(connection.descriptor);
-        it = expired ? m_connections.erase(it) : std::next(it);
+    std::vector<std::unique_ptr<FrontConnection>> closed;
+    std::vector<FrontConnection *> unread; // whose request was not received in time
+    {
+        const Lock lock(m_mutex);
+        for (auto it = m_connections.begin(); it != m_connections.end();) {
+            FrontConnection &connection = *it->second;
+            const FrontConnection::State state = connection.state;
+            bool expired = state != FrontConnection::State::Owned && state != FrontConnection::State::Idle && now >= connection.deadline;
+            if (state == FrontConnection::State::Idle) {
+                const Duration limit = m_accepting ? idleTimeout : connection.used ? Duration::zero() : FirstRequestGrace;
+                // A request that has arrived is served: the event thread is about to hear of it.
+                expired = now - connection.movedAt >= limit && !connection.hasArrivedBytes();
+            } else if (state != FrontConnection::State::Owned && !expired) {
+                m_nextCheck = std::min(m_nextCheck, connection.deadline);
+            }
+            if (!expired) {
+                ++it;
+                continue;
+            }
+            leaveParked(connection);
+            if (state == FrontConnection::State::Receiving) {
+                unread.push_back(&connection);
+                ++it;
+            } else {
+                closed.push_back(std::move(it->second));
+                it = m_connections.erase(it);
+            }
+        }
     }
-}
-
-void FrontServer::serve(FrontConnection &connection)
-{
-    bool keepOpen = true;
-    do {
-        keepOpen = serveOne(connection);
-    } while (keepOpen && !connection.io.received().empty());
-    if (keepOpen) {
-        awaitNextRequest(connection);
-    } else {
-        closeConnection(connection);
+    for (const auto &connection : closed) {
+        if (!connection->unsent.empty()) {
+            connection->io.resetOnClose(); // what was sent must not look complete
+        }
+        endRequest(*connection);
+    }
+    for (FrontConnection *connection : unread) {
+        refuse(*connection, ErrorCode::ReadTimeout, 408);
     }
 }
 
-bool FrontServer::readHead(FrontConnection &connection, const FrontLimits &limits, TimePoint until, std::string &block)
+//-----------------------------------------------------------------------------
+// Connections that any thread owns
+//-----------------------------------------------------------------------------
+
+// Has the event thread wait for what the connection needs.
+void FrontServer::park(FrontConnection &connection, Park state)
 {
-    std::string &received = connection.io.received();
-    for (;;) {
-        const std::size_t end = received.find("\r\n\r\n");
-        // Only an empty line that ends with CR LF ends a head. A request with two line feeds in a row (no CR between them) before that end is refused.
-        const bool bareLineFeeds = received.find("\n\n") < end;
-        if (end != std::string::npos && end + 4 <= limits.maxHeadBytes && !bareLineFeeds) {
-            block = received.substr(0, end + 4);
-            received.erase(0, end + 4);
-            return true;
-        }
-        if (received.size() > limits.maxHeadBytes || bareLineFeeds) {
-            refuse(connection, bareLineFeeds ? ErrorCode::MalformedRequest : ErrorCode::HeaderTooLarge, bareLineFeeds ? 400 : 431);
-            return false;
-        }
-        pollfd entry{connection.io.descriptor(), POLLIN, 0};
-        (void)::poll(&entry, 1, pollTimeout(until).count());
-        const IoState state = connection.io.receive();
-        if (state == IoState::Closed || state == IoState::Reset) {
-            return false;
-        }
-        if (state == IoState::WouldBlock && std::chrono::steady_clock::now() >= until) {
-            if (!received.empty()) {
-                refuse(connection, ErrorCode::ReadTimeout, 408);
-            }
-            return false;
-        }
+    epoll_event event{};
+    event.events = state == Park::Sending ? EPOLLOUT | EPOLLONESHOT : EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+    event.data.fd = connection.descriptor;
+    const TimePoint now = std::chrono::steady_clock::now();
+    const Lock lock(m_mutex);
+    switch (state) {
+    case Park::Idle:
+        connection.state = FrontConnection::State::Idle;
+        connection.movedAt = now;
+        connection.movedBytes = 0;
+        break;
+    case Park::Receiving:
+        connection.state = FrontConnection::State::Receiving;
+        connection.deadline =
+            connection.headRead == TimePoint{} ? connection.arrived + connection.limits.headTimeout : connection.headRead + connection.limits.bodyTimeout;
+        break;
+    case Park::Sending:
+        connection.state = FrontConnection::State::Sending;
+        connection.deadline = connection.unsent.until;
+        break;
+    case Park::Draining:
+        connection.state = FrontConnection::State::Draining;
+        break;
     }
+    connection.parkedBytes = connection.reservation.bytes();
+    m_parkedBytes += connection.parkedBytes;
+    const bool registered = std::exchange(connection.registered, true);
+    (void)::epoll_ctl(m_epoll, registered ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, connection.descriptor, &event);
 }
 
-Result<std::string> FrontServer::readBody(FrontConnection &connection, const BodyFraming &framing, const FrontLimits &limits)
+// Takes the connection from the event thread's waits; the caller holds m_mutex and owns the connection from then on.
+void FrontServer::leaveParked(FrontConnection &connection)
 {
-    std::string body;
-    if (framing.kind == BodyKind::None) {
-        return body;
-    }
-    if (framing.kind == BodyKind::Length && framing.length > limits.maxBodyBytes) {
-        return fail(ErrorCode::BodyTooLarge);
-    }
-    const TimePoint until = std::chrono::steady_clock::now() + limits.bodyTimeout;
-    std::string &received = connection.io.received();
-    ChunkDecoder chunks;
-    for (;;) {
-        if (framing.kind == BodyKind::Chunked) {
-            if (auto fed = chunks.feed(received, body); !fed) {
-                return tl::unexpected(fed.error());
-            }
-        } else {
-            const std::size_t taken = std::min(received.size(), framing.length - body.size());
-            body.append(received, 0, taken);
-            received.erase(0, taken);
-        }
-        if (body.size() > limits.maxBodyBytes) {
-            return fail(ErrorCode::BodyTooLarge);
-        }
-        if (framing.kind == BodyKind::Chunked ? chunks.complete() : body.size() == framing.length) {
-            return body;
-        }
-        pollfd entry{connection.io.descriptor(), POLLIN, 0};
-        (void)::poll(&entry, 1, pollTimeout(until).count());
-        const IoState state = connection.io.receive();
-        if (state == IoState::Closed || state == IoState::Reset) {
-            return fail(ErrorCode::CallerDisconnected);
-        }
-        if (state == IoState::WouldBlock && std::chrono::steady_clock::now() >= until) {
-            return fail(ErrorCode::ReadTimeout);
-        }
-    }
+    connection.state = FrontConnection::State::Owned;
+    m_parkedBytes -= connection.parkedBytes;
+    connection.parkedBytes = 0;
 }
 
-// Sends an error reply to a request that could not be read, and discards the bytes that have been received after it.
-void FrontServer::refuse(FrontConnection &connection, ErrorCode code, int status)
+void FrontServer::closeConnection(FrontConnection &connection)
 {
-    logEvent(LogLevel::Warning, "request.unreadable", {{"server", m_name}, {"code", code}, {"status", status}});
-    FrontExchange exchange(*this, connection, RequestHead{}, std::string(), std::chrono::steady_clock::now());
-    exchange.closeAfterReply();
-    Headers headers;
-    headers.add("Content-Type", "application/json");
-    (void)exchange.reply(status, headers, m_handler.describeError(code), std::chrono::steady_clock::now() + ErrorReplyTimeout);
-    // Ends the sending side and reads what has been received so far: closing a socket that holds unread bytes resets the connection, and the
-    // caller could lose the reply.
-    (void)::shutdown(connection.io.descriptor(), SHUT_WR);
-    while (connection.io.receive() == IoState::Progress) {
-        connection.io.received().clear();
+    endRequest(connection);
+    std::unique_ptr<FrontConnection> owned;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_connections.find(connection.descriptor);
+        owned = std::move(found->second);
+        m_connections.erase(found);
     }
+    // Closed only after its entry was erased, here, in closeExpired() and in evict(): once it is closed, a new connection may get the same descriptor,
+    // which is the key in m_connections.
 }
 
-bool FrontServer::serveOne(FrontConnection &connection)
+std::size_t FrontServer::connectionCount() const
 {
-    const TimePoint arrived = std::chrono::steady_clock::now();
-    const FrontLimits limits = m_handler.limits();
-    std::string block;
-    if (!readHead(connection, limits, arrived + limits.headTimeout, block)) {
-        return false;
-    }
-    auto head = parseRequestHead(block);
-    const auto framing = head ? requestFraming(*head) : Result<BodyFraming>(tl::unexpected(head.error()));
-    if (!framing) {
-        refuse(connection, ErrorCode::MalformedRequest, 400);
-        return false;
-    }
-    if (head->headers.listContains("Expect", "100-continue") && connection.io.received().empty()) {
-        std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        (void)connection.io.send(interim);
-    }
-    auto body = readBody(connection, *framing, limits);
-    if (!body) {
-        const ErrorCode code = body.error().code;
-        if (code != ErrorCode::CallerDisconnected) {
-            refuse(connection, code, code == ErrorCode::BodyTooLarge ? 413 : code == ErrorCode::ReadTimeout ? 408 : 400);
-        }
-        return false;
-    }
-    FrontExchange exchange(*this, connection, std::move(*head), std::move(*body), arrived);
-    m_handler.serve(exchange);
-    const bool unfinished = !exchange.m_replied || exchange.m_streaming;
-    if (unfinished && !connection.disconnected) {
-        exchange.abort();
-    }
-    // Also while the server closes, a connection is closed here only if its reply announced that: the caller may have sent its next request.
-    return !unfinished && !connection.disconnected && !exchange.m_closeAfterReply;
+    const Lock lock(m_mutex);
+    return m_connections.size();
 }
 
 } // namespace vanillanotch
--- a/src/transport/sockets.cpp
+++ b/src/transport/sockets.cpp
@@ -6,16 +6,12 @@
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 namespace vanillanotch
 {
 
-namespace
-{
-constexpr std::size_t ReceiveBufferBytes = 16 * 1024;
-} // namespace
-
 Connection::Connection(const Poco::Net::StreamSocket &socket)
     : m_socket(socket)
     , m_descriptor(static_cast<int>(socket.impl()->sockfd()))
@@ -31,7 +27,7 @@
 
 IoState Connection::receive()
 {
-    std::array<char, ReceiveBufferBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by recv
+    std::array<char, ReceiveBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by recv
     const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (count > 0) {
         m_received.append(buffer.data(), static_cast<std::size_t>(count));
@@ -53,6 +49,29 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoState::WouldBlock : IoState::Reset;
 }
 
+IoState Connection::send(MessageParts &parts)
+{
+    std::array<iovec, std::tuple_size_v<MessageParts>> buffers{};
+    msghdr message{};
+    message.msg_iov = buffers.data();
+    for (const std::string_view part : parts) {
+        if (!part.empty()) {
+            buffers.at(message.msg_iovlen++) = iovec{const_cast<char *>(part.data()), part.size()}; // sendmsg() doesn't write to it
+        }
+    }
+    const ssize_t count = ::sendmsg(m_descriptor, &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count < 0) {
+        return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoState::WouldBlock : IoState::Reset;
+    }
+    auto left = static_cast<std::size_t>(count);
+    for (std::string_view &part : parts) {
+        const std::size_t sent = std::min(left, part.size());
+        part.remove_prefix(sent);
+        left -= sent;
+    }
+    return IoState::Progress;
+}
+
 void Connection::resetOnClose()
 {
     if (m_descriptor >= 0) {
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -6,12 +6,13 @@
 //   [SOCKETS]   Connection, WakeupSignal, CancellationWatch
 //   [CALLS]     UpstreamCall: one request to one server, on a connection of its own
 //   [SERVER]    FrontServer, FrontExchange, FrontHandler: the server side
+// transport/budget.h: the memory that a server may hold on behalf of its callers.
 //
 // POCO's HTTP server isn't used because it accepts repeated Content-Length fields, folded headers and signed sizes. Only the
 // sockets are POCO's.
 #pragma once
 
-#include "base/base.h"
+#include "transport/budget.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -40,6 +41,11 @@
     const std::string *find(std::string_view name) const; // value of the first field of that name; nullptr: absent
     std::size_t count(std::string_view name) const;
     void add(std::string name, std::string value);
+    void reserve(std::size_t fields)
+    {
+        m_fields.reserve(fields);
+    }
+    std::size_t heldBytes() const; // memory of the fields, as allocated
     void remove(std::string_view name);
     // True when a field of that name holds the token in its comma-separated list. Tokens are compared without regard to case.
     bool listContains(std::string_view name, std::string_view token) const;
@@ -99,8 +105,9 @@
 {
 public:
     // Removes what can be decoded from the front of `in` and appends the data to `out`; call it again when more bytes have come.
-    // Errors: MalformedRequest (the bytes are not valid chunked coding; also for the body of a reply).
-    Result<void> feed(std::string &in, std::string &out);
+    // Errors: MalformedRequest (the bytes are not valid chunked coding; also for the body of a reply), BodyTooLarge (`out` would be longer
+    // than `limit` bytes).
+    Result<void> feed(std::string &in, std::string &out, std::size_t limit = std::string::npos);
     bool complete() const // the last chunk and the trailers have been read
     {
         return m_state == State::Done;
@@ -108,14 +115,20 @@
 
 private:
     enum class State { Size, Data, DataEnd, Trailer, Done };
-    Result<bool> takeLine(std::string &in, std::string &line); // false: the line has not been received whole yet
+    static Result<bool> takeLine(std::string_view &in, std::string_view &line); // false: the line has not been received whole yet
+    Result<void> decode(std::string_view &in, std::string &out, std::size_t limit);
+    Result<void> endLine(std::string_view line); // takes a size line, a trailer line or the end of a chunk's data
     State m_state = State::Size;
     std::size_t m_chunkLeft = 0; // bytes of the current chunk that are still to come
     std::size_t m_trailerBytes = 0;
+    std::size_t m_trailerLines = 0;
+    std::size_t m_extensionBytes = 0;
 };
 
 // Appends one chunk. `data` must not be empty: a chunk of size 0 ends the body.
 void appendChunk(std::string &out, std::string_view data);
+std::string chunkBegin(std::size_t size); // size line of a chunk; its data and ChunkEnd follow
+extern const std::string_view ChunkEnd;
 extern const std::string_view LastChunk; // ends a chunked body; no trailers
 
 //-----------------------------------------------------------------------------
@@ -129,6 +142,8 @@
     Reset // the connection failed
 };
 
+using MessageParts = std::array<std::string_view, 3>; // sent one after the other; any of them may be empty
+
 // A non-blocking socket and the bytes received from it that have not been parsed yet.
 class Connection
 {
@@ -146,8 +161,14 @@
     {
         return m_received;
     }
-    IoState receive(); // reads once, up to 16 KiB, and appends to received()
+    const std::string &received() const
+    {
+        return m_received;
+    }
+    static constexpr std::size_t ReceiveBytes = 16 * 1024; // most that receive() reads
+    IoState receive(); // reads once and appends to received()
     IoState send(std::string_view &data); // removes from the front of `data` the bytes that the socket accepted
+    IoState send(MessageParts &parts); // the same for a message in several parts, by one call
     void resetOnClose(); // from now on close() resets the connection, so that the peer sees an error instead of an orderly end
     void close();
 
@@ -258,6 +279,8 @@
     }
     // Waits for the whole body and returns it, decoded. InvalidReply: the body is longer than `limit` bytes.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation);
+    // The same, but asks for memory before it reads on; the server's bytes wait in the system's buffers meanwhile. Overloaded: there was none.
+    tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation, MemoryGrant &memory);
 
     // Connects to `address` and closes the connection at once. True: the host refuses connections, as after a crash of its process.
     static bool refused(const UpstreamSettings &settings, const std::string &address, TimePoint until);
@@ -292,7 +315,7 @@
 struct FrontLimits {
     std::size_t maxHeadBytes = 16 * 1024; // largest head of a request, bytes
     std::size_t maxBodyBytes = 4 * 1024 * 1024; // largest body of a request, bytes, without chunked coding
-    std::chrono::milliseconds headTimeout{3000}; // for receiving a whole head, counted from when a thread of the pool begins to receive the request
+    std::chrono::milliseconds headTimeout{3000}; // for receiving a whole head, counted from the request's first bytes
     std::chrono::milliseconds bodyTimeout{10000}; // for receiving a whole body, counted from when the head has been received
     std::chrono::milliseconds idleTimeout{15000}; // a connection without a request for this long is closed
 };
@@ -315,8 +338,7 @@
         return m_body;
     }
     std::string_view path() const; // without the query
-    // The time at which a thread of the pool began to receive the request. The time that the connection had to wait for a thread
-    // isn't included: it lies before arrived().
+    // The time at which the request's first bytes were received. The time that the request had to wait for a thread lies behind it.
     TimePoint arrived() const
     {
         return m_arrived;
@@ -324,7 +346,9 @@
 
     // reply(), beginStream(), streamBytes() and endStream() return false when the caller has disconnected or has not taken the bytes by
     // `until`. `headers` must hold no framing fields (Content-Length, Transfer-Encoding, Connection): the methods add these.
+    // reply() doesn't wait: what the socket doesn't accept at once is sent by the event thread after the handler has returned, and counts as taken.
     bool reply(int status, const Headers &headers, std::string_view body, TimePoint until);
+    bool replyLong(int status, const Headers &headers, std::string body, TimePoint until); // as reply(), for a body that isn't copied
     // Begins a streamed reply: with chunked coding, or, for a caller with HTTP/1.0, with a body that lasts until the connection closes.
     bool beginStream(int status, const Headers &headers, std::string_view firstBytes, TimePoint until);
     bool streamBytes(std::string_view bytes, TimePoint until);
@@ -336,6 +360,11 @@
     {
         return m_replied;
     }
+    // Takes memory for what the handler holds beyond the request itself: `bytes` is all of it, and replaces the previous figure. Stalled connections
+    // are closed when memory is short. False: it is short still.
+    bool tryHold(std::size_t bytes);
+    bool hold(std::size_t bytes, TimePoint until); // the same, but waits for memory, `until` at the latest
+
     void closeAfterReply() // call it before the reply begins
     {
         m_closeAfterReply = true;
@@ -348,7 +377,9 @@
 private:
     friend class FrontServer;
     std::string encodeHead(int status, const Headers &headers); // also decides whether the connection is closed after the reply
-    bool send(std::string_view bytes, TimePoint until);
+    bool send(MessageParts parts, TimePoint until); // waits until the caller has taken them
+    // Sends what the socket accepts, and leaves the rest of the head and of the body to the event thread.
+    bool sendOrLeave(std::string_view head, std::string_view body, std::string *ownedBody, TimePoint until);
 
     FrontServer &m_server;
     FrontConnection &m_connection;
@@ -371,13 +402,13 @@
     virtual FrontLimits limits() = 0; // called before each request, so that changed limits apply to the next one
 };
 
-// Accepts connections. One thread, the event thread, waits for all idle connections and posts each one that becomes readable to the pool, so
-// between two requests a connection occupies no thread of the pool.
+// Accepts connections. One thread, the event thread, receives requests on all connections without waiting for any of them, and posts each request that
+// is complete to the pool. Neither a caller that sends slowly nor one that takes a reply slowly occupies a thread; only a stream does.
 class FrontServer
 {
 public:
     // `name`: names this server in log lines. `address`: IP:port; port 0: any free port.
-    FrontServer(std::string name, const std::string &address, FrontHandler &handler, GrowingPool &pool);
+    FrontServer(std::string name, const std::string &address, FrontHandler &handler, GrowingPool &pool, const FrontCapacity &capacity = {});
     ~FrontServer();
     void beginClosing(); // from now on replies carry "Connection: close", and each connection is closed after its reply
     // Has the event thread accept the connections that wait, close the listener, and close all connections on which no request has arrived;
@@ -388,32 +419,61 @@
     {
         return m_closing;
     }
-    std::size_t activeRequests() const // requests being received or served
+    std::size_t activeRequests() const // requests being received or served, and replies being sent
     {
         return m_activeRequests;
     }
     std::size_t connectionCount() const;
+    std::size_t heldBytes() const // memory held on behalf of callers
+    {
+        return m_budget.used();
+    }
+    FrontCounts counts() const;
     std::string address() const; // IP:port as bound
 
 private:
     friend class FrontExchange;
-    struct Events;
+    friend class FrontConnection;
+    enum class Park { Idle, Receiving, Sending, Draining }; // what a connection waits for
+    enum class Assembly {
+        Complete, // the request must be served
+        Incomplete, // more bytes are needed; the connection is still owned
+        Left // the connection was parked or closed, and isn't owned any more
+    };
     void runEventLoop();
+    void listenFor(bool connections);
     void accept();
-    void serveReadable(int descriptor);
+    // On the event thread:
+    void handleEvent(int descriptor);
+    void handleReadiness(int descriptor);
+    void receive(FrontConnection &connection);
+    void sendRest(FrontConnection &connection);
+    void drain(FrontConnection &connection);
+    void post(FrontConnection &connection);
+    void closeExpired();
+    void checkShortages();
+    // On any thread that owns the connection:
+    // Reads the next request from what was received. `parkIncomplete`: a request that is incomplete is left to the event thread.
+    Assembly assemble(FrontConnection &connection, bool parkIncomplete);
     void serve(FrontConnection &connection);
     bool serveOne(FrontConnection &connection); // false: the connection must be closed
-    // Receives the head of the next request into `block`. False: no head was received, or the request was refused; the connection must be closed.
-    bool readHead(FrontConnection &connection, const FrontLimits &limits, TimePoint until, std::string &block);
-    Result<std::string> readBody(FrontConnection &connection, const BodyFraming &framing, const FrontLimits &limits);
     void refuse(FrontConnection &connection, ErrorCode code, int status);
-    void awaitNextRequest(FrontConnection &connection);
+    void park(FrontConnection &connection, Park state);
+    void leaveParked(FrontConnection &connection);
+    void finishReply(FrontConnection &connection);
     void closeConnection(FrontConnection &connection);
-    void closeExpired();
+    void beginRequest(FrontConnection &connection);
+    void endRequest(FrontConnection &connection);
+    void setBlocked(FrontConnection &connection, bool blocked); // while a thread waits for the caller to take a part of a stream
+    bool hold(FrontConnection &connection, std::size_t bytes);
+    bool evict(const EvictionNeed &need, const FrontConnection *except = nullptr); // true: something was closed
 
     std::string m_name;
     FrontHandler &m_handler;
     GrowingPool &m_pool;
+    const FrontCapacity m_capacity;
+    MemoryBudget m_budget;
+    const std::unique_ptr<EvictionPolicy> m_eviction;
     Poco::Net::ServerSocket m_listener;
     int m_epoll = -1;
     Ref<WakeupSignal> m_wakeup; // wakes the event thread
@@ -421,10 +481,18 @@
     std::atomic<bool> m_accepting{true};
     std::atomic<bool> m_stopping{false};
     bool m_listenerClosed = false; // used by the event thread only
+    bool m_acceptPaused = false; // used by the event thread only
+    TimePoint m_nextCheck{}; // of timeouts; used by the event thread only
+    FrontCounts m_loggedCounts; // used by the event thread only
     std::atomic<std::size_t> m_activeRequests{0};
+    std::atomic<std::uint64_t> m_refusedForMemory{0};
+    std::atomic<std::uint64_t> m_evicted{0};
+    std::atomic<std::uint64_t> m_acceptPauses{0};
+    std::atomic<std::size_t> m_blockedStreams{0};
     mutable RankedMutex m_mutex{LockRank::Connections};
     std::map<int, std::unique_ptr<FrontConnection>> m_connections; // by descriptor
-    std::thread m_eventThread; // waits for new connections and for idle ones that become readable
+    std::size_t m_parkedBytes = 0; // held by connections that wait for bytes of a request or for a reply to be taken
+    std::thread m_eventThread;
 };
 
 } // namespace vanillanotch
