vanillanotch-entryd: memory and descriptors of the VM are divided among callers, checks and peers

What operators saw: callers took descriptors and threads that calls to servers, other nodes and the load balancer's checks needed.

Cause: one pool and one set of descriptors for all.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -138,6 +138,18 @@
     std::atomic<bool> m_wasReady{false}; // whether this node was ready at the previous check; a change is logged
 };
 
+// What the callers, the load balancer's readiness checks and the other nodes may use of a VM, each for itself, so that none of them takes it all.
+struct NodeCapacity {
+    FrontCapacity callers;
+    FrontCapacity readiness;
+    FrontCapacity peers;
+    std::size_t runningRequests = 0; // of callers, at the same time
+};
+// Divides the VM's memory (bytes) and the process's descriptors.
+NodeCapacity planCapacity(std::size_t memory, std::size_t descriptors);
+// The smaller of the stated number of descriptors (0: none is stated) and of the process's limit.
+std::size_t descriptorLimit(std::size_t stated);
+
 // All parts of a node, in order of construction; destruction goes the other way.
 class EntryNode
 {
@@ -156,6 +168,7 @@
     void followTables(); // starts to follow the tables of the configuration and of backend servers, once
     void beginAnnouncing(); // has announce() run on the pool, unless it is about to run already
     void announce(); // writes this node's row to the members' table; after a failure it repeats the write until the store confirms it or the node stops
+    void registerGauges(const std::string &server, const FrontServer &front); // of one of the servers; `server`: its label
     void removeExpiredCrashRows(); // if it is this node's duty
     void waitUntil(TimePoint time, const std::function<bool()> &done); // returns at that time, or earlier when done() is true
 
@@ -163,7 +176,11 @@
     SystemClock m_clock;
     MetricsRegistry m_metrics;
     UpstreamSettings m_upstream;
-    GrowingPool m_pool;
+    const NodeCapacity m_capacity;
+    GrowingPool m_pool; // calls of stages, to the store and to other nodes
+    GrowingPool m_callerPool; // callers' requests
+    GrowingPool m_peerPool; // calls from other nodes
+    GrowingPool m_readinessPool; // the load balancer's checks
     WorkerPool m_background;
     TimerQueue m_timers;
     DeploymentTable m_deployments;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -18,6 +18,9 @@
 constexpr int ExitFailure = 1;
 constexpr int ExitUsage = 2;
 constexpr int HeapArenas = 2; // largest number of malloc's arenas; with glibc's default of 8 for each core, arenas would keep memory that nobody uses
+// Blocks of this many bytes and more are returned to the system when they are freed; stated, since otherwise glibc raises its default of 128 KB to the
+// size of the largest freed block. Half of the default, since growing bodies leave blocks of each size behind. malloc_trim() returns smaller ones.
+constexpr int MappedBlock = 64 * 1024;
 
 // Ignores SIGPIPE, and blocks the signals that the main thread takes by sigwait(). Returns the blocked signals. Call it before other threads
 // start, because they inherit the mask.
@@ -68,6 +71,7 @@
 {
     const sigset_t signals = blockSignals();
     ::mallopt(M_ARENA_MAX, HeapArenas);
+    ::mallopt(M_MMAP_THRESHOLD, MappedBlock);
     auto log = std::make_unique<BufferedLog>(settings.logLevel, settings.node);
     const auto node = std::make_unique<EntryNode>(settings);
     if (const auto started = node->start(); !started) {
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -7,7 +7,11 @@
 
 namespace
 {
-constexpr std::size_t PoolThreadLimit = 600; // threads; each running request, call of a stage, and call to or from a peer takes one
+constexpr std::size_t PoolThreadLimit = 600; // threads; each call of a stage, to the store and to a peer takes one
+constexpr std::size_t PeerThreadLimit = 400; // threads; each call from a peer takes one
+constexpr std::size_t ReadinessThreadLimit = 4;
+constexpr std::size_t SpareCallerThreads = 8; // beside those that run requests: they refuse further ones at once
+constexpr std::size_t MegaByte = 1'000'000;
 constexpr std::size_t BackgroundWorkers = 1; // threads for the timers' short tasks
 constexpr const char *MembersTable = "members";
 constexpr Duration CrashCleanupInterval = std::chrono::minutes(1);
@@ -95,11 +99,22 @@
 {
     return watchSettings(settings.recoveryBound + settings.drainBound, ServersCoalesceInterval);
 }
+
+ForwardSettings forwardSettings(const NodeCapacity &capacity)
+{
+    ForwardSettings settings;
+    settings.maxRunningRequests = capacity.runningRequests;
+    return settings;
+}
 } // namespace
 
 EntryNode::EntryNode(const EntrySettings &settings)
     : m_settings(settings)
+    , m_capacity(planCapacity(static_cast<std::size_t>(settings.memoryMb * MegaByte), descriptorLimit(static_cast<std::size_t>(settings.maxDescriptors))))
     , m_pool(PoolThreadLimit)
+    , m_callerPool(m_capacity.runningRequests + SpareCallerThreads)
+    , m_peerPool(PeerThreadLimit)
+    , m_readinessPool(ReadinessThreadLimit)
     , m_background(BackgroundWorkers)
     , m_timers(m_background)
     , m_deployments(freshnessSettings(settings))
@@ -129,7 +144,7 @@
                m_scheduler, *m_stagePeers, m_members, parseStageAssignment(settings.stageSharing))
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
                                     m_crashGuard, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
-                ForwardSettings{})
+                forwardSettings(m_capacity))
     , m_deploymentListener(m_deployments, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
     , m_memberListener(
@@ -179,7 +194,7 @@
         return static_cast<double>(m_scheduler.waitingPieces());
     });
     m_metrics.gauge("vanillanotch_threads", [this] {
-        return static_cast<double>(m_pool.threadCount());
+        return static_cast<double>(m_pool.threadCount() + m_callerPool.threadCount() + m_peerPool.threadCount() + m_readinessPool.threadCount());
     });
     m_metrics.gauge("vanillanotch_proof_age_seconds", [this] {
         return std::chrono::duration<double>(m_deployments.confirmationAge(suspendAwareNow())).count();
@@ -189,18 +204,24 @@
 EntryNode::~EntryNode()
 {
     m_timers.stop();
+    m_callerPool.stop();
+    m_peerPool.stop();
+    m_readinessPool.stop();
     m_pool.stop();
 }
 
 Result<void> EntryNode::start()
 {
     try {
-        m_peerServer = std::make_unique<FrontServer>("peers", m_settings.peerAddress, m_peerHandler, m_pool);
-        m_callerServer = std::make_unique<FrontServer>("callers", m_settings.callerAddress, m_forwardHandler, m_pool);
-        m_readinessServer = std::make_unique<FrontServer>("readiness", m_settings.readinessAddress, m_readinessHandler, m_pool);
+        m_peerServer = std::make_unique<FrontServer>("peers", m_settings.peerAddress, m_peerHandler, m_peerPool, m_capacity.peers);
+        m_callerServer = std::make_unique<FrontServer>("callers", m_settings.callerAddress, m_forwardHandler, m_callerPool, m_capacity.callers);
+        m_readinessServer = std::make_unique<FrontServer>("readiness", m_settings.readinessAddress, m_readinessHandler, m_readinessPool, m_capacity.readiness);
     } catch (const Poco::Exception &exception) {
         return fail(ErrorCode::ListenFailed, exception.displayText());
     }
+    registerGauges("peers", *m_peerServer);
+    registerGauges("callers", *m_callerServer);
+    registerGauges("readiness", *m_readinessServer);
     // The other tables are read when the members are known, since most nodes then get them from another node. A store that doesn't answer
     // must not delay this for long.
     m_memberWatch.start();
@@ -216,6 +237,26 @@
     return {};
 }
 
+void EntryNode::registerGauges(const std::string &server, const FrontServer &front)
+{
+    const std::string label = "{server=\"" + server + "\"}";
+    m_metrics.gauge("vanillanotch_front_connections" + label, [&front] {
+        return static_cast<double>(front.connectionCount());
+    });
+    m_metrics.gauge("vanillanotch_front_held_bytes" + label, [&front] {
+        return static_cast<double>(front.heldBytes());
+    });
+    m_metrics.gauge("vanillanotch_front_refused_for_memory" + label, [&front] {
+        return static_cast<double>(front.counts().refusedForMemory);
+    });
+    m_metrics.gauge("vanillanotch_front_connections_evicted" + label, [&front] {
+        return static_cast<double>(front.counts().evicted);
+    });
+    m_metrics.gauge("vanillanotch_front_accept_pauses" + label, [&front] {
+        return static_cast<double>(front.counts().acceptPauses);
+    });
+}
+
 void EntryNode::publishNodes()
 {
     std::vector<NodePlace> nodes;
--- a/src/wire/entry_yaml.cpp
+++ b/src/wire/entry_yaml.cpp
@@ -38,6 +38,8 @@
     document.read("peer_address", settings.peerAddress, true);
     document.read("store_address", settings.storeAddress, true);
     document.read("cores", settings.cores, 0.01, 1024);
+    document.read("memory_mb", settings.memoryMb, 64, 1e6);
+    document.read("max_descriptors", settings.maxDescriptors, 128, 1e7);
     document.read("revocation_bound_ms", settings.revocationBound, milliseconds(100), milliseconds(600000));
     document.read("recovery_bound_ms", settings.recoveryBound, milliseconds(500), milliseconds(600000));
     document.read("drain_bound_ms", settings.drainBound, milliseconds(100), milliseconds(600000));
--- a/tests/integration/clients_test.cpp
+++ b/tests/integration/clients_test.cpp
@@ -86,6 +86,7 @@
         cluster->writeConfiguration({"key-1"});
         NodeOptions options;
         options.maxDescriptors = descriptorLimit;
+        options.settings = "memory_mb: 80\nmax_descriptors: " + std::to_string(descriptorLimit) + "\n";
         cluster->addNode("dc1", options);
         CHECK(cluster->awaitReady());
         crowd = std::make_unique<ClientCrowd>(cluster->callerAddress(0));
