--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -276,7 +276,6 @@
     std::size_t maxRunningRequests = 400; // largest number of requests running at the same time, each on a thread of its own; further ones get status 503
     // Counted for each running request beside its body: the stack of its thread, what it receives from its server, and its small allocations.
     std::size_t bytesOfRun = 48 * 1024;
-    std::size_t maxTotalBodyBytes = 48 * 1024 * 1024; // largest total size of the bodies of all running requests, bytes; a request beyond it gets status 503
 };
 
 struct ForwardDependencies {
@@ -320,7 +319,6 @@
     ForwardDependencies m_dependencies;
     const ForwardSettings m_settings;
     std::atomic<std::size_t> m_running{0};
-    std::atomic<std::size_t> m_bodyBytes{0};
     PlannedStop m_stop;
     RouteTimes m_totalTimes; // from a request's arrival to its end
     RouteTimes m_serverTimes; // from its first attempt at a server to its end
--- a/src/forwarding/service.cpp
+++ b/src/forwarding/service.cpp
@@ -66,10 +66,9 @@
 void ForwardService::serve(FrontExchange &exchange)
 {
     const CounterGuard request(m_running, 1);
-    const CounterGuard body(m_bodyBytes, exchange.body().size());
     // The body is counted once more, since it is copied into the call to a server.
     const bool fits = exchange.tryHold(m_settings.bytesOfRun + exchange.body().size());
-    if (!fits || request.total() > m_settings.maxRunningRequests || body.total() > m_settings.maxTotalBodyBytes) {
+    if (!fits || request.total() > m_settings.maxRunningRequests) {
         const Headers headers = m_dependencies.codec.refusalHeaders(std::string(), m_settings.retryAfter);
         (void)exchange.reply(503, headers, describeRefusal(ErrorCode::Overloaded), m_dependencies.clock.now() + std::chrono::seconds(1));
         m_dependencies.metrics.counter("vanillanotch_overloaded_total").add();
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -8,9 +8,9 @@
 
 namespace
 {
-// Fewer bytes than this between two looks at a connection don't count as progress, so that a caller can't keep memory by sending or taking a byte now
-// and then. A request or reply of fewer bytes counts from its beginning.
-constexpr std::size_t ProgressBytes = 4 * 1024;
+// Progress is counted in steps of so many bytes, so that a caller can't keep memory by sending or taking a byte now and then: one that is slower than
+// 64 KB/s may be closed when memory is short. A request or reply of fewer bytes counts from its beginning.
+constexpr std::size_t ProgressBytes = 16 * 1024;
 } // namespace
 
 bool FrontConnection::hold(std::size_t readerBytes)
