--- a/src/stages/stages.h
+++ b/src/stages/stages.h
@@ -30,6 +30,7 @@
 #include "deployment/deployment.h"
 #include "fleet/fleet.h"
 #include "instances/instances.h"
+#include "placement/placement.h"
 #include "transport/transport.h"
 
 #include <tuple>
@@ -128,6 +129,10 @@
 // `dataCentres` that sort before its own.
 std::size_t instanceGroupOf(const std::vector<std::string> &dataCentres, const std::string &dataCentre, std::size_t groups);
 
+// The group that a task in `group` is to wait in: its own while that holds instances, else the one of the task's preferred data centre, else any.
+// `dataCentres`: as above. nullopt: no group holds instances.
+std::optional<std::size_t> groupWithInstances(const StageTask &task, const InstanceGroup &group, const std::vector<std::string> &dataCentres);
+
 class StageExecutor
 {
 public:
@@ -498,6 +503,11 @@
     void expireResultsLocked(InstanceState &state, TimePoint now);
     static QueueKey keyOf(const StageTask &task);
     std::vector<Ref<StageRun>> shedLocked(TaskQueue &queue, const StageCapacity &capacity, std::size_t instanceCount, TimePoint now);
+    // Moves the pieces whose group holds no instances any more to one that does; returns the queues that they are in now. Where evacuations leave
+    // the service no instance at all, their runs fail.
+    std::set<QueueKey> regroupLocked(const QueueKey &key, TaskQueue &queue);
+    // Largest batch for the instances of a data centre: smaller while that gets its load back after an evacuation.
+    std::size_t maxBatchIn(const std::string &dataCentre, const InstanceList &instances, std::size_t maxBatch) const;
     void removeBlockedLocked(TaskQueue &queue); // fails the runs of requests that seem to crash instances
     bool recordCrash(const Dispatch &dispatch, const Ref<StageRun> &run); // false: the run has failed, so its pieces aren't sent again
     void failRun(const Ref<StageRun> &run, ErrorCode code); // also releases the results of the run's completed pieces
@@ -567,7 +577,7 @@
 
 // Sends stage tasks to the owners of their services or instance groups. Handles of results to be released are sent to the owners as well,
 // because the owner tracks how much storage for results is in use at each instance.
-class OwnerStageExecutor final : public StageExecutor, public ResultSink
+class OwnerStageExecutor final : public StageExecutor, public ResultSink, public EngineOwnerLookup
 {
 public:
     OwnerStageExecutor(StageDependencies dependencies, StageScheduler &local, StagePeerChannel &peers, MemberTable &members, StageAssignment assignment,
@@ -575,6 +585,7 @@
     void submit(const Ref<StageRun> &run) override;
     Duration expectedWait(const std::string &service, const std::string &dataCentre) override;
     void release(const std::vector<std::string> &handles) override;
+    std::optional<MemberRecord> engineOwner(const std::string &service, const std::string &dataCentre) override;
 
 private:
     struct OwnerPlan : RefCounted<OwnerPlan> {
--- /dev/null
+++ b/tests/unit/evacuation_test.cpp
@@ -0,0 +1,482 @@
+// Evacuated data centres: rows of the operator's table as they arrive, and which instances may then get work. Hand-driven clock; no network.
+#include "entry/entry.h"
+#include "local_ledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <numeric>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace
+{
+const std::string Service = "s";
+const std::string Configuration = R"({"Version":1,"Routes":[],"Services":[]})";
+
+StoredRows rowsOf(const std::vector<std::string> &keys, bool removed = false)
+{
+    StoredRows rows;
+    for (const std::string &key : keys) {
+        rows.rows.push_back(StoredRow{key, key == "config" ? Configuration : "{}", 1, removed});
+    }
+    return rows;
+}
+} // namespace
+
+// Data centres dc1, dc2 and dc3 with two instances each.
+TEST_GROUP(Evacuations)
+{
+    ManualClock clock;
+    MetricsRegistry metrics;
+    DeploymentTable deployments{FreshnessSettings{}};
+    InstanceTable instances{clock, InstanceSettings{}};
+    DeploymentListener listener{deployments, instances, metrics};
+    std::unique_ptr<ChoicePolicy> choice = makeShortestTimeChoice();
+
+    void setup() override
+    {
+        for (int i = 0; i < 6; ++i) {
+            const std::string number = std::to_string(i);
+            instances.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+        }
+    }
+    void snapshot(const std::vector<std::string> &keys)
+    {
+        listener.snapshot(rowsOf(keys), suspendAwareNow(), Duration::max());
+    }
+    void change(const std::string &key, bool removed = false)
+    {
+        listener.changes(rowsOf({key}, removed), suspendAwareNow(), Duration::max());
+    }
+    // The data centres that get work, over all ways by which it is sent: attempts (also repeated ones and those of resumed streams), the choice in
+    // advance, and stage calls.
+    std::string served()
+    {
+        std::set<std::string> attempts;
+        std::set<std::string> previews;
+        for (std::uint64_t prompt = 0; prompt < 200; ++prompt) {
+            ChoiceInput input;
+            input.service = Service;
+            input.affinity = prompt;
+            input.acceptsSlow = prompt % 2 == 0;
+            input.avoid = prompt % 3 == 0 ? std::set<std::string>{"i0", "i1"} : std::set<std::string>{};
+            if (const auto lease = instances.acquire(input, *choice)) {
+                attempts.insert(lease->instance().dataCentre);
+            }
+            if (const auto preview = instances.preview(input, *choice)) {
+                previews.insert(preview->dataCentre);
+            }
+        }
+        const auto list = instances.usableInstances(Service)->dataCentres;
+        CHECK(attempts == previews);
+        CHECK(attempts == std::set<std::string>(list.begin(), list.end()));
+        std::string text;
+        for (const std::string &dataCentre : attempts) {
+            text += dataCentre + " ";
+        }
+        return text;
+    }
+};
+
+// Guards against work for an evacuated data centre on any way, and against one that stays evacuated when the row is gone.
+TEST(Evacuations, AnEvacuatedDataCentreGetsNoWorkUntilItIsTakenBack)
+{
+    snapshot({"config"});
+    STRCMP_EQUAL("dc1 dc2 dc3 ", served().c_str());
+    change("evacuate/dc2");
+    STRCMP_EQUAL("dc1 dc3 ", served().c_str());
+    CHECK_FALSE(instances.usable("i1"));
+    LONGS_EQUAL(1, static_cast<long>(instances.evacuatedCount()));
+    // An instance that registers anew while its data centre is evacuated gets nothing either.
+    instances.upsert(InstanceSpec{"i1", Service, "10.0.0.1:91", "dc2", 8, false, 2});
+    STRCMP_EQUAL("dc1 dc3 ", served().c_str());
+    CHECK(instances.findByAddress("10.0.0.1:91").has_value()); // results stored there can still be read
+    change("evacuate/dc2", true);
+    clock.advance(minutes(1));
+    STRCMP_EQUAL("dc1 dc2 dc3 ", served().c_str());
+    LONGS_EQUAL(0, static_cast<long>(instances.evacuatedCount()));
+}
+
+// Guards against an evacuation that ends the one before it, and against rows of the table that were missed and stay in force.
+TEST(Evacuations, TwoDataCentresInTurnAndASnapshotThatReplacesTheSet)
+{
+    snapshot({"evacuate/dc1", "config"});
+    change("evacuate/dc3");
+    STRCMP_EQUAL("dc2 ", served().c_str());
+    change("evacuate/dc1", true);
+    clock.advance(minutes(1));
+    STRCMP_EQUAL("dc1 dc2 ", served().c_str());
+    snapshot({"config", "evacuate/dc2"}); // the removal of dc3's row was missed
+    clock.advance(minutes(1));
+    STRCMP_EQUAL("dc1 dc3 ", served().c_str());
+}
+
+// Guards against a node that forgets the evacuation while it has no contact with the store.
+TEST(Evacuations, TheLastKnownSetHoldsWhileTheStoreIsSilent)
+{
+    snapshot({"config", "evacuate/dc1"});
+    clock.advance(minutes(30));
+    STRCMP_EQUAL("dc2 dc3 ", served().c_str());
+    listener.changes(StoredRows{}, suspendAwareNow(), seconds(0)); // the store is back, and nothing has changed
+    STRCMP_EQUAL("dc2 dc3 ", served().c_str());
+}
+
+// Guards against a node that takes requests with a configuration of this snapshot before the evacuations of the same snapshot are in force.
+TEST(Evacuations, ASnapshotsEvacuationsTakeEffectBeforeItsConfiguration)
+{
+    std::size_t evacuatedAtInstall = 0;
+    listener.setInstalledListener([&] {
+        evacuatedAtInstall = instances.evacuatedCount();
+    });
+    snapshot({"config", "evacuate/dc1"});
+    LONGS_EQUAL(1, static_cast<long>(evacuatedAtInstall));
+}
+
+// Guards against an operator's slip that takes servers away, and against names that count as a data centre.
+TEST(Evacuations, AnUnknownDataCentreHasNoEffect)
+{
+    snapshot({"config", "evacuate/dc9", "evacuate/", "evacuatedc1", "evacuate"});
+    STRCMP_EQUAL("dc1 dc2 dc3 ", served().c_str());
+    LONGS_EQUAL(0, static_cast<long>(instances.evacuatedCount()));
+    instances.synchronise({});
+    CHECK_FALSE(instances.noneLeft(Service));
+}
+
+// Guards against requests that wait for their deadline although no server may get them.
+TEST(Evacuations, WhenAllAreEvacuatedNoneIsLeft)
+{
+    snapshot({"config", "evacuate/dc1", "evacuate/dc2"});
+    CHECK_FALSE(instances.noneLeft(Service));
+    change("evacuate/dc3");
+    STRCMP_EQUAL("", served().c_str());
+    CHECK(instances.noneLeft(Service));
+    CHECK(instances.limitedFor(Service) == Duration::zero());
+    ChoiceInput input;
+    input.service = Service;
+    CHECK(instances.acquire(input, *choice).error().code == ErrorCode::NoFitServer);
+    change("evacuate/dc1", true);
+    CHECK_FALSE(instances.noneLeft(Service));
+}
+
+//-----------------------------------------------------------------------------
+// A data centre whose evacuation is lifted
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr milliseconds Step{20}; // of the clock; each node sends one request in a step
+constexpr milliseconds ReplyTime{300};
+constexpr int Bins = 10; // in which requests are counted, over the time in which a data centre gets its load back
+constexpr std::size_t Nodes = 12;
+
+std::size_t sum(const std::vector<std::size_t> &counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), std::size_t{0});
+}
+} // namespace
+
+// Nodes that send requests to three data centres with four instances each, and learn at the same moment that dc2 is taken back.
+TEST_GROUP(Restored)
+{
+    ManualClock clock;
+    InstanceSettings settings;
+    std::vector<std::unique_ptr<InstanceTable>> nodes;
+    std::deque<std::pair<TimePoint, InstanceLease>> running;
+
+    void setup() override
+    {
+        for (std::size_t node = 0; node < Nodes; ++node) {
+            nodes.push_back(std::make_unique<InstanceTable>(clock, settings));
+            for (int i = 0; i < 12; ++i) {
+                const std::string number = std::to_string(i);
+                nodes.back()->upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+            }
+            nodes.back()->setEvacuated({"dc2"});
+        }
+    }
+    void teardown() override
+    {
+        running.clear();
+    }
+    // Requests to dc2 by bin; `affinities`: number of prompts, 0: requests without a prompt.
+    std::vector<std::size_t> send(ChoicePolicy & policy, std::uint64_t affinities, Duration time)
+    {
+        std::vector<std::size_t> counts(Bins, 0);
+        const TimePoint begin = clock.now();
+        std::uint64_t next = 0;
+        for (; clock.now() - begin < time; clock.advance(Step)) {
+            while (!running.empty() && running.front().first <= clock.now()) {
+                running.pop_front();
+            }
+            for (const auto &node : nodes) {
+                ChoiceInput input;
+                input.service = Service;
+                input.affinity = affinities == 0 ? 0 : 1 + next++ % affinities;
+                auto lease = node->acquire(input, policy);
+                CHECK(lease.has_value());
+                counts.at(static_cast<std::size_t>((clock.now() - begin) * Bins / time)) += lease->instance().dataCentre == "dc2" ? 1 : 0;
+                running.emplace_back(clock.now() + ReplyTime, std::move(*lease));
+            }
+        }
+        return counts;
+    }
+    // The load comes back without a step: little at first, and in no tenth of the time much more than in the one before.
+    void checkRise(ChoicePolicy & policy, std::uint64_t affinities)
+    {
+        LONGS_EQUAL(0, static_cast<long>(sum(send(policy, affinities, seconds(1)))));
+        for (const auto &node : nodes) {
+            node->setEvacuated({});
+        }
+        const auto rise = send(policy, affinities, settings.restoreDuration);
+        const auto usual = static_cast<double>(sum(send(policy, affinities, settings.restoreDuration))) / Bins;
+        CHECK(usual > 0);
+        CHECK(static_cast<double>(rise.front()) < 0.15 * usual);
+        CHECK(static_cast<double>(rise.back()) > 0.6 * usual);
+        for (std::size_t bin = 1; bin < rise.size(); ++bin) {
+            CHECK(static_cast<double>(rise[bin]) < static_cast<double>(rise[bin - 1]) + 0.45 * usual);
+        }
+    }
+};
+
+// Guards against a step: the servers look idle to all nodes at the same moment.
+TEST(Restored, RequestsWithoutAPromptComeBackOverTime)
+{
+    const auto policy = makeLeastOutstandingChoice();
+    checkRise(*policy, 0);
+}
+
+// Guards against prompts that all return to their engines in the data centre in one moment.
+TEST(Restored, PromptsReturnToTheirEnginesOverTime)
+{
+    const auto policy = makePrefixAffinityChoice();
+    checkRise(*policy, 500);
+}
+
+// Guards against one popular prompt that moves all its requests at once.
+TEST(Restored, APopularPromptReturnsOverTime)
+{
+    std::uint64_t popular = 0; // a prompt whose requests go to dc2
+    const auto policy = makePrefixAffinityChoice();
+    InstanceTable usual(clock, settings);
+    for (int i = 0; i < 12; ++i) {
+        const std::string number = std::to_string(i);
+        usual.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + std::to_string(1 + i % 3), 8, false, 1});
+    }
+    ChoiceInput input;
+    input.service = Service;
+    do {
+        input.affinity = ++popular;
+    } while (usual.preview(input, *policy)->dataCentre != "dc2");
+    for (const auto &node : nodes) {
+        node->setEvacuated({});
+    }
+    std::vector<int> bins(Bins, 0);
+    for (int &count : bins) {
+        clock.advance(settings.restoreDuration / Bins);
+        for (int i = 0; i < 1000; ++i) {
+            count += nodes.at(static_cast<std::size_t>(i) % Nodes)->preview(input, *policy)->dataCentre == "dc2" ? 1 : 0;
+        }
+    }
+    LONGS_EQUAL(1000, bins.back());
+    int before = 0;
+    for (const int count : bins) {
+        CHECK(count < before + 500);
+        before = count;
+    }
+}
+
+// Guards against requests that are refused because all servers that are left have just been taken back, and against an evacuation that is
+// weakened by an earlier one.
+TEST(Restored, ADataCentreThatIsAloneServesAtOnceAndAnEvacuationHoldsAgain)
+{
+    const auto policy = makeShortestTimeChoice();
+    nodes.front()->setEvacuated({"dc1", "dc2", "dc3"});
+    nodes.front()->setEvacuated({"dc1", "dc3"});
+    ChoiceInput input;
+    input.service = Service;
+    for (int i = 0; i < 100; ++i) {
+        CHECK(nodes.front()->acquire(input, *policy).has_value());
+        clock.advance(milliseconds(10));
+    }
+    nodes.front()->setEvacuated({"dc2"});
+    for (int i = 0; i < 100; ++i) {
+        CHECK(nodes.front()->acquire(input, *policy)->instance().dataCentre != "dc2");
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Pieces that wait when the instances of their group disappear
+//-----------------------------------------------------------------------------
+
+namespace
+{
+constexpr Duration EndLimit = seconds(5); // real time for what the scheduler's threads do at once
+
+class EchoChannel final : public StageChannel
+{
+public:
+    std::atomic<std::size_t> largestBatch{0};
+    tl::expected<BatchReply, StageCallFailure> run(const InstanceSpec &instance, const std::vector<PieceCall> &pieces, TimePoint /*now*/,
+                                                   TimePoint /*until*/) override
+    {
+        largestBatch = std::max(largestBatch.load(), pieces.size());
+        return BatchReply{std::vector<PieceOutcome>(pieces.size(), PieceOutcome{instance.address + "/" + instance.dataCentre, PieceError::None}), {}, {}};
+    }
+    Result<void> release(const std::string & /*address*/, const std::vector<std::string> & /*handles*/, TimePoint /*until*/) override
+    {
+        return {};
+    }
+};
+
+class OpenBudget final : public RetryBudget
+{
+public:
+    void recordFirstCall(const std::string & /*service*/) override
+    {
+    }
+    bool tryTake(const std::string & /*service*/) override
+    {
+        return true;
+    }
+};
+} // namespace
+
+// Data centres dc0 to dc3 with one instance each, in four groups. The clock stands still; the pieces' deadline never comes.
+TEST_GROUP(QueuedPieces)
+{
+    ManualClock clock;
+    DeploymentTable deployments{FreshnessSettings{}};
+    InstanceTable instances{clock, InstanceSettings{}};
+    EchoChannel channel;
+    OpenBudget budget;
+    CrashTable crashes{clock};
+    LocalLedger ledger;
+    CrashGuard crashGuard{crashes, ledger};
+    GrowingPool pool{8};
+    WorkerPool background{1};
+    TimerQueue timers{background};
+    MetricsRegistry metrics;
+    ResultReleaser releaser{channel, timers, pool};
+    StageScheduler scheduler{StageDependencies{clock, deployments, instances, channel, budget, crashGuard, releaser, pool, timers, metrics}};
+    Ref<WakeupSignal> progress = makeRef<WakeupSignal>();
+
+    void setup() override
+    {
+        ServiceSpec service;
+        service.name = Service;
+        service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 0, seconds(4)};
+        (void)deployments.install(
+            makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
+        instances.setChangeListener([this] {
+            scheduler.instancesChanged();
+        });
+        for (int i = 0; i < 4; ++i) {
+            const std::string number = std::to_string(i);
+            instances.upsert(InstanceSpec{"i" + number, Service, "10.0.0.1:8" + number, "dc" + number, 1, false, 1});
+        }
+    }
+    void teardown() override
+    {
+        timers.stop();
+        pool.stop();
+    }
+    // A task in the group of data centre `index`, whose instance wants nothing for a while, so that the pieces wait.
+    Ref<StageRun> queued(std::size_t index)
+    {
+        InstanceStatement statement;
+        statement.pause = minutes(5);
+        instances.recordStatement("i" + std::to_string(index), statement);
+        StageTask task;
+        task.request = "r";
+        task.service = Service;
+        task.pieces = 6;
+        task.pieceKey = "key";
+        task.group = InstanceGroup{index, 4};
+        task.dataCentre = "dc" + std::to_string(index);
+        task.target = clock.now() + minutes(10);
+        task.deadline = clock.now() + minutes(10);
+        const auto run = makeRef<StageRun>(task, progress);
+        scheduler.submit(run);
+        LONGS_EQUAL(6, static_cast<long>(scheduler.waitingPieces()));
+        return run;
+    }
+    bool ends(const Ref<StageRun> &run)
+    {
+        NeverCancelled neverCancelled;
+        const TimePoint until = std::chrono::steady_clock::now() + EndLimit;
+        while (!run->outcome() && awaitSignal(*progress, neverCancelled, until)) { }
+        return run->outcome().has_value();
+    }
+};
+
+// Guards against pieces that wait until their deadline in a group whose data centre was evacuated: also in the last group, whose index no data centre
+// has any more.
+TEST(QueuedPieces, MoveToAnotherGroupWhenTheirDataCentreIsEvacuated)
+{
+    const auto run = queued(3);
+    instances.setEvacuated({"dc3"});
+    CHECK(ends(run));
+    CHECK(run->outcome()->has_value());
+    LONGS_EQUAL(0, static_cast<long>(scheduler.waitingPieces()));
+}
+
+// Guards against the same when the data centre has lost all its servers without an evacuation, and no listener is told.
+TEST(QueuedPieces, MoveToAnotherGroupWhenTheirDataCentreLosesItsServers)
+{
+    const auto run = queued(3);
+    instances.remove("i3");
+    CHECK(ends(run));
+    CHECK(run->outcome()->has_value());
+}
+
+// Guards against pieces that end up in a group without instances when two data centres disappear one after the other.
+TEST(QueuedPieces, TwoDataCentresInTurn)
+{
+    InstanceStatement pause;
+    pause.pause = minutes(5);
+    instances.recordStatement("i2", pause);
+    const auto run = queued(3);
+    instances.setEvacuated({"dc3"});
+    instances.setEvacuated({"dc2", "dc3"});
+    CHECK(ends(run));
+    CHECK(run->outcome()->has_value());
+}
+
+// Guards against pieces that wait until their deadline although no instance may get them.
+TEST(QueuedPieces, FailAtOnceWhenAllDataCentresAreEvacuated)
+{
+    const auto run = queued(1);
+    instances.setEvacuated({"dc0", "dc1", "dc2", "dc3"});
+    CHECK(ends(run));
+    CHECK(run->outcome()->error().code == ErrorCode::NoFitServer);
+}
+
+// Guards against full batches for all servers of a data centre in the moment in which its evacuation is lifted.
+TEST(QueuedPieces, BatchesGrowAfterAnEvacuation)
+{
+    instances.setEvacuated({"dc3"});
+    instances.setEvacuated({});
+    const auto submit = [this] {
+        StageTask task;
+        task.request = "r";
+        task.service = Service;
+        task.pieces = 12;
+        task.group = InstanceGroup{3, 4};
+        task.target = clock.now() + minutes(10);
+        task.deadline = clock.now() + minutes(10);
+        const auto run = makeRef<StageRun>(task, progress);
+        scheduler.submit(run);
+        CHECK(ends(run));
+        return channel.largestBatch.exchange(0);
+    };
+    LONGS_EQUAL(1, static_cast<long>(submit()));
+    clock.advance(InstanceSettings{}.restoreDuration / 2);
+    LONGS_EQUAL(2, static_cast<long>(submit()));
+    clock.advance(InstanceSettings{}.restoreDuration / 2);
+    LONGS_EQUAL(4, static_cast<long>(submit()));
+}
