--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -147,12 +147,12 @@
     }
     for (;;) {
         if (connectionCount() >= m_capacity.maxConnections) {
-            // Some more than are needed at the moment, so that the connections aren't searched for each new one.
-            if (!evict(EvictionNeed{0, 1 + m_capacity.maxConnections / ConnectionEvictionDivisor})) {
+            // Some more than are needed at the moment, so that the connections aren't searched for each new one. Streams that were shut down are closed
+            // by their threads, a little later.
+            if (!evict(EvictionNeed{0, 1 + m_capacity.maxConnections / ConnectionEvictionDivisor}) || connectionCount() >= m_capacity.maxConnections) {
                 listenFor(false);
                 return;
             }
-            continue;
         }
         try {
             const Poco::Net::StreamSocket socket = m_listener.acceptConnection();
