--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -127,6 +127,7 @@
 ForwardRun::StepResult ForwardRun::authenticate()
 {
     m_priority = m_route->priority;
+    m_scope.restrictTo(m_route->allowedRegions, m_settings.regions);
     if (!m_deployment->requiresApiKey()) {
         return {};
     }
@@ -143,6 +144,7 @@
         return fail(ErrorCode::ConfigurationStale);
     }
     m_account = account->name;
+    m_scope.restrictTo(account->allowedRegions, m_settings.regions);
     m_priority = account->priority.value_or(m_priority);
     return {};
 }
@@ -282,7 +284,7 @@
 {
     const TimePoint now = m_dependencies.clock.now();
     const Duration engineTime = streaming() ? m_dependencies.engineTimeEstimator.estimate(m_service, ownTokens()) + m_settings.engineMargin : Duration::zero();
-    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority);
+    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority, m_scope);
     const bool late = now + wait > std::max(m_target - engineTime, now + m_settings.limitedWaitWhenLate);
     if (late) {
         logEvent(LogLevel::Info, "request.limited_on_arrival",
@@ -302,7 +304,7 @@
 bool ForwardRun::limitedBeyondTarget() const
 {
     const TimePoint now = m_dependencies.clock.now();
-    return now + m_dependencies.instances.limitedFor(m_service) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
+    return now + m_dependencies.instances.limitedFor(m_service, m_scope) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
 }
 
 // All servers that could take the request are limited. Waits until one may get a request, unless that would take too long: then the caller is
@@ -312,7 +314,7 @@
     if (limitedBeyondTarget() || m_refuseWaiting) {
         return false;
     }
-    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service));
+    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service, m_scope));
     return !m_refuseWaiting && (woken || woken.error().code != ErrorCode::CallerDisconnected);
 }
 
@@ -376,6 +378,7 @@
     input.service = m_service;
     input.affinity = m_affinity;
     input.avoid = m_tried;
+    input.scope = m_scope;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
     const ServiceSpec *service = m_deployment->service(m_service);
     const bool engine = service != nullptr && service->engine;
@@ -387,6 +390,7 @@
     }
     auto lease = m_dependencies.instances.acquire(input, engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
     const std::string chosen = lease ? lease->instance().id : std::string();
+    m_ownerChose = m_placed.has_value() && chosen == input.wanted;
     if (m_placed && chosen != input.wanted) {
         m_placed.reset(); // the owner stops counting it when it hears nothing of it
     }
@@ -401,7 +405,6 @@
     UpstreamCall call(m_dependencies.upstream);
     const TimePoint began = m_dependencies.clock.now();
     if (const auto opened = call.open(instance.address, m_deadline, m_exchange); !opened) {
-        reportPlacement(std::nullopt);
         return handleFailure(opened.error(), *lease, began);
     }
     ++m_sentCount;
@@ -411,7 +414,7 @@
         head = call.awaitHead(m_deadline, m_exchange);
     }
     const AttemptOutcome outcome = head ? readReply(call, *head, *lease, began) : handleFailure(head.error(), *lease, began);
-    reportPlacement(std::nullopt);
+    reportPlacement(std::nullopt, InstanceCallOutcome::Inconclusive); // unless it was reported above
     if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost) {
         reportCrash(instance);
     }
@@ -431,6 +434,7 @@
     const Duration took = m_dependencies.clock.now() - began;
     m_lastError = failure.code;
     lease.finish(callOutcomeOf(failure), Duration::zero());
+    reportPlacement(std::nullopt, callOutcomeOf(failure));
     logEvent(LogLevel::Info, "request.attempt_failed",
              {{"request", m_request.attemptId},
               {"instance", m_lastInstance},
@@ -460,7 +464,9 @@
     }
     if (facts.notExecuted || facts.wrongInstance) {
         m_lastError = facts.wrongInstance ? ErrorCode::WrongInstance : head.status == 409 ? ErrorCode::InputsGone : ErrorCode::ServerBusy;
-        lease.finish(facts.wrongInstance ? InstanceCallOutcome::Unreachable : InstanceCallOutcome::Busy, Duration::zero());
+        const auto callOutcome = facts.wrongInstance ? InstanceCallOutcome::Unreachable : InstanceCallOutcome::Busy;
+        lease.finish(callOutcome, Duration::zero());
+        reportPlacement(std::nullopt, callOutcome);
         logEvent(LogLevel::Info, "request.not_executed", {{"request", m_request.attemptId}, {"instance", m_lastInstance}, {"status", head.status}});
         return AttemptOutcome::NotRun;
     }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -85,7 +85,7 @@
             }
             const std::uint64_t shared = draw(m_random) < 1.0 / 3 ? 1 : prefix(m_random); // a third of the requests share one prefix
             const PlacementDemand demand{
-                std::to_string(number), "engines", "dc", {PromptPrefix{shared, 13'300}}, static_cast<unsigned>(std::min(ownTokens(m_random), 53'200.0)), {},
+                std::to_string(number), "engines", "dc", {PromptPrefix{shared, 13'300}}, static_cast<unsigned>(std::min(ownTokens(m_random), 53'200.0)), {}, {},
                 milliseconds(1000)};
             ModelEngine &engine = m_engines.at(choose(demand, candidates, now));
             const bool reads = engine.cached.insert(shared).second;
@@ -158,9 +158,37 @@
         });
 }
 
+// Owners of engines, as the node sees them.
+class FixedOwner final : public EngineOwnerLookup
+{
+public:
+    std::optional<MemberRecord> engineOwner(const std::string & /*service*/, const std::string & /*dataCentre*/) override
+    {
+        return owner;
+    }
+    std::optional<MemberRecord> owner;
+};
+
+class ScriptedChannel final : public PlacementChannel
+{
+public:
+    Result<std::optional<std::string>> place(const std::string & /*peerAddress*/, const PlacementDemand & /*demand*/, TimePoint /*until*/,
+                                             CancellationWatch & /*cancellation*/) override
+    {
+        ++calls;
+        return answer;
+    }
+    Result<void> report(const std::string & /*peerAddress*/, const std::vector<PlacementReport> & /*reports*/, TimePoint /*until*/) override
+    {
+        return {};
+    }
+    Result<std::optional<std::string>> answer = fail(ErrorCode::PeerUnavailable);
+    unsigned calls = 0;
+};
+
 PlacementDemand demandFor(const std::string &attempt, std::uint64_t prefix, milliseconds targetIn = milliseconds(1000))
 {
-    return PlacementDemand{attempt, "engines", "dc", {PromptPrefix{prefix, 10'000}}, 1000, {}, targetIn};
+    return PlacementDemand{attempt, "engines", "dc", {PromptPrefix{prefix, 10'000}}, 1000, {}, {}, targetIn};
 }
 
 const std::vector<EngineCandidate> TwoEngines{EngineCandidate{"a", 1, 0}, EngineCandidate{"b", 1, 0}};
@@ -242,7 +270,7 @@
     const auto twoRequests = [&](std::chrono::microseconds took) {
         std::vector<std::pair<PlacementDemand, std::size_t>> placed;
         for (unsigned i = 0; i < 2; ++i) {
-            const PlacementDemand demand{std::to_string(++number), "engines", "dc", {}, 2000, {}, milliseconds(1000)};
+            const PlacementDemand demand{std::to_string(++number), "engines", "dc", {}, 2000, {}, {}, milliseconds(1000)};
             placed.emplace_back(demand, book.choose(demand, TwoEngines, now));
             book.recordPlaced(demand, TwoEngines[placed.back().second], now);
         }
@@ -267,3 +295,106 @@
     }
     CHECK_TRUE(used > 20);
 }
+
+TEST_GROUP(PlacementOwners)
+{
+    ManualClock clock;
+    InstanceTable instances{clock, InstanceSettings{}};
+    DeploymentTable deployments{FreshnessSettings{}};
+    MetricsRegistry metrics;
+    PlacementOwner local{clock, instances, deployments, metrics};
+    FixedOwner owners;
+    ScriptedChannel channel;
+    GrowingPool pool{2};
+    WorkerPool background{1};
+    TimerQueue timers{background};
+    OwnedPlacement placement{clock, local, owners, channel, pool, timers, metrics};
+    NeverCancelled neverCancelled;
+
+    void setup() override
+    {
+        std::vector<ServiceSpec> services = {ServiceSpec{"engines", true, 64, 566'000, std::nullopt}};
+        CHECK(deployments.install(makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
+        instances.synchronise({InstanceSpec{"a", "engines", "10.0.0.1:1", "dc", 64, false, 1}, InstanceSpec{"b", "engines", "10.0.0.1:2", "dc", 64, false, 1},
+                               InstanceSpec{"c", "engines", "10.0.0.1:3", "elsewhere", 64, false, 1}});
+    }
+    void teardown() override
+    {
+        timers.stop();
+        pool.stop();
+    }
+};
+
+// Guards against requests that wait for an owner that doesn't answer, one after the other.
+TEST(PlacementOwners, ASilentOwnerIsLeftAloneForAWhile)
+{
+    owners.owner = MemberRecord{};
+    owners.owner->name = "owner";
+    CHECK_FALSE(placement.place(demandFor("1", 7), neverCancelled).has_value());
+    CHECK_FALSE(placement.place(demandFor("2", 7), neverCancelled).has_value());
+    LONGS_EQUAL(1, channel.calls);
+    clock.advance(PlacementSettings{}.peerPause + milliseconds(1));
+    channel.answer = std::optional<std::string>("b");
+    STRCMP_EQUAL("b", placement.place(demandFor("3", 7), neverCancelled).value_or("").c_str());
+}
+
+// Guards against an engine elsewhere, or one that was tried already.
+TEST(PlacementOwners, TheOwnerChoosesInTheDataCentreOnly)
+{
+    PlacementDemand demand = demandFor("1", 7);
+    const auto first = placement.place(demand, neverCancelled);
+    CHECK(first && *first != "c");
+    demand.avoid = {*first};
+    STRCMP_EQUAL(*first == "a" ? "b" : "a", placement.place(demand, neverCancelled).value_or("").c_str());
+    demand.dataCentre = "unknown";
+    CHECK_FALSE(placement.place(demand, neverCancelled).has_value());
+}
+
+// Guards against a crashed engine whose queue looks short: other nodes' failures count at the owner.
+TEST(PlacementOwners, AnEngineThatFailsForOtherNodesIsAvoided)
+{
+    const PlacementDemand demand = demandFor("1", 7);
+    const std::string first = placement.place(demand, neverCancelled).value_or("");
+    local.recordOfOtherNode({PlacementReport{"1", "engines", first, std::nullopt, InstanceCallOutcome::Unreachable}});
+    const std::string second = placement.place(demandFor("2", 7), neverCancelled).value_or("");
+    CHECK(second != first);
+}
+
+// Guards against owners that are asked where all engines are alike: a hash serves these better.
+TEST(PlacementOwners, AServiceCountsAsUnevenWhileItsInstancesSaySo)
+{
+    instances.recordLoad("a", ReportedLoad{1, 0, 64, 1.0});
+    CHECK_FALSE(instances.uneven("engines"));
+    instances.recordLoad("a", ReportedLoad{1, 0, 64, 2.5});
+    CHECK_TRUE(instances.uneven("engines"));
+    CHECK_FALSE(instances.uneven("others"));
+    clock.advance(InstanceSettings{}.unevenDuration + milliseconds(1));
+    CHECK_FALSE(instances.uneven("engines"));
+}
+
+// Guards against parts that are read again after each change of the owner: nodes tell a new one where they have sent them.
+TEST(Placement, ANewOwnerLearnsWherePartsAreCached)
+{
+    for (const char *engine : {"a", "b"}) {
+        PlacementBook book;
+        PlacementDemand demand = demandFor("1", 7);
+        demand.lastEngine = engine;
+        STRCMP_EQUAL(engine, TwoEngines[book.choose(demand, TwoEngines, TimePoint{std::chrono::hours(1)})].id.c_str());
+    }
+}
+
+// Guards against nodes that ask different owners for the same parts, and against data centres that get more than their engines can serve.
+TEST(Placement, PrefixesHaveOneHomeDataCentreInProportionToEngines)
+{
+    const std::vector<EngineDataCentre> all{{"dc1", 40, 1}, {"dc2", 20, 1}};
+    std::map<std::string, unsigned> homes;
+    unsigned moved = 0;
+    for (std::uint64_t prefix = 1; prefix <= 3000; ++prefix) {
+        const std::string home = homeDataCentre(prefix, all);
+        ++homes[home];
+        moved += home == "dc1" && homeDataCentre(prefix, {{"dc1", 40, 1}, {"dc2", 20, 0.0}}) != "dc1" ? 1 : 0;
+    }
+    CHECK_TRUE(homes["dc1"] > 1850 && homes["dc1"] < 2150);
+    LONGS_EQUAL(0, moved);
+    STRCMP_EQUAL("", homeDataCentre(1, {}).c_str());
+}
