vanillanotchd holds up against callers that are not under our control

What operators saw: in a trial, such callers ended a process, which ran out of memory; as many silent connections as threads kept all ordinary callers waiting; 300 idle connections used up the descriptors.

Causes: bodies, heads of up to 800 KB, requests that run (100 with 500 KiB each took 360 MiB) and unread answers had no common limit; each connection kept its thread for as long as its caller stood still; POCO accepts and queues connections without regard to descriptors; glibc raised its threshold for mapped blocks with each larger one that was freed, and its arenas were trimmed only after a change of the configuration.

Now ConnectionTable decides: it limits open connections (half of the descriptors at most), takes memory by capacity before bytes are kept, and closes connections that stand still when others need their thread, place or memory. A request that runs, or makes progress, is never closed for others. The server reads heads and bodies by the strict parser of transport instead of POCO's: ambiguous framings are refused, and a chunked body that breaks off is no longer served as a whole one. POCO keeps the threads, the sockets and the encoding of replies. SocketWatchdog is gone: each wait has its own end. Settings: caller_memory_mib, max_head_kib, send_limit_ms.

Ruled out: POCO's parser behind a socket that passes on checked bytes (heads parsed twice, bodies still by POCO's streams); refusing new connections instead of closing those that stand still (a crowd that stays keeps everyone out).

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -21,6 +21,9 @@
 // Largest number of malloc's arenas. With glibc's default, 8 for each core, the arenas would keep memory that was needed only while a large
 // configuration was read.
 constexpr int HeapArenas = 4;
+// Blocks from this size on, bytes, are taken from the system one by one and given back when they are freed. Setting it also stops glibc from raising it with
+// each larger block that is freed, after which bodies and answers would be kept in the arenas.
+constexpr int MappedBlockBytes = 128 * 1024;
 
 // Ignores SIGPIPE, and blocks the signals that the main thread takes by sigwait(). Returns the blocked signals. Call it before other threads
 // start, because they inherit the mask.
@@ -69,6 +72,7 @@
 {
     const sigset_t signals = blockSignals();
     ::mallopt(M_ARENA_MAX, HeapArenas);
+    ::mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
     initLog(settings.logLevel, settings.node);
     const std::unique_ptr<Node> node = makeNode(settings, demo);
     if (demo) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,6 +1,9 @@
 #include "daemon/node.h"
 
+#include <algorithm>
+#include <fstream>
 #include <malloc.h>
+#include <unistd.h>
 
 namespace vanillanotch
 {
@@ -10,6 +13,14 @@
 constexpr int OperatorConnections = 32; // largest number of operators' connections that are served at the same time
 constexpr int DutyTicksPerLease = 4; // number of times, within the duration of a lease on a duty, that the node renews or tries to get the lease
 constexpr std::size_t ConfigurationBodyLimit = 32 * 1024 * 1024; // largest body of an operator's request, bytes
+constexpr std::size_t KiB = 1024;
+constexpr std::size_t MiB = 1024 * KiB;
+// Memory that a request takes while it runs, as a multiple of its body: 100 requests with bodies of 0.5 MiB took 3.6 MiB each (its copies, the
+// documents found for it, the bodies of stage calls).
+constexpr unsigned RunningFactor = 7;
+constexpr std::size_t MemoryShare = 4; // without a setting, callers may use one in this many bytes of the machine's memory
+constexpr std::size_t MinCallerMemory = 32 * MiB; // but at least this: three of the largest requests at once
+constexpr std::uint64_t TrimmedBytes = 4 * MiB; // memory of callers that is given back between two calls of malloc_trim()
 constexpr Duration AccountIdleTimeout = std::chrono::minutes(10); // the state of an account without requests is removed after this time
 constexpr Duration HousekeepingInterval = std::chrono::seconds(2); // time between two removals of idle accounts, expired connections and unused heap memory
 
@@ -29,6 +40,20 @@
     }
 };
 
+// Memory of the machine, or of the control group that the process runs in, bytes.
+std::size_t machineMemory()
+{
+    const auto physical = static_cast<std::size_t>(::sysconf(_SC_PHYS_PAGES)) * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+    std::size_t limit = 0;
+    std::ifstream file("/sys/fs/cgroup/memory.max"); // holds "max" when there is no limit
+    return file >> limit ? std::min(limit, physical) : physical;
+}
+
+std::size_t defaultCallerMemory()
+{
+    return std::max(machineMemory() / MemoryShare, MinCallerMemory);
+}
+
 std::string hostOf(const std::string &address)
 {
     return address.substr(0, address.rfind(':'));
@@ -60,7 +85,6 @@
     , m_suspects(m_clock)
     , m_workers(settings.workers)
     , m_timers(m_workers)
-    , m_socketWatchdog(m_timers)
 {
 }
 
@@ -132,17 +156,24 @@
         operators.name = "operators";
         operators.address = m_settings.operatorAddress;
         operators.connections = OperatorConnections;
+        operators.queuedConnections = OperatorConnections;
         operators.maxBodyBytes = ConfigurationBodyLimit;
-        m_operatorServer = std::make_unique<HttpServer>(operators, *m_operatorHandler, m_socketWatchdog);
+        m_operatorServer = std::make_unique<HttpServer>(operators, *m_operatorHandler);
         HttpServerSettings callers;
         callers.name = "callers";
         callers.address = m_settings.callerAddress;
         callers.connections = static_cast<int>(m_settings.connections);
         callers.readTimeout = m_settings.readLimit;
-        m_callerServer = std::make_unique<HttpServer>(callers, *m_callerHandler, m_socketWatchdog);
+        callers.sendTimeout = m_settings.sendLimit;
+        callers.maxHeadBytes = m_settings.maxHeadKib * KiB;
+        callers.memoryBytes = m_settings.callerMemoryMib == 0 ? defaultCallerMemory() : m_settings.callerMemoryMib * MiB;
+        callers.runningFactor = RunningFactor;
+        m_callerServer = std::make_unique<HttpServer>(callers, *m_callerHandler);
     } catch (const Poco::Exception &exception) {
         return fail(ErrorCode::ListenFailed, exception.displayText());
     }
+    m_callerUsage = m_callerServer->usageReader();
+    registerGauges();
     m_members->setOperatorAddress(hostOf(self.peerAddress) + ":" + std::to_string(m_operatorServer->port()));
     m_peerServer->serve(*m_control);
     startTimers();
@@ -171,9 +202,55 @@
     m_timers.every(HousekeepingInterval, [this] {
         m_accounts.removeIdle(AccountIdleTimeout);
         m_backendChannel->closeExpiredConnections();
-        if (const Revision revision = m_configurations.current()->revision(); m_heapTrimmedAtRevision.exchange(revision) != revision) {
-            ::malloc_trim(0); // gives memory back to the system: reading a configuration needed it only for a short time
-        }
+        trimHeap();
+        logPressure();
+    });
+}
+
+void Node::trimHeap()
+{
+    const Revision revision = m_configurations.current()->revision();
+    const std::uint64_t released = m_callerUsage().releasedBytes;
+    const bool newRevision = m_heapTrimmedAtRevision.exchange(revision) != revision; // reading a configuration needed memory for a short time
+    if (newRevision || released - m_heapTrimmedAtBytes >= TrimmedBytes) {
+        m_heapTrimmedAtBytes = released;
+        ::malloc_trim(0);
+    }
+}
+
+void Node::logPressure()
+{
+    const HttpServerUsage usage = m_callerUsage();
+    const std::uint64_t closed = usage.closedForOthers - m_loggedUsage.closedForOthers;
+    const std::uint64_t refused = usage.memoryRefusals - m_loggedUsage.memoryRefusals;
+    if (closed > 0 || refused > 0) {
+        logEvent(LogLevel::Warning, "callers.pressure",
+                 {{"closed", closed},
+                  {"refused", refused},
+                  {"connections", static_cast<std::uint64_t>(usage.connections)},
+                  {"memory_bytes", static_cast<std::uint64_t>(usage.memoryBytes)}});
+    }
+    m_loggedUsage = usage;
+}
+
+void Node::registerGauges()
+{
+    const auto usageGauge = [this](const std::string &name, auto read) {
+        m_metrics->gauge(name, [this, read] {
+            return static_cast<double>(read(m_callerUsage()));
+        });
+    };
+    usageGauge("vanillanotch_caller_connections", [](const HttpServerUsage &usage) {
+        return usage.connections;
+    });
+    usageGauge("vanillanotch_caller_memory_bytes", [](const HttpServerUsage &usage) {
+        return usage.memoryBytes;
+    });
+    usageGauge("vanillanotch_caller_connections_closed_for_others", [](const HttpServerUsage &usage) {
+        return usage.closedForOthers;
+    });
+    usageGauge("vanillanotch_caller_memory_refusals", [](const HttpServerUsage &usage) {
+        return usage.memoryRefusals;
     });
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -34,6 +34,9 @@
 
 private:
     void startTimers();
+    void registerGauges();
+    void trimHeap(); // gives freed memory back to the system when there may be much of it
+    void logPressure(); // writes a log line when callers' connections were closed or refused for lack of places or memory since the last call
     double accountShare() const; // share of each client account's rate that this node may serve, 0 to 1
 
     NodeSettings m_settings;
@@ -50,6 +53,7 @@
     std::unique_ptr<BackoffSleeper> m_backoffSleeper;
     ConfigurationTable m_configurations;
     std::atomic<Revision> m_heapTrimmedAtRevision{0}; // revision of the configuration that was in force when the heap was last trimmed
+    std::atomic<std::uint64_t> m_heapTrimmedAtBytes{0}; // HttpServerUsage::releasedBytes of the callers' server at that time
     ConfigurationService m_configurationService;
     BackendServerTable m_servers;
     AccountTable m_accounts;
@@ -69,9 +73,10 @@
     std::unique_ptr<EngineOrders> m_engineOrders;
     std::unique_ptr<CallerHandler> m_callerHandler;
     std::unique_ptr<OperatorHandler> m_operatorHandler;
+    std::function<HttpServerUsage()> m_callerUsage; // of m_callerServer; the workers call it, which end after that server
+    HttpServerUsage m_loggedUsage; // at the last call of logPressure(), which only one timer makes
     WorkerPool m_workers;
     TimerQueue m_timers;
-    SocketWatchdog m_socketWatchdog;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_operatorServer;
 };
--- a/src/frontend/callers.cpp
+++ b/src/frontend/callers.cpp
@@ -29,6 +29,13 @@
     return refusal;
 }
 
+// The body is freed as soon as it is decoded, since a request may run for long.
+Result<SubmissionDocument> readSubmission(HttpExchange &exchange)
+{
+    const auto body = exchange.readBody();
+    return body ? decodeSubmission(*body) : tl::unexpected(body.error());
+}
+
 // Sink for an answer that is sent as a whole at the end, so it ignores the tokens. While the request runs, the service watches the caller's
 // socket through the sink and notices when the caller disconnects.
 class WholeAnswerSink : public AnswerSink
@@ -38,8 +45,13 @@
         : m_exchange(exchange)
     {
     }
-    bool token(std::string_view /*text*/) override
+    bool token(std::string_view text) override
     {
+        // The service collects the text, which becomes a part of the answer's document: so it is held twice. It is counted in steps, since tokens are small.
+        m_uncounted += text.size() * 2;
+        if (m_uncounted >= CountedStep) {
+            m_exchange.holdAnswer(std::exchange(m_uncounted, 0));
+        }
         return true;
     }
     void flush() override
@@ -56,6 +68,10 @@
 
 protected:
     HttpExchange &m_exchange;
+
+private:
+    static constexpr std::size_t CountedStep = 16 * 1024; // bytes
+    std::size_t m_uncounted = 0; // bytes of the answer that were not counted yet
 };
 
 // Sink for a streamed answer: it sends a server-sent event `token` for each token. CallerHandler ends the stream with an event
@@ -67,6 +83,7 @@
 
     bool token(std::string_view text) override
     {
+        (void)WholeAnswerSink::token(text);
         sendEvent("token", encodeTokenEvent(text));
         return !m_writeFailed;
     }
@@ -113,18 +130,14 @@
         exchange.closeAfterReply(); // the request may have a body, which stays unread
         return replyRefusal(exchange, notRunRefusal(Error{ErrorCode::UnknownPath, "use POST /v1/pipelines/NAME"}));
     }
-    const auto body = exchange.readBody();
-    if (!body) {
-        return replyRefusal(exchange, notRunRefusal(body.error()));
-    }
-    const auto document = decodeSubmission(*body);
+    auto document = readSubmission(exchange);
     if (!document) {
         return replyRefusal(exchange, notRunRefusal(document.error()));
     }
     Submission submission;
     submission.apiKey = exchange.bearerToken();
     submission.pipeline = path.substr(PipelinesPath.size());
-    submission.input = document->input;
+    submission.input = std::move(document->input);
     submission.deadline = document->deadline;
     submission.idempotencyKey = exchange.header("Idempotency-Key");
     if (!document->stream) {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -1,8 +1,8 @@
 // vanillanotch http library: HTTP/1.1 by POCO Net. Every wait has a time limit. vanillanotchd and the command-line tool use it;
-// vanillanotch-entryd uses the transport library (transport/transport.h) instead.
+// vanillanotch-entryd uses the transport library (transport/transport.h) instead. The server reads requests by the strict parser of that library, since
+// POCO's accepts ambiguous heads and has no limit for a head as a whole.
 //
 // Index of sections:
-//   [WATCHDOG]  SocketWatchdog: shuts down connections whose peer is too slow
 //   [CLIENT]    HttpClient: pooled connections with time limits
 //   [SERVER]    HttpServer, HttpExchange, HttpHandler
 #pragma once
@@ -10,41 +10,17 @@
 #include "base/base.h"
 
 #include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/TCPServer.h>
 
 #include <list>
 #include <memory>
 #include <optional>
-#include <set>
+#include <ostream>
 
 namespace vanillanotch
 {
 
-//-----------------------------------------------------------------------------
-// [WATCHDOG]
-//-----------------------------------------------------------------------------
-
-// Limits the time for reading a whole request, however slowly its bytes arrive: when the timeout given to arm() has passed, the socket is shut down for
-// reading, so that the thread that reads the request wakes up.
-class SocketWatchdog
-{
-public:
-    explicit SocketWatchdog(TimerQueue &timers);
-    std::uint64_t arm(const Poco::Net::StreamSocket &socket, Duration timeout); // returns the token for disarm()
-    bool disarm(std::uint64_t token); // false: the timeout had passed already and the socket was shut down for reading
-
-private:
-    void check(std::uint64_t token);
-
-    TimerQueue &m_timers;
-    RankedMutex m_mutex{LockRank::Connections};
-    std::uint64_t m_lastToken = 0;
-    std::map<std::uint64_t, Poco::Net::StreamSocket> m_armed;
-};
-
 //-----------------------------------------------------------------------------
 // [CLIENT]
 //-----------------------------------------------------------------------------
@@ -161,19 +137,47 @@
     std::string name; // for logs: "callers" or "operators"
     std::string address = "127.0.0.1:0"; // IP:port; port 0: any free port
     int connections = 512; // most connections served at the same time, each by one thread
-    int queuedConnections = 256; // most connections that wait for a thread; further ones are closed
+    int queuedConnections = 256; // most connections that wait for a thread; further ones wait in the system's queue
+    std::size_t maxHeadBytes = 64 * 1024; // largest head of a request, bytes
+    std::size_t maxFieldBytes = 8 * 1024; // largest value of a header field, bytes
+    std::size_t maxFields = 100; // most header fields of a request
     std::size_t maxBodyBytes = 1024 * 1024; // largest body of a request, bytes
+    // Bytes that all connections together may hold: heads and bodies being received, running requests, and replies that wait to be read. While they are in
+    // use, connections without progress are closed and then new requests are refused. 0: not limited.
+    std::size_t memoryBytes = 0;
+    unsigned runningFactor = 0; // memory reserved for a request while it runs, as a multiple of its body's length; readBody() reserves it
     std::chrono::milliseconds readTimeout{10000}; // for receiving a whole request
+    std::chrono::milliseconds sendTimeout{10000}; // a connection that accepts no bytes of a reply for this long is closed
     std::chrono::milliseconds idleTimeout{15000}; // a connection without a request for this long is closed
 };
 
+// What an HttpServer uses now, and what it has counted since its start.
+struct HttpServerUsage {
+    std::size_t connections = 0; // accepted connections
+    std::size_t requests = 0; // requests being received or served
+    std::size_t memoryBytes = 0; // see HttpServerSettings::memoryBytes
+    std::uint64_t releasedBytes = 0; // sum of all such memory that was given back
+    std::uint64_t closedForOthers = 0; // connections without progress that were closed because others needed their places or their memory
+    std::uint64_t memoryRefusals = 0; // requests for which there was no memory
+};
+
+class ServedConnection;
+class ConnectionTable;
+class RequestReader;
+class ReplyBuffer;
+struct RequestHead;
+struct BodyFraming;
+
 // One request and its reply.
 class HttpExchange
 {
 public:
-    // `onRead` is called when the whole request has been read. `maxBodyBytes`: largest body that readBody() accepts.
-    HttpExchange(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response, std::size_t maxBodyBytes,
-                 std::function<void()> onRead);
+    HttpExchange(const HttpServerSettings &settings, ServedConnection &connection, RequestReader &reader, const RequestHead &head, const BodyFraming &framing,
+                 TimePoint readUntil);
+    ~HttpExchange();
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+
     const std::string &method() const;
     const std::string &path() const // without the query
     {
@@ -182,7 +186,7 @@
     std::string query(const std::string &name) const; // empty: absent
     std::string header(const std::string &name) const; // empty: absent
     std::string bearerToken() const; // from the header Authorization, without "Bearer"; empty: absent
-    Result<std::string> readBody(); // errors: BodyTooLarge, ReadTimeout
+    Result<std::string> readBody(); // errors: BodyTooLarge, ReadTimeout, MalformedRequest, Overloaded
     void reply(int status, const std::string &contentType, const std::string &body);
     void setHeader(const std::string &name, const std::string &value); // call it before reply() or beginStream()
     std::ostream &beginStream(const std::string &contentType); // begins a chunked reply with status 200; its body is what is written to the stream returned
@@ -190,14 +194,33 @@
     int callerSocket() const; // descriptor of the caller's connection
     bool callerDisconnected() const; // true: the caller closed its sending side and no received bytes are left unread
     void closeAfterReply(); // closes the connection after the reply; call it before the reply begins
+    void holdAnswer(std::size_t bytes); // counts memory that an answer takes until the exchange ends, see HttpServerSettings::memoryBytes
 
 private:
-    Poco::Net::HTTPServerRequestImpl &m_request;
-    Poco::Net::HTTPServerResponseImpl &m_response;
-    std::size_t m_maxBodyBytes;
-    std::function<void()> m_onRead;
+    friend class ServerConnection;
+    std::string encodeHead(int status, std::optional<std::size_t> length); // without length: chunked, or until the connection ends
+    bool send(std::string_view bytes, bool moreFollow);
+    void finish(); // ends a streamed reply
+    void abort(); // ends the connection, so that the caller can't take what was sent for a complete reply
+
+    const HttpServerSettings &m_settings;
+    ServedConnection &m_connection;
+    RequestReader &m_reader;
+    const RequestHead &m_head;
+    const BodyFraming &m_framing;
+    TimePoint m_readUntil;
     std::string m_path;
     std::map<std::string, std::string> m_query;
+    std::map<std::string, std::string> m_replyHeaders;
+    std::size_t m_reserved = 0; // bytes, for the body that readBody() has returned and the request that runs
+    bool m_bodyRead = false;
+    bool m_replied = false;
+    bool m_keepAlive = true;
+    bool m_sendFailed = false;
+    std::unique_ptr<ReplyBuffer> m_buffer; // of a streamed reply
+    std::unique_ptr<std::ostream> m_stream;
+
+    friend class ReplyBuffer;
 };
 
 // Serves the requests that an HttpServer receives.
@@ -206,21 +229,23 @@
 public:
     virtual ~HttpHandler() = default;
     virtual void handle(HttpExchange &exchange) = 0; // must reply; runs on a thread of the server
-    // JSON body of the reply to a request that could not be read. `code`: MalformedRequest, HeaderTooLarge or ReadTimeout.
+    // JSON body of the reply to a request that could not be read. `code`: MalformedRequest, HeaderTooLarge, ReadTimeout or Overloaded.
     virtual std::string describeError(ErrorCode code) = 0;
 };
 
 class HttpServer
 {
 public:
-    HttpServer(HttpServerSettings settings, HttpHandler &handler, SocketWatchdog &watchdog);
+    HttpServer(HttpServerSettings settings, HttpHandler &handler);
     ~HttpServer();
     std::string address() const; // IP:port as bound
     std::uint16_t port() const;
     void beginClosing(); // from now on replies carry "Connection: close"; new connections are still accepted
     // Accepts no more connections, shuts idle connections down for reading so that they end, and waits at most `timeout` for the running requests.
     void stop(Duration timeout);
-    int activeRequests() const; // requests being served
+    int activeRequests() const; // requests being received or served
+    HttpServerUsage usage() const;
+    std::function<HttpServerUsage()> usageReader() const; // returns usage(); may be called also after the server was destroyed
 
 private:
     friend class ServerConnection;
@@ -228,18 +253,8 @@
 
     HttpServerSettings m_settings;
     HttpHandler &m_handler;
-    SocketWatchdog &m_watchdog;
-    void addIdle(const Poco::Net::StreamSocket &socket);
-    void removeIdle(const Poco::Net::StreamSocket &socket);
-    void closeIdle();
-    void shutdownIdleLocked(Poco::Net::StreamSocket socket);
-
     std::atomic<bool> m_closing{false};
-    bool m_idleClosed = false; // closeIdle() was called; guarded by m_mutex
-    std::atomic<int> m_activeRequests{0};
-    RankedMutex m_mutex{LockRank::Connections};
-    std::condition_variable_any m_requestEnded; // notified when a request has been served
-    std::set<Poco::Net::StreamSocket> m_idleSockets; // keep-alive connections between two requests
+    Ref<ConnectionTable> m_table;
     std::unique_ptr<Poco::ThreadPool> m_pool;
     std::unique_ptr<Poco::Net::TCPServer> m_server;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,194 +1,94 @@
-#include "http/http.h"
+#include "http/exchange.h"
 
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
-#include <Poco/URI.h>
 
-namespace vanillanotch
-{
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 
-//-----------------------------------------------------------------------------
-// SocketWatchdog
-//-----------------------------------------------------------------------------
+#include <algorithm>
 
-SocketWatchdog::SocketWatchdog(TimerQueue &timers)
-    : m_timers(timers)
+namespace vanillanotch
 {
-}
 
-std::uint64_t SocketWatchdog::arm(const Poco::Net::StreamSocket &socket, Duration timeout)
+namespace
 {
-    std::uint64_t token = 0;
-    {
-        const Lock lock(m_mutex);
-        token = ++m_lastToken;
-        m_armed.emplace(token, socket);
-    }
-    m_timers.after(timeout, [this, token] {
-        check(token);
-    });
-    return token;
-}
-
-bool SocketWatchdog::disarm(std::uint64_t token)
-{
-    const Lock lock(m_mutex);
-    return m_armed.erase(token) == 1;
-}
+constexpr Duration LingerLimit = std::chrono::seconds(2); // longest wait for the peer to close its side
+// Callers may use one in this many of the process's descriptors. The rest is for operators, peers, the platform and calls to backend servers.
+constexpr std::size_t DescriptorShare = 2;
+// Connections that have a thread, in quarters of all that may be open: each may need a further descriptor for its call to a backend server.
+constexpr std::size_t ThreadQuarters = 3;
+constexpr std::size_t HttpTimeoutStatus = 408;
+constexpr int HttpUnavailableStatus = 503;
+constexpr int HttpBadRequestStatus = 400;
 
-void SocketWatchdog::check(std::uint64_t token)
+ConnectionLimits limitsOf(const HttpServerSettings &settings)
 {
-    const Lock lock(m_mutex);
-    const auto found = m_armed.find(token);
-    if (found == m_armed.end()) {
-        return;
-    }
-    Poco::Net::StreamSocket socket = found->second;
-    m_armed.erase(found);
-    try {
-        socket.shutdownReceive(); // wakes the thread that reads
-    } catch (const Poco::Exception &) {
-        return; // the peer closed first
+    rlimit descriptors{};
+    const bool limited = ::getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur != RLIM_INFINITY;
+    const auto threads = static_cast<std::size_t>(settings.connections);
+    ConnectionLimits limits;
+    limits.open = threads + static_cast<std::size_t>(settings.queuedConnections);
+    limits.threads = threads;
+    limits.memory = settings.memoryBytes;
+    if (const std::size_t share = descriptors.rlim_cur / DescriptorShare; limited && limits.open > share) {
+        limits.open = std::max<std::size_t>(share, 1);
+        limits.threads = std::clamp<std::size_t>(share * ThreadQuarters / 4, 1, threads);
     }
+    return limits;
 }
 
-//-----------------------------------------------------------------------------
-// HttpExchange
-//-----------------------------------------------------------------------------
-
-HttpExchange::HttpExchange(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response, std::size_t maxBodyBytes,
-                           std::function<void()> onRead)
-    : m_request(request)
-    , m_response(response)
-    , m_maxBodyBytes(maxBodyBytes)
-    , m_onRead(std::move(onRead))
+// Returns how the body is delimited; also checks the fields against the limits.
+Result<BodyFraming> checkHead(const RequestHead &head, const HttpServerSettings &settings)
 {
-    try {
-        const Poco::URI uri(request.getURI());
-        m_path = uri.getPath();
-        for (const auto &[name, value] : uri.getQueryParameters()) {
-            m_query[name] = value;
-        }
-    } catch (const Poco::Exception &) {
-        m_path.clear(); // the request's target is invalid: the handler treats the empty path as an unknown one
+    const std::vector<HeaderField> &fields = head.headers.all();
+    const bool tooLong = std::any_of(fields.begin(), fields.end(), [&](const HeaderField &field) {
+        return field.value.size() > settings.maxFieldBytes;
+    });
+    if (tooLong || fields.size() > settings.maxFields) {
+        return fail(ErrorCode::HeaderTooLarge, "a header field is too long, or there are too many");
     }
+    return requestFraming(head);
 }
 
-const std::string &HttpExchange::method() const
-{
-    return m_request.getMethod();
-}
-
-std::string HttpExchange::query(const std::string &name) const
-{
-    const auto found = m_query.find(name);
-    return found == m_query.end() ? std::string() : found->second;
-}
-
-std::string HttpExchange::header(const std::string &name) const
-{
-    return m_request.get(name, std::string());
-}
-
-std::string HttpExchange::bearerToken() const
-{
-    const std::string value = header("Authorization");
-    const std::string_view scheme = "Bearer ";
-    return value.rfind(scheme, 0) == 0 ? value.substr(scheme.size()) : std::string();
-}
-
-Result<std::string> HttpExchange::readBody()
+// Parses the head. A request with HTTP/1.0 need not name a host (RFC 9112, section 3.2), as the checks of some load balancers don't.
+Result<RequestHead> parseHead(const std::string &block)
 {
-    if (m_request.hasContentLength() && m_request.getContentLength64() > static_cast<Poco::Int64>(m_maxBodyBytes)) {
-        closeAfterReply();
-        return fail(ErrorCode::BodyTooLarge, "the body is longer than " + std::to_string(m_maxBodyBytes) + " bytes");
-    }
-    std::string body;
-    std::array<char, 16384> buffer{};
-    std::istream &stream = m_request.stream();
-    while (stream) {
-        stream.read(buffer.data(), buffer.size());
-        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > m_maxBodyBytes) {
-            closeAfterReply();
-            return fail(ErrorCode::BodyTooLarge, "the body is longer than " + std::to_string(m_maxBodyBytes) + " bytes");
-        }
+    auto head = parseRequestHead(block);
+    const std::size_t lineEnd = block.find("\r\n");
+    constexpr std::string_view OldVersion = " HTTP/1.0";
+    if (head || lineEnd == std::string::npos || lineEnd < OldVersion.size() || block.compare(lineEnd - OldVersion.size(), OldVersion.size(), OldVersion) != 0) {
+        return head;
     }
-    const bool whole = !m_request.hasContentLength() || static_cast<Poco::Int64>(body.size()) == m_request.getContentLength64();
-    if (stream.bad() || !whole) {
-        closeAfterReply();
-        return fail(ErrorCode::ReadTimeout, "the body ended early or came too slowly");
-    }
-    m_onRead();
-    return body;
+    return parseRequestHead(block.substr(0, lineEnd) + "\r\nHost: -" + block.substr(lineEnd)); // refused when another Host follows
 }
-
-void HttpExchange::setHeader(const std::string &name, const std::string &value)
-{
-    m_response.set(name, value);
-}
-
-void HttpExchange::reply(int status, const std::string &contentType, const std::string &body)
-{
-    m_response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    m_response.setContentType(contentType);
-    m_response.sendBuffer(body.data(), body.size());
-}
-
-std::ostream &HttpExchange::beginStream(const std::string &contentType)
-{
-    m_response.setContentType(contentType);
-    m_response.setChunkedTransferEncoding(true);
-    return m_response.send();
-}
-
-bool HttpExchange::replied() const
-{
-    return m_response.sent();
-}
-
-int HttpExchange::callerSocket() const
-{
-    return m_request.socket().impl()->sockfd();
-}
-
-bool HttpExchange::callerDisconnected() const
-{
-    char byte = 0;
-    return ::recv(callerSocket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
-void HttpExchange::closeAfterReply()
-{
-    m_response.setKeepAlive(false);
-}
-
-//-----------------------------------------------------------------------------
-// HttpServer
-//-----------------------------------------------------------------------------
+} // namespace
 
 // Serves the requests of one connection, one after the other, on one thread.
 class ServerConnection final : public Poco::Net::TCPServerConnection
 {
 public:
-    ServerConnection(const Poco::Net::StreamSocket &socket, HttpServer &server, Poco::Net::HTTPServerParams::Ptr params)
+    ServerConnection(const Poco::Net::StreamSocket &socket, HttpServer &server)
         : TCPServerConnection(socket)
         , m_server(server)
-        , m_params(std::move(params))
     {
     }
 
     void run() override
     {
+        ServedConnection connection(*m_server.m_table, socket().impl()->sockfd());
+        RequestReader reader(connection);
         try {
             socket().setNoDelay(true);
-            Poco::Net::HTTPServerSession session(socket(), m_params);
-            while (awaitRequest(session)) {
-                if (!serveOne(session)) {
-                    lingerClose();
+            while (reader.awaitRequest(std::chrono::steady_clock::now() + m_server.m_settings.idleTimeout)) {
+                connection.beginRequest();
+                const bool more = serveOne(connection, reader);
+                connection.endRequest();
+                reader.endRequest();
+                if (!more) {
+                    lingerClose(connection);
                     break;
                 }
             }
@@ -198,125 +98,67 @@
     }
 
 private:
-    bool awaitRequest(Poco::Net::HTTPServerSession &session)
+    bool serveOne(ServedConnection &connection, RequestReader &reader)
     {
-        m_server.addIdle(socket());
-        const bool more = session.hasMoreRequests();
-        m_server.removeIdle(socket());
-        return more;
+        const HttpServerSettings &settings = m_server.m_settings;
+        const TimePoint readUntil = std::chrono::steady_clock::now() + settings.readTimeout;
+        const auto block = reader.readHead(settings.maxHeadBytes, readUntil);
+        if (!block) {
+            return refuse(connection, reader, block.error().code);
+        }
+        const auto head = parseHead(*block);
+        if (!head) {
+            return refuse(connection, reader, head.error().code);
+        }
+        const auto framing = checkHead(*head, settings);
+        if (!framing) {
+            return refuse(connection, reader, framing.error().code);
+        }
+        HttpExchange exchange(settings, connection, reader, *head, *framing, readUntil);
+        if (m_server.m_closing) {
+            exchange.closeAfterReply();
+        }
+        try {
+            m_server.m_handler.handle(exchange);
+            exchange.finish();
+        } catch (const std::exception &exception) {
+            logEvent(LogLevel::Error, "http.handler_failed", {{"listener", settings.name}, {"detail", exception.what()}});
+            exchange.abort();
+        }
+        // Also while the server closes, a connection is closed only if its reply announced that: the caller may have sent its next request.
+        return exchange.m_keepAlive;
     }
 
-    bool serveOne(Poco::Net::HTTPServerSession &session)
+    // Replies to a request that could not be read. Returns false: the connection must be closed.
+    bool refuse(ServedConnection &connection, RequestReader &reader, ErrorCode code)
     {
-        m_watchdogToken = m_server.m_watchdog.arm(socket(), m_server.m_settings.readTimeout);
-        Poco::Net::HTTPServerResponseImpl response(session);
-        std::unique_ptr<Poco::Net::HTTPServerRequestImpl> request;
-        try {
-            request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(response, session, m_params.get());
-        } catch (const Poco::Net::NoMessageException &) {
-            m_server.m_watchdog.disarm(m_watchdogToken);
-            return false;
-        } catch (const Poco::Exception &exception) {
-            refuseUnreadable(response, exception);
+        if (code == ErrorCode::CallerDisconnected) {
             return false;
         }
-        response.setVersion(request->getVersion());
-        response.setDate(Poco::Timestamp());
-        response.setKeepAlive(!m_server.m_closing && request->getKeepAlive());
-        const ActiveCount active(m_server);
-        serve(*request, response);
-        m_server.m_watchdog.disarm(m_watchdogToken);
-        session.setKeepAlive(response.getKeepAlive());
-        // Also while the server closes, a connection is closed only if its reply announced that: the caller may have sent its next request.
-        return response.getKeepAlive();
+        const RequestHead head;
+        const BodyFraming framing;
+        HttpExchange exchange(m_server.m_settings, connection, reader, head, framing, TimePoint{});
+        exchange.closeAfterReply();
+        const int status = code == ErrorCode::ReadTimeout ? HttpTimeoutStatus : code == ErrorCode::Overloaded ? HttpUnavailableStatus : HttpBadRequestStatus;
+        exchange.reply(status, "application/json", m_server.m_handler.describeError(code));
+        return false;
     }
 
     // Call it before the connection is closed: reads and discards what the peer still sends, until the peer has closed its side or LingerLimit has
     // passed. Closing with unread bytes would reset the connection, and the peer would lose the reply.
-    void lingerClose()
+    void lingerClose(ServedConnection &connection)
     {
-        constexpr Duration LingerLimit = std::chrono::seconds(2); // longest wait for the peer to close its side
         socket().shutdownSend();
         const TimePoint end = std::chrono::steady_clock::now() + LingerLimit;
-        std::array<char, 16384> buffer{};
-        while (std::chrono::steady_clock::now() < end) {
-            if (!socket().poll(Poco::Timespan(0, 200000), Poco::Net::Socket::SELECT_READ)) {
-                continue;
-            }
-            if (socket().receiveBytes(buffer.data(), static_cast<int>(buffer.size())) <= 0) {
+        std::array<char, 16384> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by recv
+        while (std::chrono::steady_clock::now() < end && connection.wait(PeerWait::Close, POLLIN, end) == WaitResult::Ready) {
+            if (::recv(connection.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT) <= 0) {
                 return;
             }
         }
     }
 
-    void serve(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response)
-    {
-        const auto onRead = [this] {
-            m_server.m_watchdog.disarm(m_watchdogToken);
-        };
-        if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_GET) {
-            onRead(); // the body of a GET request isn't read, so the request counts as read whole and the watchdog is disarmed
-        }
-        HttpExchange exchange(request, response, m_server.m_settings.maxBodyBytes, onRead);
-        try {
-            m_server.m_handler.handle(exchange);
-        } catch (const Poco::Exception &exception) {
-            logEvent(LogLevel::Debug, "http.broken", {{"listener", m_server.m_settings.name}, {"detail", exception.displayText()}});
-            response.setKeepAlive(false);
-        } catch (const std::exception &exception) {
-            logEvent(LogLevel::Error, "http.handler_failed", {{"listener", m_server.m_settings.name}, {"detail", exception.what()}});
-            response.setKeepAlive(false);
-        }
-    }
-
-    void refuseUnreadable(Poco::Net::HTTPServerResponseImpl &response, const Poco::Exception &exception)
-    {
-        const bool inTime = m_server.m_watchdog.disarm(m_watchdogToken);
-        const bool tooLong =
-            dynamic_cast<const Poco::Net::MessageException *>(&exception) != nullptr && exception.message().find("too long") != std::string::npos;
-        ErrorCode code = ErrorCode::MalformedRequest;
-        if (!inTime) {
-            code = ErrorCode::ReadTimeout;
-        } else if (tooLong || exception.message().find("Too many") != std::string::npos) {
-            code = ErrorCode::HeaderTooLarge;
-        }
-        try {
-            response.setKeepAlive(false);
-            response.setStatusAndReason(code == ErrorCode::ReadTimeout ? Poco::Net::HTTPResponse::HTTP_REQUEST_TIMEOUT
-                                                                       : Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
-            response.setContentType("application/json");
-            const std::string body = m_server.m_handler.describeError(code);
-            response.sendBuffer(body.data(), body.size());
-        } catch (const Poco::Exception &) {
-            return; // the caller disconnected before the reply
-        }
-    }
-
-    // Counts a request as active for as long as this object exists.
-    class ActiveCount
-    {
-    public:
-        explicit ActiveCount(HttpServer &server)
-            : m_server(server)
-        {
-            ++m_server.m_activeRequests;
-        }
-        ~ActiveCount()
-        {
-            const Lock lock(m_server.m_mutex);
-            --m_server.m_activeRequests;
-            m_server.m_requestEnded.notify_all();
-        }
-        ActiveCount(const ActiveCount &) = delete;
-        ActiveCount &operator=(const ActiveCount &) = delete;
-
-    private:
-        HttpServer &m_server;
-    };
-
     HttpServer &m_server;
-    Poco::Net::HTTPServerParams::Ptr m_params;
-    std::uint64_t m_watchdogToken = 0;
 };
 
 class ServerConnectionFactory final : public Poco::Net::TCPServerConnectionFactory
@@ -324,36 +166,37 @@
 public:
     explicit ServerConnectionFactory(HttpServer &server)
         : m_server(server)
-        , m_params(new Poco::Net::HTTPServerParams())
     {
-        m_params->setKeepAlive(true);
-        m_params->setMaxKeepAliveRequests(0);
-        m_params->setKeepAliveTimeout(Poco::Timespan(server.m_settings.idleTimeout.count() * 1000));
-        m_params->setTimeout(Poco::Timespan(server.m_settings.readTimeout.count() * 1000));
     }
     Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
     {
-        return new ServerConnection(socket, m_server, m_params); // POCO takes ownership
+        return new ServerConnection(socket, m_server); // POCO takes ownership
     }
 
 private:
     HttpServer &m_server;
-    Poco::Net::HTTPServerParams::Ptr m_params;
 };
 
-HttpServer::HttpServer(HttpServerSettings settings, HttpHandler &handler, SocketWatchdog &watchdog)
+HttpServer::HttpServer(HttpServerSettings settings, HttpHandler &handler)
     : m_settings(std::move(settings))
     , m_handler(handler)
-    , m_watchdog(watchdog)
 {
     constexpr int MinThreads = 4; // threads that the pool keeps
     constexpr int ListenBacklog = 512; // connections that the system queues until they are accepted
-    m_pool = std::make_unique<Poco::ThreadPool>(MinThreads, m_settings.connections + 1);
+    const ConnectionLimits limits = limitsOf(m_settings);
+    const int threads = static_cast<int>(limits.threads);
+    if (threads < m_settings.connections) {
+        logEvent(
+            LogLevel::Warning, "http.limited_by_descriptors",
+            {{"listener", m_settings.name}, {"connections", static_cast<std::uint64_t>(limits.open)}, {"threads", static_cast<std::uint64_t>(limits.threads)}});
+    }
+    m_table = makeRef<ConnectionTable>(limits);
+    m_pool = std::make_unique<Poco::ThreadPool>(std::min(MinThreads, threads), threads + 1);
     Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams();
-    params->setMaxThreads(m_settings.connections);
-    params->setMaxQueued(m_settings.queuedConnections);
+    params->setMaxThreads(threads);
+    params->setMaxQueued(static_cast<int>(limits.open)); // the table limits the connections, so POCO closes none
     params->setThreadIdleTime(Poco::Timespan(1, 0)); // an idle thread ends after one second; a stop may take as long, as it waits for these threads
-    Poco::Net::ServerSocket socket;
+    LimitedServerSocket socket(m_table);
     socket.bind(Poco::Net::SocketAddress(m_settings.address), true, false); // no SO_REUSEPORT: a shared port would split callers between two daemons
     socket.listen(ListenBacklog);
     m_server = std::make_unique<Poco::Net::TCPServer>(new ServerConnectionFactory(*this), *m_pool, socket, params);
@@ -385,49 +228,25 @@
 {
     m_server->stop();
     m_closing = true;
-    closeIdle();
-    Lock lock(m_mutex);
-    m_requestEnded.wait_for(lock, timeout, [this] {
-        return m_activeRequests == 0;
-    });
+    m_table->closeWaiting();
+    m_table->awaitRequests(timeout);
 }
 
-void HttpServer::addIdle(const Poco::Net::StreamSocket &socket)
-{
-    const Lock lock(m_mutex);
-    m_idleSockets.insert(socket);
-    if (m_idleClosed) {
-        shutdownIdleLocked(socket);
-    }
-}
-
-void HttpServer::removeIdle(const Poco::Net::StreamSocket &socket)
-{
-    const Lock lock(m_mutex);
-    m_idleSockets.erase(socket);
-}
-
-void HttpServer::shutdownIdleLocked(Poco::Net::StreamSocket socket)
+int HttpServer::activeRequests() const
 {
-    try {
-        socket.shutdownReceive(); // a request that has arrived already is still read
-    } catch (const Poco::Exception &exception) {
-        logEvent(LogLevel::Debug, "http.already_closed", {{"listener", m_settings.name}, {"detail", exception.displayText()}});
-    }
+    return static_cast<int>(usage().requests);
 }
 
-void HttpServer::closeIdle()
+std::function<HttpServerUsage()> HttpServer::usageReader() const
 {
-    const Lock lock(m_mutex);
-    m_idleClosed = true;
-    for (const Poco::Net::StreamSocket &socket : m_idleSockets) {
-        shutdownIdleLocked(socket);
-    }
+    return [table = m_table] {
+        return table->usage();
+    };
 }
 
-int HttpServer::activeRequests() const
+HttpServerUsage HttpServer::usage() const
 {
-    return m_activeRequests;
+    return m_table->usage();
 }
 
 } // namespace vanillanotch
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -66,6 +66,10 @@
     unsigned streamWorkers = 1; // threads that read the token streams of all model engines; 0: each request's own thread reads its stream
     unsigned connections = 512; // most connections of callers that are served at the same time
     std::chrono::milliseconds readLimit{10000}; // timeout for reading one whole request of a caller
+    std::chrono::milliseconds sendLimit{10000}; // the connection of a caller who accepts no bytes of its answer for this long is closed
+    unsigned maxHeadKib = 64; // largest head of a caller's request, KiB
+    // Memory for callers' requests and for answers that wait to be read, MiB; 0: a quarter of the machine's memory, at least 32 MiB.
+    unsigned callerMemoryMib = 0;
     // Time between two reads of the newest configuration revision and of the list of VMs on the platform. A few nodes of each
     // data centre, its roots, read them for all and send what is new to the others.
     std::chrono::milliseconds headInterval{2000};
--- a/src/wire/yaml.cpp
+++ b/src/wire/yaml.cpp
@@ -351,6 +351,7 @@
 namespace
 {
 constexpr std::size_t MinSecretLength = 16; // characters
+constexpr unsigned MinCallerMemoryMib = 16;
 constexpr std::size_t DigestLength = 64; // hexadecimal digits
 
 void checkSettings(const NodeSettings &settings, YamlMapping &document)
@@ -362,6 +363,8 @@
     };
     check(settings.peerSecret.size() >= MinSecretLength, "peer_secret", "expected 16 characters or more");
     check(settings.operatorKeyDigest.size() == DigestLength, "operator_key_sha256", "expected 64 hexadecimal digits");
+    check(settings.callerMemoryMib == 0 || settings.callerMemoryMib >= MinCallerMemoryMib, "caller_memory_mib",
+          "expected 0 or at least 16: the largest request takes 9 MiB of the three quarters that requests of its size may use");
     check(makeRouting(settings.routing) != nullptr, "routing", "expected one of deadline_cost, round_robin, least_outstanding");
 }
 
@@ -393,6 +396,9 @@
     document.read("stream_workers", settings.streamWorkers, 0, 64);
     document.read("connections", settings.connections, 8, 16384);
     document.read("read_limit_ms", settings.readLimit, milliseconds(100), milliseconds(600000));
+    document.read("send_limit_ms", settings.sendLimit, milliseconds(100), milliseconds(600000));
+    document.read("max_head_kib", settings.maxHeadKib, 16, 1024);
+    document.read("caller_memory_mib", settings.callerMemoryMib, 0, 1024 * 1024);
     document.read("head_interval_ms", settings.headInterval, milliseconds(50), milliseconds(60000));
     document.read("exchange_interval_ms", settings.exchangeInterval, milliseconds(50), milliseconds(60000));
     document.read("balancer_grace_ms", settings.balancerGrace, milliseconds(0), milliseconds(600000));
--- a/tests/integration/callers_test.cpp
+++ b/tests/integration/callers_test.cpp
@@ -24,7 +24,7 @@
 constexpr rlim_t FewDescriptors = 220; // limit on the node's descriptors in the tests that use them up
 constexpr std::size_t FewDescriptorsBound = 180; // most open descriptors of that node, so that calls to servers and the platform have some left
 // The limits are lower than an operator's, so that a small crowd meets them.
-const std::string NodeLimits = "connections: 128\n";
+const std::string NodeLimits = "connections: 128\ncaller_memory_mib: 24\n";
 
 std::string head(const std::string &fields)
 {
@@ -232,14 +232,14 @@
 // Guards against silent connections that occupy all threads for callers, so that ordinary callers wait for one another round of time-outs after the other.
 TEST(Callers, SilentConnectionsBeyondTheThreads)
 {
-    startNode("connections: 16\n");
+    startNode("connections: 16\ncaller_memory_mib: 24\n");
     sendAndCheck(CrowdMessage{});
 }
 
 // Guards against the same by connections that send one byte of a head.
 TEST(Callers, ConnectionsThatSendOneByteBeyondTheThreads)
 {
-    startNode("connections: 16\n");
+    startNode("connections: 16\ncaller_memory_mib: 24\n");
     sendAndCheck(CrowdMessage{"P", "", 0, ""});
 }
 
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -31,15 +31,12 @@
 // operators that are meant for the other: the second must fail to start.
 TEST(Path, SecondServerOnAnAddressIsRefused)
 {
-    WorkerPool workers(1);
-    TimerQueue timers(workers);
-    SocketWatchdog watchdog(timers);
     EmptyReplyHandler handler;
     HttpServerSettings settings;
     settings.address = "127.0.0.1:0";
-    const HttpServer first(settings, handler, watchdog);
+    const HttpServer first(settings, handler);
     settings.address = first.address();
-    CHECK_THROWS(Poco::Exception, HttpServer(settings, handler, watchdog));
+    CHECK_THROWS(Poco::Exception, HttpServer(settings, handler));
 }
 
 // Without any fault, a request at each of three nodes must pass its four stages and give the same complete text with and without
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -38,17 +38,14 @@
 {
 public:
     StandinServer(const std::string &name, int connections, std::function<void(HttpExchange &)> handler)
-        : m_workers(2)
-        , m_timers(m_workers)
-        , m_watchdog(m_timers)
-        , m_handler(std::move(handler))
+        : m_handler(std::move(handler))
     {
         HttpServerSettings settings;
         settings.name = name;
         settings.connections = connections;
         settings.maxBodyBytes = 64 * 1024 * 1024;
         settings.idleTimeout = std::chrono::minutes(5);
-        m_server = std::make_unique<HttpServer>(settings, m_handler, m_watchdog);
+        m_server = std::make_unique<HttpServer>(settings, m_handler);
     }
     std::string address() const
     {
@@ -56,9 +53,6 @@
     }
 
 private:
-    WorkerPool m_workers;
-    TimerQueue m_timers;
-    SocketWatchdog m_watchdog;
     FunctionHandler m_handler;
     std::unique_ptr<HttpServer> m_server;
 };
