--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -1,5 +1,5 @@
-// ForwardRun: admission of a request and attempts at servers. Index of sections: [ADMISSION], [ATTEMPTS]. The stages are in run_stages.cpp, streamed
-// replies in run_streams.cpp, refusals and the end of a request in run_answers.cpp.
+// ForwardRun: admission of a request and attempts at servers. Index of sections: [ADMISSION], [ATTEMPTS]. The stages are in run_stages.cpp, what the
+// owners of engines are asked in run_placement.cpp, streamed replies in run_streams.cpp, refusals and the end of a request in run_answers.cpp.
 #include "forwarding/run.h"
 
 #include <algorithm>
@@ -131,12 +131,14 @@
     const auto timeSpent = m_request.timeLeft ? m_dependencies.statedDeadlines.estimateSpent(m_route->name, *m_request.timeLeft) : std::chrono::milliseconds(0);
     m_target = arrived + m_route->targetLatency - timeSpent;
     chooseService();
-    return checkCrashes();
+    const auto placed = checkPlaces();
+    return placed ? checkCrashes() : placed;
 }
 
 ForwardRun::StepResult ForwardRun::authenticate()
 {
     m_priority = m_route->priority;
+    m_scope.restrictTo(m_route->allowedRegions, m_settings.regions);
     if (!m_deployment->requiresApiKey()) {
         return {};
     }
@@ -153,6 +155,7 @@
         return fail(ErrorCode::ConfigurationStale);
     }
     m_account = account->name;
+    m_scope.restrictTo(account->allowedRegions, m_settings.regions);
     m_priority = account->priority.value_or(m_priority);
     return {};
 }
@@ -291,7 +294,7 @@
 {
     const TimePoint now = m_dependencies.clock.now();
     const Duration engineTime = streaming() ? m_dependencies.engineTimeEstimator.estimate(m_service, ownTokens()) + m_settings.engineMargin : Duration::zero();
-    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority);
+    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority, m_scope);
     const bool late = now + wait > std::max(m_target - engineTime, now + m_settings.limitedWaitWhenLate);
     if (late) {
         logEvent(LogLevel::Info, "request.limited_on_arrival",
@@ -311,7 +314,7 @@
 bool ForwardRun::limitedBeyondTarget() const
 {
     const TimePoint now = m_dependencies.clock.now();
-    return now + m_dependencies.instances.limitedFor(m_service) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
+    return now + m_dependencies.instances.limitedFor(m_service, m_scope) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
 }
 
 // All servers that could take the request are limited. Waits until one may get a request, unless that would take too long: then the caller is
@@ -321,7 +324,7 @@
     if (limitedBeyondTarget() || m_refuseWaiting) {
         return false;
     }
-    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service));
+    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service, m_scope));
     return !m_refuseWaiting && (woken || woken.error().code != ErrorCode::CallerDisconnected);
 }
 
@@ -385,9 +388,21 @@
     input.service = m_service;
     input.affinity = m_affinity;
     input.avoid = m_tried;
+    input.scope = m_scope;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
     const ServiceSpec *service = m_deployment->service(m_service);
-    auto lease = m_dependencies.instances.acquire(input, service != nullptr && service->engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
+    const bool engine = service != nullptr && service->engine;
+    if (auto demand = engine ? placementDemand() : std::nullopt) {
+        if (auto placed = m_dependencies.placement.place(*demand, m_exchange)) {
+            input.wanted = *placed;
+            m_placed = std::move(demand);
+        }
+    }
+    auto lease = m_dependencies.instances.acquire(input, engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
+    const std::string chosen = lease ? lease->instance().id : std::string();
+    if (m_placed && chosen != input.wanted) {
+        m_placed.reset(); // the owner stops counting it when it hears nothing of it
+    }
     if (!lease) {
         m_lastError = lease.error().code;
         return AttemptOutcome::NotRun;
@@ -408,6 +423,7 @@
         head = call.awaitHead(m_deadline, m_exchange);
     }
     const AttemptOutcome outcome = head ? readReply(call, *head, *lease, began) : handleFailure(head.error(), *lease, began);
+    reportPlacement(std::nullopt, InstanceCallOutcome::Inconclusive); // unless it was reported above
     if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost) {
         reportCrash(instance);
     }
@@ -427,6 +443,7 @@
     const Duration took = m_dependencies.clock.now() - began;
     m_lastError = failure.code;
     lease.finish(callOutcomeOf(failure), Duration::zero());
+    reportPlacement(std::nullopt, callOutcomeOf(failure));
     logEvent(LogLevel::Info, "request.attempt_failed",
              {{"request", m_request.attemptId},
               {"instance", m_lastInstance},
@@ -456,7 +473,9 @@
     }
     if (facts.notExecuted || facts.wrongInstance) {
         m_lastError = facts.wrongInstance ? ErrorCode::WrongInstance : head.status == 409 ? ErrorCode::InputsGone : ErrorCode::ServerBusy;
-        lease.finish(facts.wrongInstance ? InstanceCallOutcome::Unreachable : InstanceCallOutcome::Busy, Duration::zero());
+        const auto callOutcome = facts.wrongInstance ? InstanceCallOutcome::Unreachable : InstanceCallOutcome::Busy;
+        lease.finish(callOutcome, Duration::zero());
+        reportPlacement(std::nullopt, callOutcome);
         logEvent(LogLevel::Info, "request.not_executed", {{"request", m_request.attemptId}, {"instance", m_lastInstance}, {"status", head.status}});
         return AttemptOutcome::NotRun;
     }
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -49,6 +49,7 @@
     StepResult authenticate();
     bool fitsIntoStop(const RouteTimes &times);
     void chooseService();
+    StepResult checkPlaces() const; // NoFitServer: no server is left to the request or to one of its stages
     Result<void> checkCrashes();
     RequestTraits partTraits() const; // without the whole request, whose hash takes time
     RequestTraits allTraits() const;
@@ -74,6 +75,9 @@
     void runAttempts();
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
+    std::vector<PromptPrefix> promptPrefixes() const; // of the shared parts
+    std::optional<PlacementDemand> placementDemand(); // nullopt: the engines are alike, so that their owner isn't asked
+    void reportPlacement(std::optional<Duration> firstEventAfter, InstanceCallOutcome outcome); // `outcome`: if there was no first event
     bool grantRepetition();
     bool queuedBeyondTarget() const;
     bool limitedBeyondTarget() const;
@@ -116,6 +120,7 @@
     std::string m_service;
     std::string m_account;
     std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
+    DataCentreScope m_scope; // of the home regions of route and account
     int m_priority = 0;
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
     TimePoint m_target{}; // by when the answer should be sent, to be within the route's target latency
@@ -136,6 +141,7 @@
     bool m_mayHaveRun = false; // some server may have run the request
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
+    std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     bool m_isProbe = false; // see CrashGuard::Admission
     ErrorCode m_lastError = ErrorCode::NoFitServer;
     std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -84,6 +84,7 @@
 InstanceTable::InstanceTable(const Clock &clock, InstanceSettings settings)
     : m_clock(clock)
     , m_settings(std::move(settings))
+    , m_evacuations(m_settings.restoreDuration)
 {
 }
 
@@ -105,6 +106,7 @@
         entry.outstanding = outstanding;
     }
     entry.spec = spec;
+    recordColdEntryLocked(entry, !sameProcess, m_clock.now());
     entry.removeAt.reset();
     clearCachesLocked();
 }
@@ -146,7 +148,9 @@
             removeLocked(id, registryWorksFor, Duration::max(), now);
         }
         removeExpiredLocked(now);
+        m_hasBeenRead = true;
     }
+    logColdChanges();
     if (m_listener) {
         m_listener();
     }
@@ -158,6 +162,7 @@
         const Lock lock(m_mutex);
         upsertLocked(spec);
     }
+    logColdChanges();
     if (m_listener) {
         m_listener();
     }
@@ -185,7 +190,7 @@
 
 bool InstanceTable::usableLocked(const Entry &entry, TimePoint now) const
 {
-    return !entry.spec.draining && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
+    return !entry.spec.draining && !m_evacuations.includes(entry.spec.dataCentre) && now >= entry.leavingUntil && (!entry.removeAt || now < *entry.removeAt);
 }
 
 void InstanceTable::Entry::removeUnanswered(TimePoint begun)
@@ -256,7 +261,7 @@
     ShortestTimes shortest;
     bool someLimited = false;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service == input.service && usableLocked(entry, now)) {
+        if (entry.spec.service == input.service && input.scope.allows(entry.spec.dataCentre) && usableLocked(entry, now)) {
             entries.push_back(&entry);
             shortest.include(entry, dataCentre);
             someLimited = someLimited || entry.limiter.limited();
@@ -266,6 +271,7 @@
     for (const Entry *entry : entries) {
         InstanceView view = viewLocked(*entry, now);
         view.inPreferredDataCentre = entry->spec.dataCentre == dataCentre;
+        view.cold = coldRuleLocked(*entry, now) != std::nullopt;
         const Duration shortestTime = shortest.of(*entry, dataCentre);
         const Duration longestWait = entry->unanswered.empty() ? Duration::zero() : now - *entry->unanswered.begin();
         const bool known = entry->averageTime > Duration::zero() || longestWait > m_settings.minSlowTime;
@@ -294,6 +300,13 @@
             return !view.recentlyUnreachable;
         });
     }
+    removeNotRestoredLocked(input, all, now);
+    const bool warmAvailable = std::any_of(all.begin(), all.end(), [this](const InstanceView &view) {
+        return !view.cold && !view.slow && view.load < m_settings.cold.busyLoad;
+    });
+    filterUnlessEmpty([warmAvailable](const InstanceView &view) {
+        return !warmAvailable || !view.cold;
+    });
     return all;
 }
 
@@ -306,13 +319,17 @@
         return viewsLocked(input, Limits::Ignored, now).empty() ? fail(ErrorCode::NoFitServer, "no usable instance of the service is registered")
                                                                 : fail(ErrorCode::ServersLimited);
     }
-    const std::string &id = views.at(policy.choose(input, views)).spec->id;
+    const auto wanted = std::find_if(views.begin(), views.end(), [&input](const InstanceView &view) {
+        return view.spec->id == input.wanted;
+    });
+    const std::string &id = wanted == views.end() ? views.at(policy.choose(input, views)).spec->id : wanted->spec->id;
     Entry &entry = m_entries.at(id);
     ++entry.outstanding;
     entry.unanswered.insert(now);
     if (entry.limiter.limited()) {
         entry.limiter.countRequest(shareLocked(entry.spec), m_settings.limits, now);
     }
+    entry.cold.countRequest(now);
     return InstanceLease(this, entry.spec, now);
 }
 
@@ -417,9 +434,19 @@
     if (const auto found = m_entries.find(id); found != m_entries.end() && load) {
         found->second.load = load;
         found->second.loadAt = m_clock.now();
+        if (load->slowdown > m_settings.unevenFactor || load->slowdown < 1 / m_settings.unevenFactor) {
+            m_unevenUntil[found->second.spec.service] = found->second.loadAt + m_settings.unevenDuration;
+        }
     }
 }
 
+bool InstanceTable::uneven(const std::string &service) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_unevenUntil.find(service);
+    return found != m_unevenUntil.end() && m_clock.now() < found->second;
+}
+
 void InstanceTable::recordTimeLocked(Entry &entry, Duration time, TimePoint now)
 {
     ShortestTimes shortest;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -91,6 +91,7 @@
 struct EntrySettings {
     std::string node; // name of this node: the name of the entry VM that it runs on; required
     std::string dataCentre; // name of the node's data centre; required
+    std::map<std::string, std::string> regions; // by data centre, for requests with home regions; a data centre that isn't here is in none
     std::string callerAddress; // IP:port to listen on for callers' HTTP requests; required
     std::string readinessAddress; // IP:port to listen on for the load balancer's readiness checks; required
     std::string peerAddress; // IP:port to listen on for other nodes and for metrics; required
@@ -102,6 +103,7 @@
     std::chrono::milliseconds recoveryBound{3000};
     // Longest time for which a server may get new requests after the store has its notice that it leaves.
     std::chrono::milliseconds drainBound{2000};
+    std::chrono::milliseconds restoreDuration{5000}; // over which a data centre gets its load back when its evacuation is lifted; 0: at once
     std::chrono::milliseconds stopLimit{8000}; // time from SIGTERM until the platform kills the process
     // Retry budget: in each window, a service (the instances of one kind of backend server) may get retryRatio times as many repeated calls as first calls,
     // plus retryExtra. Each node counts only its own calls and has an equal part of retryExtra. Since it doesn't know the counts of the other nodes, it uses
