ConnectionTable closes connections that stand still also when the last thread is taken

Found by reading: after a burst of connections, those that stood still longest were closed only at the next accept or when a new one had waited 250 ms itself.

--- a/src/http/connections.cpp
+++ b/src/http/connections.cpp
@@ -109,8 +109,8 @@
 // ConnectionTable
 //-----------------------------------------------------------------------------
 
-ConnectionTable::ConnectionTable(ConnectionLimits limits)
-    : m_limits(std::move(limits))
+ConnectionTable::ConnectionTable(const ConnectionLimits &limits)
+    : m_limits(limits)
 {
 }
 
@@ -236,6 +236,7 @@
 {
     const Lock lock(m_table.m_mutex);
     ++m_table.m_served;
+    m_table.closeStalled(); // the last thread may be taken now, while others wait for one
 }
 
 ServedConnection::~ServedConnection()
--- a/src/http/connections.h
+++ b/src/http/connections.h
@@ -89,7 +89,7 @@
 class ConnectionTable : public RefCounted<ConnectionTable>
 {
 public:
-    explicit ConnectionTable(ConnectionLimits limits);
+    explicit ConnectionTable(const ConnectionLimits &limits);
 
     // Waits at most `timeout` until another connection may be accepted, and counts it. False: there was no place.
     bool takePlace(Duration timeout);
