--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -384,9 +384,7 @@
 
 ForwardRun::AttemptOutcome ForwardRun::attempt()
 {
-    ChoiceInput input;
-    input.service = m_service;
-    input.affinity = m_affinity;
+    ChoiceInput input = choiceInput();
     input.avoid = m_tried;
     input.scope = m_scope;
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
@@ -400,6 +398,7 @@
     }
     auto lease = m_dependencies.instances.acquire(input, engine ? m_dependencies.engineChoice : m_dependencies.serverChoice);
     const std::string chosen = lease ? lease->instance().id : std::string();
+    m_ownerChose = m_placed.has_value() && chosen == input.wanted;
     if (m_placed && chosen != input.wanted) {
         m_placed.reset(); // the owner stops counting it when it hears nothing of it
     }
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -76,20 +76,25 @@
     bool mayRepeat(AttemptOutcome outcome);
     AttemptOutcome attempt();
     std::vector<PromptPrefix> promptPrefixes() const; // of the shared parts
-    std::optional<PlacementDemand> placementDemand(); // nullopt: the engines are alike, so that their owner isn't asked
+    bool asksOwner() const; // for an engine
+    std::string engineDataCentre() const; // whose owner is asked
+    std::optional<PlacementDemand> placementDemand() const; // nullopt: the engines are alike, so that their owner isn't asked
     void reportPlacement(std::optional<Duration> firstEventAfter, InstanceCallOutcome outcome); // `outcome`: if there was no first event
     bool grantRepetition();
     bool queuedBeyondTarget() const;
     bool limitedBeyondTarget() const;
     bool awaitLimits();
+    ChoiceInput choiceInput() const;
     unsigned ownTokens() const; // tokens of the prompt's last part, which belongs to this request or its session
+    unsigned sharedTokens() const; // of all other parts
     std::string promptIds() const; // of all parts, separated by commas
     ServerCall prepareCall(const InstanceSpec &instance) const;
     TimePoint firstReplyLimit() const;
     AttemptOutcome readReply(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began);
     AttemptOutcome relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began);
-    bool forwardEvents(std::string &buffer, const ReplyHead &head, TimePoint began, std::size_t bytes, std::optional<std::string> lastId);
+    bool forwardEvents(std::string &buffer, const ReplyHead &head, std::size_t bytes, std::optional<std::string> lastId);
+    void recordFirstEvent(InstanceLease &lease, Duration time) const;
     void reportCrash(const InstanceSpec &instance) const;
     AttemptOutcome handleFailure(const UpstreamFailure &failure, InstanceLease &lease, TimePoint began);
 
@@ -141,6 +146,7 @@
     bool m_mayHaveRun = false; // some server may have run the request
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
     std::string m_lastInstance;
+    bool m_ownerChose = false; // the engine of the current attempt
     std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     bool m_isProbe = false; // see CrashGuard::Admission
     ErrorCode m_lastError = ErrorCode::NoFitServer;
--- a/src/placement/book.cpp
+++ b/src/placement/book.cpp
@@ -13,8 +13,8 @@
 constexpr double MaxRatio = 4.0; // a report that differs more from what was expected counts as this
 constexpr double MaxSlowness = 8.0;
 constexpr unsigned MinTokensToLearn = 500; // shorter prompts say little about the time of a token
-// While no engine holds a prefix, the engines' expected times are raised by up to this share, in an order that depends on the prefix only. An owner that
-// has just taken over then tends to the same engine as other nodes that don't know more.
+// While no engine holds a prefix, the engines' expected times are raised by up to this share, in the order of
+// prefixRank(). An owner that knows nothing yet then tends to the engines that the nodes have chosen by themselves.
 constexpr double HashSpread = 0.3;
 
 double seconds(Duration duration)
@@ -92,6 +92,11 @@
     return std::pow(engine.slowness, std::exp2(-seconds(now - engine.slownessAt) / seconds(m_settings.slownessHalfLife)));
 }
 
+std::size_t PlacementBook::cacheCapacity(const EngineCandidate &engine) const
+{
+    return static_cast<std::size_t>(static_cast<double>(engine.cacheTokens) * m_settings.cacheShare);
+}
+
 Duration PlacementBook::readTime(unsigned tokens) const
 {
     return m_settings.fixedTime + toDuration(tokens * m_tokenSeconds);
@@ -110,6 +115,14 @@
         engine.removeExpired(now - m_settings.maxUnreported);
         leastUncached = std::min(leastUncached, engine.uncachedTokens(demand.prefixes));
     }
+    if (leastUncached == shared && !demand.lastEngine.empty()) {
+        for (const EngineCandidate &candidate : candidates) {
+            if (candidate.id == demand.lastEngine) {
+                m_engines[candidate.id].use(demand.prefixes, cacheCapacity(candidate));
+                leastUncached = 0;
+            }
+        }
+    }
     const bool unknown = leastUncached == shared && !demand.prefixes.empty();
     const double target = std::chrono::duration<double>(demand.targetIn).count();
     std::size_t best = 0;
@@ -120,7 +133,7 @@
         double time = seconds(engine.wait(now)) + seconds(readTime(demand.ownTokens + uncached)) * slownessOf(engine, now) * candidates[i].slowdown;
         if (unknown) {
             const auto hash = stableHash(std::to_string(demand.prefixes.back().hash) + candidates[i].id);
-            time *= 1.0 + HashSpread * static_cast<double>(hash >> 11U) * 0x1p-53;
+            time *= 1.0 + HashSpread * (1.0 - static_cast<double>(hash >> 11U) * 0x1p-53);
         }
         const double reread = (uncached - leastUncached) * m_tokenSeconds;
         const double cost = time + m_settings.rereadWeight * reread + m_settings.lateWeight * std::max(0.0, time - target);
@@ -132,6 +145,12 @@
     return best;
 }
 
+bool PlacementBook::holds(const PlacementDemand &demand, const EngineCandidate &engine) const
+{
+    const auto found = m_engines.find(engine.id);
+    return found != m_engines.end() && found->second.uncachedTokens(demand.prefixes) == 0;
+}
+
 void PlacementBook::recordPlaced(const PlacementDemand &demand, const EngineCandidate &engine, TimePoint now)
 {
     Engine &state = m_engines[engine.id];
@@ -141,7 +160,7 @@
         state.busySince = now;
     }
     state.waiting.push_back(Placed{demand.attempt, work, state.wait(now) + work, read, now});
-    state.use(demand.prefixes, static_cast<std::size_t>(static_cast<double>(engine.cacheTokens) * m_settings.cacheShare));
+    state.use(demand.prefixes, cacheCapacity(engine));
 }
 
 void PlacementBook::recordReport(const PlacementReport &report, TimePoint now)
--- a/src/placement/owner.cpp
+++ b/src/placement/owner.cpp
@@ -8,8 +8,29 @@
 namespace
 {
 constexpr double MaxFailureRate = 0.35; // an engine that fails more often is chosen only when there is no other
+constexpr double ReturnedPart = 0.5; // of the requests with the same shared parts: from then on all of them return to a data centre whose evacuation was lifted
 } // namespace
 
+std::string homeDataCentre(std::uint64_t affinity, const InstanceList &engines, const DataCentreScope &scope,
+                           const std::function<double(const std::string &)> &restoredShare)
+{
+    std::set<std::string> allowed;
+    for (const std::string &dataCentre : engines.dataCentres) {
+        if (scope.allows(dataCentre) && Evacuations::returningPart(affinity, dataCentre, restoredShare(dataCentre)) >= ReturnedPart) {
+            allowed.insert(dataCentre);
+        }
+    }
+    const InstanceSpec *first = nullptr;
+    double firstRank = 0;
+    for (const InstanceSpec &engine : engines.specs) {
+        if (const double rank = prefixRank(affinity, engine); rank > firstRank && allowed.count(engine.dataCentre) > 0) {
+            first = &engine;
+            firstRank = rank;
+        }
+    }
+    return first == nullptr ? std::string() : first->dataCentre;
+}
+
 //-----------------------------------------------------------------------------
 // PlacementOwner
 //-----------------------------------------------------------------------------
@@ -47,6 +68,7 @@
         const Lock lock(m_owner.m_mutex);
         PlacementBook &book = m_owner.m_books.try_emplace(m_demand.service, m_owner.m_settings).first->second;
         const std::size_t chosen = book.choose(m_demand, candidates, now);
+        (book.holds(m_demand, candidates[chosen]) ? m_owner.m_cached : m_owner.m_uncached).add();
         book.recordPlaced(m_demand, candidates[chosen], now);
         m_found = true;
         return indexes[chosen];
@@ -80,10 +102,12 @@
     bool m_found = false;
 };
 
-PlacementOwner::PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, PlacementSettings settings)
+PlacementOwner::PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, MetricsRegistry &metrics, PlacementSettings settings)
     : m_clock(clock)
     , m_instances(instances)
     , m_deployments(deployments)
+    , m_cached(metrics.counter("vanillanotch_placements_total", "prefix=\"cached\""))
+    , m_uncached(metrics.counter("vanillanotch_placements_total", "prefix=\"read\""))
     , m_settings(settings)
 {
 }
@@ -140,6 +164,30 @@
 }
 
 std::optional<std::string> OwnedPlacement::place(const PlacementDemand &demand, CancellationWatch &cancellation)
+{
+    if (demand.prefixes.empty()) {
+        return ask(demand, cancellation);
+    }
+    PlacementDemand completed = demand;
+    const std::uint64_t prefix = demand.prefixes.back().hash;
+    {
+        const Lock lock(m_mutex);
+        if (const auto found = m_lastEngines.find(prefix); found != m_lastEngines.end()) {
+            completed.lastEngine = found->second;
+        }
+    }
+    auto placed = ask(completed, cancellation);
+    if (placed) {
+        const Lock lock(m_mutex);
+        if (m_lastEngines.size() >= m_settings.rememberedPrefixes) {
+            m_lastEngines.clear();
+        }
+        m_lastEngines[prefix] = *placed;
+    }
+    return placed;
+}
+
+std::optional<std::string> OwnedPlacement::ask(const PlacementDemand &demand, CancellationWatch &cancellation)
 {
     const auto owner = m_owners.engineOwner(demand.service, demand.dataCentre);
     if (!owner) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -42,9 +42,18 @@
     std::vector<PromptPrefix> prefixes; // the shortest first
     unsigned ownTokens = 0; // of the part that isn't shared
     std::set<std::string> avoid; // ids of engines that were tried already
+    // Engine that the asking node has last sent the same shared parts to; empty: none. An owner that has just taken over learns from it where they are
+    // cached.
+    std::string lastEngine;
     std::chrono::milliseconds targetIn{0}; // time left until the first event should come; negative: it should have come already
 };
 
+// The data centre whose owner is asked for prompts with these shared parts: that of the first engine in the order of prefixRank(), which nodes choose by
+// themselves too. Health isn't considered: all nodes have to ask the same owner, or the parts would be read in each data centre. `restoredShare` is
+// InstanceTable::restoredShare(). Empty: `engines` has none in the scope.
+std::string homeDataCentre(std::uint64_t affinity, const InstanceList &engines, const DataCentreScope &scope,
+                           const std::function<double(const std::string &)> &restoredShare);
+
 // What became of a placement: the time to the first event, or how the attempt ended before it.
 struct PlacementReport {
     std::string attempt;
@@ -65,6 +74,7 @@
     std::chrono::milliseconds reportTimeout{500};
     // A placement without a report for this long isn't counted as work any more: its node has failed, or the report was lost.
     std::chrono::milliseconds maxUnreported{8000};
+    std::size_t rememberedPrefixes = 2000; // for which a node remembers the engine; beyond it all are forgotten
     std::chrono::microseconds fixedTime{20000}; // part of the time to the first event that doesn't depend on the prompt
     std::chrono::nanoseconds tokenTime{20000}; // time to read one token, until it has been learnt from reports
     // Without reports an engine's speed moves back to the usual one with this half-life: a slow engine would otherwise get no request that could show
@@ -90,6 +100,7 @@
     explicit PlacementBook(PlacementSettings settings = {});
     // Index of the engine for the request. `candidates` isn't empty.
     std::size_t choose(const PlacementDemand &demand, const std::vector<EngineCandidate> &candidates, TimePoint now);
+    bool holds(const PlacementDemand &demand, const EngineCandidate &engine) const; // all shared parts of the prompt
     void recordPlaced(const PlacementDemand &demand, const EngineCandidate &engine, TimePoint now);
     void recordReport(const PlacementReport &report, TimePoint now);
     void retain(const std::set<std::string> &ids); // forgets all engines but these
@@ -121,6 +132,7 @@
         void use(const std::vector<PromptPrefix> &prefixes, std::size_t capacity);
     };
     double slownessOf(const Engine &engine, TimePoint now) const;
+    std::size_t cacheCapacity(const EngineCandidate &engine) const; // tokens of shared parts; 0: not limited
     Duration readTime(unsigned tokens) const; // at an engine of usual speed
 
     const PlacementSettings m_settings;
@@ -136,7 +148,7 @@
 class PlacementOwner
 {
 public:
-    PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, PlacementSettings settings = {});
+    PlacementOwner(const Clock &clock, InstanceTable &instances, DeploymentTable &deployments, MetricsRegistry &metrics, PlacementSettings settings = {});
     // Id of the chosen engine; nullopt: the data centre has none that may get a request now.
     std::optional<std::string> place(const PlacementDemand &demand);
     void record(const std::vector<PlacementReport> &reports);
@@ -150,6 +162,8 @@
     const Clock &m_clock;
     InstanceTable &m_instances;
     DeploymentTable &m_deployments;
+    Counter &m_cached; // placements at an engine that holds all shared parts
+    Counter &m_uncached;
     const PlacementSettings m_settings;
     RankedMutex m_mutex{LockRank::Placement};
     std::map<std::string, PlacementBook> m_books; // by service
@@ -215,6 +229,7 @@
         std::string address; // of the owner
         std::vector<PlacementReport> list;
     };
+    std::optional<std::string> ask(const PlacementDemand &demand, CancellationWatch &cancellation);
     void flush();
 
     const Clock &m_clock;
@@ -228,6 +243,7 @@
     RankedMutex m_mutex{LockRank::Placement};
     std::map<std::string, TimePoint> m_pausedUntil; // by member name: owners that didn't answer
     std::map<std::string, Reports> m_reports; // by member name
+    std::unordered_map<std::uint64_t, std::string> m_lastEngines; // by hash of all shared parts; see PlacementDemand::lastEngine
     bool m_flushPlanned = false;
 };
 
