--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -22,7 +22,6 @@
     RouteTimes &serverTimes;
 };
 
-// Handles one request; execute() blocks the calling thread until the request has ended.
 // True for 5xx: the request may succeed at another server.
 inline bool isServerFailure(int status)
 {
@@ -50,6 +49,7 @@
     const TimePoint m_until;
 };
 
+// Handles one request; execute() blocks the calling thread until the request has ended.
 class ForwardRun
 {
 public:
@@ -155,6 +155,7 @@
     std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
     DataCentreScope m_scope; // of the home regions of route and account
     int m_priority = 0;
+    std::atomic<bool> m_refuseWaiting{false};
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
     TimePoint m_target{}; // by when the answer should be sent, to be within the route's target latency
     // By when sending the answer must have started: ForwardSettings::answerMargin before the caller's deadline or the route's timeout, whichever
@@ -163,7 +164,6 @@
 
     const RunContext m_context;
     const Ref<WakeupSignal> m_progress; // raised when a stage has ended, and by refuseWaiting()
-    std::atomic<bool> m_refuseWaiting{false};
     std::vector<StageState> m_stages;
     std::string m_preferredDataCentre; // data centre of the engine that will probably be chosen; empty: none is preferred
     TimePoint m_stagesDoneAt{}; // when the attempts at servers may begin; zero: not yet
@@ -173,13 +173,13 @@
     unsigned m_sentCount = 0; // attempts that connected to a server, so that the request may have been sent
     bool m_mayHaveRun = false; // some server may have run the request
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
-    std::string m_lastInstance;
     bool m_ownerChose = false; // the engine of the current attempt
-    std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     bool m_isProbe = false; // see CrashGuard::Admission
+    std::string m_lastInstance;
+    std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     ErrorCode m_lastError = ErrorCode::NoFitServer;
-    std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
     bool m_streamStarted = false; // the caller has got the head of a stream
+    std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
     std::string m_lastEventId;
     std::string m_weightsVersion;
     TimePoint m_firstEventAt{};
