--- a/src/forwarding/service.cpp
+++ b/src/forwarding/service.cpp
@@ -35,7 +35,7 @@
 
 ForwardService::ForwardService(ForwardDependencies dependencies, ForwardSettings settings)
     : m_dependencies(dependencies)
-    , m_settings(settings)
+    , m_settings(std::move(settings))
 {
 }
 
