Owners forget engines that are gone

Found by reading: PlacementBook::retain() was never called, so that the book kept each engine that was ever replaced (some kB each). It now forgets them by itself. placement_test EnginesThatAreGoneAreForgotten.

--- a/src/placement/book.cpp
+++ b/src/placement/book.cpp
@@ -104,12 +104,12 @@
 
 std::size_t PlacementBook::choose(const PlacementDemand &demand, const std::vector<EngineCandidate> &candidates, TimePoint now)
 {
-    unsigned leastUncached = 0;
+    forgetOthers(candidates);
     unsigned shared = 0;
     for (const PromptPrefix &prefix : demand.prefixes) {
         shared += prefix.tokens;
     }
-    leastUncached = shared;
+    unsigned leastUncached = shared;
     for (const EngineCandidate &candidate : candidates) {
         Engine &engine = m_engines[candidate.id];
         engine.removeExpired(now - m_settings.maxUnreported);
@@ -192,8 +192,15 @@
     engine.waiting.erase(placed);
 }
 
-void PlacementBook::retain(const std::set<std::string> &ids)
+void PlacementBook::forgetOthers(const std::vector<EngineCandidate> &candidates)
 {
+    if (m_engines.size() <= 2 * candidates.size()) {
+        return;
+    }
+    std::set<std::string> ids;
+    for (const EngineCandidate &candidate : candidates) {
+        ids.insert(candidate.id);
+    }
     for (auto it = m_engines.begin(); it != m_engines.end();) {
         it = ids.count(it->first) == 0 ? m_engines.erase(it) : std::next(it);
     }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -103,7 +103,10 @@
     bool holds(const PlacementDemand &demand, const EngineCandidate &engine) const; // all shared parts of the prompt
     void recordPlaced(const PlacementDemand &demand, const EngineCandidate &engine, TimePoint now);
     void recordReport(const PlacementReport &report, TimePoint now);
-    void retain(const std::set<std::string> &ids); // forgets all engines but these
+    std::size_t engineCount() const // that are known, also engines that are gone
+    {
+        return m_engines.size();
+    }
 
 private:
     struct Placed {
@@ -133,6 +136,8 @@
     };
     double slownessOf(const Engine &engine, TimePoint now) const;
     std::size_t cacheCapacity(const EngineCandidate &engine) const; // tokens of shared parts; 0: not limited
+    // Forgets engines that aren't candidates any more, once they are as many as the others: each start of an engine has an id of its own.
+    void forgetOthers(const std::vector<EngineCandidate> &candidates);
     Duration readTime(unsigned tokens) const; // at an engine of usual speed
 
     const PlacementSettings m_settings;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -296,6 +296,20 @@
     CHECK_TRUE(used > 20);
 }
 
+// Guards against a book that grows with each engine that is replaced.
+TEST(Placement, EnginesThatAreGoneAreForgotten)
+{
+    PlacementBook book;
+    const TimePoint now{std::chrono::hours(1)};
+    for (unsigned i = 0; i < 100; ++i) {
+        const std::vector<EngineCandidate> candidates{EngineCandidate{"engine-" + std::to_string(i), 1, 0},
+                                                      EngineCandidate{"engine-" + std::to_string(i + 1), 1, 0}};
+        const PlacementDemand demand = demandFor(std::to_string(i), i);
+        book.recordPlaced(demand, candidates[book.choose(demand, candidates, now)], now);
+        CHECK_TRUE(book.engineCount() <= 6);
+    }
+}
+
 TEST_GROUP(PlacementOwners)
 {
     ManualClock clock;
