--- a/review/shared-2/support.h
+++ b/review/shared-2/support.h
@@ -550,6 +550,19 @@
         }
         return out;
     }
+    void setTableDown(const std::string &table, bool isDown) // a part of the store is unavailable: calls for the table get 503
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            if (isDown) {
+                m_down.insert(table);
+            } else {
+                m_down.erase(table);
+            }
+        }
+        m_changed.notify_all();
+        m_record.add("store: the table " + table + (isDown ? " is unavailable" : " is available again"));
+    }
     void setMode(Door &door, Mode mode)
     {
         door.mode = mode;
@@ -563,6 +576,24 @@
         bool removed = false;
     };
 
+    bool down(const std::string &table)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_down.count(table) > 0;
+    }
+    static std::string tableOf(const Message &request)
+    {
+        if (request.path() != "/api/rows-tx") {
+            return request.query("Table");
+        }
+        const Json json = Json::parse(request.body);
+        for (const char *list : {"Writes", "Remove"}) {
+            for (const Json &row : json.value(list, Json::array())) {
+                return row.at("Table").get<std::string>();
+            }
+        }
+        return {};
+    }
     static void answer(int fd, int status, Json body)
     {
         body["NowMs"] = std::chrono::duration_cast<Milliseconds>(SteadyClock::now().time_since_epoch()).count();
@@ -590,6 +621,10 @@
         }
         sleepMs(4); // an answer of the store takes about 4 ms
         const std::string path = request.path();
+        if (down(tableOf(request))) {
+            answer(fd, 503, Json::object());
+            return true;
+        }
         if (path == "/api/rows-tx") {
             transact(request, fd);
         } else if (path == "/api/rows-get") {
@@ -633,13 +668,13 @@
                 for (auto &[version, row] : changed) {
                     body["Rows"].push_back(std::move(row));
                 }
-                return !body["Rows"].empty() || door.mode != Mode::Serve;
+                return !body["Rows"].empty() || door.mode != Mode::Serve || m_down.count(request.query("Table")) > 0;
             });
             body["Ver"] = m_version;
         }
         if (door.mode == Mode::Silent) {
             sleepMs(20000);
-        } else if (door.mode == Mode::Busy) {
+        } else if (door.mode == Mode::Busy || down(request.query("Table"))) {
             answer(fd, 503, Json::object());
         } else {
             answer(fd, 200, std::move(body));
@@ -686,6 +721,7 @@
     std::condition_variable m_changed;
     std::map<std::pair<std::string, std::string>, Row> m_rows;
     std::uint64_t m_version = 1;
+    std::set<std::string> m_down; // tables
     std::vector<std::shared_ptr<Door>> m_doors;
 };
 
