--- a/review/shared-2/support.h
+++ b/review/shared-2/support.h
@@ -28,6 +28,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -849,6 +850,7 @@
         const std::string log = m_folder + "/" + name() + ".log";
         m_pid = ::fork();
         if (m_pid == 0) {
+            (void)::prctl(PR_SET_PDEATHSIG, SIGKILL); // a script that is ended leaves no process behind
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
