--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
 // The last client account is taken away by a new configuration (revoke). Its key, and one that never was, are sent later than RevokeMs after that.
-#include "../shared-2/support.h"
+#include "../6/support.h"
 
 using namespace review;
 
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,5 +1,5 @@
 // A bound in the settings becomes a fraction (hup); then the process is stopped and started again (roll_term).
-#include "../shared-2/support.h"
+#include "../6/support.h"
 
 using namespace review;
 
