--- a/src/wire/entry_yaml.cpp
+++ b/src/wire/entry_yaml.cpp
@@ -41,12 +41,12 @@
     document.read("cores", settings.cores, 0.01, 1024);
     document.read("memory_mb", settings.memoryMb, 64, 1e6);
     document.read("max_descriptors", settings.maxDescriptors, 128, 1e7);
-    document.read("revocation_bound_ms", settings.revocationBound, milliseconds(100), milliseconds(600000));
-    document.read("recovery_bound_ms", settings.recoveryBound, milliseconds(500), milliseconds(600000));
-    document.read("drain_bound_ms", settings.drainBound, milliseconds(100), milliseconds(600000));
-    document.read("restore_ms", settings.restoreDuration, milliseconds(0), milliseconds(60000));
-    document.read("stop_limit_ms", settings.stopLimit, milliseconds(100), milliseconds(600000));
-    document.read("retry_window_ms", settings.retryWindow, milliseconds(100), milliseconds(600000));
+    document.readEitherUnit("revocation_bound", settings.revocationBound, milliseconds(100), milliseconds(600000));
+    document.readEitherUnit("recovery_bound", settings.recoveryBound, milliseconds(500), milliseconds(600000));
+    document.readEitherUnit("drain_bound", settings.drainBound, milliseconds(100), milliseconds(600000));
+    document.readEitherUnit("restore", settings.restoreDuration, milliseconds(0), milliseconds(60000));
+    document.readEitherUnit("stop_limit", settings.stopLimit, milliseconds(100), milliseconds(600000));
+    document.readEitherUnit("retry_window", settings.retryWindow, milliseconds(100), milliseconds(600000));
     document.read("retry_ratio", settings.retryRatio, 0, 10);
     document.read("retry_extra", settings.retryExtra, 0, 1e9);
     readOneOf(document, "stage_sharing", settings.stageSharing, {"each_node", "owners", "owner_groups"});
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -87,7 +87,7 @@
 tl::expected<NodeSettings, std::vector<FileProblem>> parseNodeSettingsYaml(const std::string &text, const std::string &file);
 
 // Settings that a vanillanotch-entryd node reads from its file when it starts. The platform makes this file
-// from the template deploy/entry.yaml.
+// from the template deploy/entry.yaml. Times are given in milliseconds (members that end in _ms) or in seconds (_s).
 struct EntrySettings {
     std::string node; // name of this node: the name of the entry VM that it runs on; required
     std::string dataCentre; // name of the node's data centre; required
--- a/src/wire/yaml_reader.cpp
+++ b/src/wire/yaml_reader.cpp
@@ -27,6 +27,12 @@
     return member.IsDefined() ? member.Mark() : m_node.Mark();
 }
 
+bool YamlMapping::has(const std::string &name) const
+{
+    const YAML::Node member = m_node[name];
+    return member.IsDefined() && !member.IsNull();
+}
+
 YAML::Node YamlMapping::lookUp(const std::string &name, bool required)
 {
     m_known.insert(name);
@@ -91,11 +97,33 @@
     readNumber(name, value, minimum, maximum, "");
 }
 
+template<typename Unit>
+void YamlMapping::readTime(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum,
+                           const char *unitName)
+{
+    const Unit unchanged = value;
+    double count = unchanged.count();
+    readNumber(name, count, Unit(minimum).count(), Unit(maximum).count(), unitName);
+    // A float of seconds may be slightly below the whole milliseconds that it stands for.
+    constexpr std::chrono::duration<double, std::milli> RoundingError{1e-6};
+    value = std::chrono::floor<std::chrono::milliseconds>(Unit(count) + RoundingError);
+}
+
 void YamlMapping::read(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum)
 {
-    std::int64_t count = value.count();
-    readNumber<std::int64_t>(name, count, minimum.count(), maximum.count(), " milliseconds");
-    value = std::chrono::milliseconds(count);
+    readTime<std::chrono::duration<double, std::milli>>(name, value, minimum, maximum, " milliseconds");
+}
+
+void YamlMapping::readEitherUnit(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum,
+                                 std::chrono::milliseconds maximum)
+{
+    const std::string inSeconds = name + "_s";
+    const std::string inMilliseconds = name + "_ms";
+    if (has(inSeconds) && has(inMilliseconds)) {
+        m_problems.add(markOf(inMilliseconds), pathOf(inMilliseconds), "must not be given beside " + pathOf(inSeconds));
+    }
+    readTime<std::chrono::duration<double>>(inSeconds, value, minimum, maximum, " seconds");
+    readTime<std::chrono::duration<double, std::milli>>(inMilliseconds, value, minimum, maximum, " milliseconds");
 }
 
 void YamlMapping::read(const std::string &name, std::set<std::string> &value)
--- a/src/wire/yaml_reader.h
+++ b/src/wire/yaml_reader.h
@@ -51,7 +51,10 @@
     void read(const std::string &name, bool &value);
     void read(const std::string &name, double &value, double minimum, double maximum);
     void read(const std::string &name, unsigned &value, unsigned minimum, unsigned maximum);
+    // A time in milliseconds, whole or a fraction; rounded down to whole ones.
     void read(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum);
+    // The same from the member `name`_ms, in milliseconds, or `name`_s, in seconds; both together are a problem.
+    void readEitherUnit(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum);
     void read(const std::string &name, std::set<std::string> &value);
     void read(const std::string &name, std::map<std::string, std::string> &value);
     YAML::Node sequence(const std::string &name, bool required = false); // an undefined node when the member is absent or not a list
@@ -67,6 +70,11 @@
     // Marks the member as known and returns it; an undefined node when it is absent or null. Adds a problem when
     // a required member is absent or null.
     YAML::Node lookUp(const std::string &name, bool required);
+    bool has(const std::string &name) const; // the member is there and isn't null
+    // `Unit`: what the member's number counts.
+    template<typename Unit>
+    void readTime(const std::string &name, std::chrono::milliseconds &value, std::chrono::milliseconds minimum, std::chrono::milliseconds maximum,
+                  const char *unitName);
     template<typename T>
     void readNumber(const std::string &name, T &value, T minimum, T maximum, const char *unit);
 
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -22,6 +22,49 @@
     });
 }
 
+// The settings that the platform fills into the template of deploy/, by the names that it uses there.
+std::map<std::string, std::string> platformSettings()
+{
+    return {{"NodeName|json", "\"edge-1\""},
+            {"Zone|json", "\"kolkata\""},
+            {"Zones|json", "{\"kolkata\":\"bengal\"}"},
+            {"Listen.Front|json", "\"10.0.0.1:80\""},
+            {"Listen.Ready|json", "\"10.0.0.1:81\""},
+            {"Ip", "10.0.0.1"},
+            {"InternalPorts.0", "7740"},
+            {"Platform.Address|json", "\"10.0.0.2:80\""},
+            {"Limits.CpuShare", "0.25"},
+            {"Limits.MemoryMb", "260"},
+            {"Limits.MaxFds", "4100"},
+            {"Bounds.RevokeMs", "5000"},
+            {"Bounds.ContactMs", "3000"},
+            {"Bounds.DrainMs", "2000"},
+            {"Bounds.GraceS", "8"},
+            {"Bounds.BudgetWindowS", "10"},
+            {"Bounds.RetryBudgetRatio", "0.2"},
+            {"Bounds.RetryBudgetExtra", "54"}};
+}
+
+// Replaces each placeholder of the template by its value; one without a value by nothing, as the platform does.
+std::string fillTemplate(const std::string &text, const std::map<std::string, std::string> &values)
+{
+    std::string out;
+    std::size_t at = 0;
+    for (std::size_t begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{", at)) {
+        const std::size_t end = text.find("}}", begin);
+        const auto value = values.find(text.substr(begin + 2, end - begin - 2));
+        out += text.substr(at, begin - at) + (value == values.end() ? std::string() : value->second);
+        at = end + 2;
+    }
+    return out + text.substr(at);
+}
+
+tl::expected<EntrySettings, std::vector<FileProblem>> deployedSettings(const std::map<std::string, std::string> &values)
+{
+    const std::string text = readFile(std::string(VANILLANOTCH_SOURCES) + "/deploy/entry.yaml").value();
+    return parseEntrySettingsYaml(fillTemplate(text, values), "entry.yaml");
+}
+
 // Returns the document with one to four random mutations: a byte replaced, bytes removed, bytes repeated, or the end cut off.
 std::string mutate(const std::string &text, std::mt19937_64 &random)
 {
@@ -48,6 +91,61 @@
 
 TEST_GROUP(Wire){};
 
+// Guards against a node that doesn't start, because a figure of the platform is a fraction or isn't stated.
+TEST(Wire, FiguresOfThePlatformMayBeFractionsOrAbsent)
+{
+    using std::chrono::milliseconds;
+    const auto whole = deployedSettings(platformSettings());
+    CHECK(whole.has_value());
+    CHECK(whole->stopLimit == milliseconds(8000));
+    CHECK(whole->retryWindow == milliseconds(10000));
+    CHECK(whole->drainBound == milliseconds(2000));
+
+    auto fractions = platformSettings();
+    fractions["Bounds.RevokeMs"] = "4999.5";
+    fractions["Bounds.ContactMs"] = "2999.999";
+    fractions["Bounds.DrainMs"] = "1.5e3";
+    fractions["Bounds.GraceS"] = "7.5";
+    fractions["Bounds.BudgetWindowS"] = "9.7504";
+    fractions["Bounds.RetryBudgetExtra"] = "53.5";
+    fractions["Limits.MemoryMb"] = "260.5";
+    fractions["Limits.MaxFds"] = "4100.0";
+    const auto settings = deployedSettings(fractions);
+    CHECK(settings.has_value());
+    CHECK(settings->revocationBound == milliseconds(4999)); // rounded down: they are upper limits
+    CHECK(settings->recoveryBound == milliseconds(2999));
+    CHECK(settings->drainBound == milliseconds(1500));
+    CHECK(settings->stopLimit == milliseconds(7500));
+    CHECK(settings->retryWindow == milliseconds(9750));
+
+    for (const auto &[name, value] : platformSettings()) {
+        if (name.rfind("Bounds.", 0) == 0 || name.rfind("Limits.", 0) == 0) {
+            auto without = platformSettings();
+            without.erase(name);
+            CHECK_TEXT(deployedSettings(without).has_value(), name.c_str());
+        }
+    }
+    for (const char *wrong : {"eight", "-1", ".nan", ".inf", "1e300", "true", "[]"}) {
+        auto odd = platformSettings();
+        odd["Bounds.GraceS"] = wrong;
+        CHECK_FALSE_TEXT(deployedSettings(odd).has_value(), wrong);
+    }
+}
+
+// Guards against a time that is given in both units, of which one would be ignored.
+TEST(Wire, ATimeIsReadInMillisecondsOrInSeconds)
+{
+    auto values = platformSettings();
+    const std::string text = fillTemplate(readFile(std::string(VANILLANOTCH_SOURCES) + "/deploy/entry.yaml").value(), values);
+    const auto both = parseEntrySettingsYaml(text + "\nstop_limit_ms: 8000\n", "entry.yaml");
+    CHECK_FALSE(both.has_value());
+    LONGS_EQUAL(1, static_cast<long>(both.error().size()));
+    STRCMP_EQUAL("stop_limit_ms", both.error().front().path.c_str());
+    const auto other = parseEntrySettingsYaml(text + "\nrestore_s: 1.25\n", "entry.yaml");
+    CHECK(other.has_value());
+    CHECK(other->restoreDuration == std::chrono::milliseconds(1250));
+}
+
 // Guards against examples that no longer match the decoder, and against fields that get lost when a configuration is written and read again.
 TEST(Wire, BothExamplesAreValidAndSurviveARoundTrip)
 {
