--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -6,8 +6,8 @@
 namespace vanillanotch
 {
 
-Deployment::Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<AccountSpec> accounts,
-                       const FrontLimits &limits)
+Deployment::Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services,
+                       std::optional<std::vector<AccountSpec>> accounts, const FrontLimits &limits)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
@@ -22,7 +22,10 @@
             return a->prefix.size() > b->prefix.size();
         });
     }
-    for (const AccountSpec &account : m_accounts) {
+    if (!m_accounts) {
+        return;
+    }
+    for (const AccountSpec &account : *m_accounts) {
         for (const std::string &key : account.apiKeys) {
             m_byKey.emplace(key, &account);
         }
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -102,7 +102,8 @@
 class Deployment : public RefCounted<Deployment>
 {
 public:
-    Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::vector<AccountSpec> accounts,
+    // `accounts`: nullopt: the operator declares no client accounts, so requests need no API key. An empty list differs: no API key is valid then.
+    Deployment(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, std::optional<std::vector<AccountSpec>> accounts,
                const FrontLimits &limits);
 
     std::uint64_t version() const
@@ -115,7 +116,7 @@
     const AccountSpec *accountOf(const std::string &apiKey) const; // nullptr: unknown key
     bool requiresApiKey() const // true: client accounts are declared, so a request needs an API key, except on anonymous routes
     {
-        return !m_accounts.empty();
+        return m_accounts.has_value();
     }
     const std::vector<ServiceSpec> &services() const
     {
@@ -129,12 +130,16 @@
     {
         return m_routes.size();
     }
+    std::size_t keyCount() const
+    {
+        return m_byKey.size();
+    }
 
 private:
     std::uint64_t m_version;
     std::vector<RouteSpec> m_routes;
     std::vector<ServiceSpec> m_services;
-    std::vector<AccountSpec> m_accounts;
+    std::optional<std::vector<AccountSpec>> m_accounts;
     FrontLimits m_limits;
     std::unordered_map<std::string, std::vector<const RouteSpec *>> m_byHost; // longest prefix first
     std::unordered_map<std::string, const AccountSpec *> m_byKey;
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -70,9 +70,12 @@
             logEvent(LogLevel::Error, "configuration.invalid",
                      {{"code", deployment.error().code}, {"row_version", row.version}, {"detail", deployment.error().detail}});
         } else if (m_table.install(*deployment)) {
-            logEvent(
-                LogLevel::Info, "configuration.installed",
-                {{"version", (*deployment)->version()}, {"row_version", row.version}, {"routes", static_cast<std::uint64_t>((*deployment)->routeCount())}});
+            logEvent(LogLevel::Info, "configuration.installed",
+                     {{"version", (*deployment)->version()},
+                      {"row_version", row.version},
+                      {"routes", static_cast<std::uint64_t>((*deployment)->routeCount())},
+                      {"keys_needed", (*deployment)->requiresApiKey() ? 1 : 0},
+                      {"keys", static_cast<std::uint64_t>((*deployment)->keyCount())}});
             if (m_listener) {
                 m_listener();
             }
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -483,8 +483,7 @@
         ServiceSpec service;
         service.name = Service;
         service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 0, seconds(4)};
-        (void)deployments.install(
-            makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
+        (void)deployments.install(makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::nullopt, FrontLimits{}));
         instances.setChangeListener([this] {
             scheduler.instancesChanged();
         });
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -159,7 +159,7 @@
         for (const RouteSpec &route : routes) {
             services.push_back(ServiceSpec{route.name, false, 0, 0, std::nullopt});
         }
-        CHECK(deployments.install(makeRef<Deployment>(1, std::move(routes), std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
+        CHECK(deployments.install(makeRef<Deployment>(1, std::move(routes), std::move(services), std::nullopt, FrontLimits{})));
         deployments.confirmNewest(suspendAwareNow());
         service = std::make_unique<ForwardService>(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes,
                                                                        statedDeadlines, crashGuard, placement, *choice, *choice, upstream, metrics},
@@ -1057,6 +1057,44 @@
     STRCMP_EQUAL("circle", call("open", "bearer key").body.c_str());
 }
 
+// Guards against an open door after the last client account was taken away (CONFIG, ROUTE): a configuration with an empty list of accounts still asks for keys,
+// and knows none. Only one without a list asks for none.
+TEST(Forwarding, WithoutAnyAccountLeftNoKeyIsAccepted)
+{
+    first->script = [](ServerConnection &connection) {
+        (void)connection.send(connection.head("Content-Length: 2\r\n") + "ok");
+    };
+    std::uint64_t version = 10;
+    const auto install = [&](const std::string &accounts) {
+        const std::string routes = R"([{"Host":"h","Prefix":"/once/","Kind":"non_idempotent","Service":"once"},)"
+                                   R"({"Host":"h","Prefix":"/open/","Kind":"idempotent","Service":"open","AllowAnonymous":true}])";
+        const auto document = platform::decodeDeployment(R"({"Version":)" + std::to_string(++version) + R"(,"Routes":)" + routes
+                                                         + R"(,"Services":[{"Name":"once"},{"Name":"open"}])" + accounts + "}");
+        CHECK(document.has_value());
+        CHECK(deployments.install(*document));
+        deployments.confirmNewest(suspendAwareNow());
+    };
+    const auto call = [this](const char *route, const char *key) {
+        serve(route);
+        const std::string field = std::string_view(key).empty() ? std::string() : "Authorization: Bearer " + std::string(key) + "\r\n";
+        return Caller(front->address()).call("POST", route, "a1", field).status;
+    };
+    install(R"(,"Tenants":[{"Name":"circle","ApiKeys":["key"]}])");
+    LONGS_EQUAL(200, call("once", "key"));
+    const int before = first->requests;
+    for (const char *none : {R"(,"Tenants":[])", R"(,"Tenants":null)", R"(,"Tenants":[{"Name":"circle","ApiKeys":[]}])"}) {
+        install(none);
+        LONGS_EQUAL_TEXT(401, call("once", "key"), none);
+        LONGS_EQUAL_TEXT(401, call("once", "unknown"), none);
+        LONGS_EQUAL_TEXT(401, call("once", ""), none);
+        LONGS_EQUAL_TEXT(401, call("open", "key"), none);
+    }
+    LONGS_EQUAL(before, first->requests);
+    LONGS_EQUAL(200, call("open", ""));
+    install("");
+    LONGS_EQUAL(200, call("once", ""));
+}
+
 // Guards against requests that reach a server outside the home regions of their route or account (HOME), and against ones that wait or run their
 // stages when there is none within them.
 TEST(Forwarding, ARequestStaysInTheHomeRegionsOfItsRouteAndAccount)
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -328,7 +328,7 @@
     void setup() override
     {
         std::vector<ServiceSpec> services = {ServiceSpec{"engines", true, 64, 566'000, std::nullopt}};
-        CHECK(deployments.install(makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::move(services), std::vector<AccountSpec>{}, FrontLimits{})));
+        CHECK(deployments.install(makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::move(services), std::nullopt, FrontLimits{})));
         instances.synchronise({InstanceSpec{"a", "engines", "10.0.0.1:1", "dc", 64, false, 1}, InstanceSpec{"b", "engines", "10.0.0.1:2", "dc", 64, false, 1},
                                InstanceSpec{"c", "engines", "10.0.0.1:3", "elsewhere", 64, false, 1}});
     }
--- a/tests/unit/stages_test.cpp
+++ b/tests/unit/stages_test.cpp
@@ -472,8 +472,7 @@
         service.name = "s";
         // One slot, no queue, at most 4 pieces in a batch; a call takes 1 ms + 0.1 ms for each piece; instances keep results for 4 s.
         service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 0, seconds(4)};
-        (void)deployments.install(
-            makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
+        (void)deployments.install(makeRef<Deployment>(1, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::nullopt, FrontLimits{}));
         channel.answer = [](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) {
             return handlesFor(instance, pieces);
         };
@@ -630,7 +629,7 @@
     ServiceSpec service;
     service.name = "s";
     service.stage = StageCapacity{1, 0, 4, milliseconds(1), std::chrono::microseconds(100), 1000, seconds(4)};
-    (void)deployments.install(makeRef<Deployment>(2, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::vector<AccountSpec>{}, FrontLimits{}));
+    (void)deployments.install(makeRef<Deployment>(2, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{service}, std::nullopt, FrontLimits{}));
     const TimePoint freeAt = clock.now() + milliseconds(900);
     channel.answer = [this, freeAt](const InstanceSpec &instance, const std::vector<PieceCall> &pieces) -> tl::expected<BatchReply, StageCallFailure> {
         BatchReply reply = handlesFor(instance, pieces);
