--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -71,6 +71,35 @@
     }
 }
 
+// Guards against a configuration that is refused because an optional member is null: the former one would stay in force, with keys that were taken away.
+TEST(Documents, ANullMemberOfAConfigurationCountsAsAbsent)
+{
+    const std::vector<std::string> ofRoute = {"Name",     "StreamResume",    "AllowAnonymous", "TrafficSplit", "Stages",        "TimeoutMs",
+                                              "Priority", "TargetLatencyMs", "GapAimMs",       "MaxAttempts",  "AllowedRegions"};
+    const std::vector<std::string> ofService = {"Engine", "Pieces", "ColdStartS", "ColdPerS"};
+    const std::vector<std::string> ofAccount = {"ApiKeys", "Priority", "AllowedRegions"};
+    const auto nulls = [](const std::vector<std::string> &names) {
+        std::string text;
+        for (const std::string &name : names) {
+            text += ",\"" + name + "\":null";
+        }
+        return text;
+    };
+    const std::string pieces = R"({"Slots":null,"Queue":null,"Batch":null,"CallMs":null,"ItemMs":null,"RoomMb":null,"HandleS":null})";
+    const std::string engine = R"({"Slots":null,"KvCapacityTokens":null})";
+    const auto deployment =
+        platform::decodeDeployment(R"({"Version":3,"Routes":[{"Host":"h","Prefix":"/p/","Kind":"idempotent","Service":"s")" + nulls(ofRoute)
+                                   + R"(}],"Services":[{"Name":"s")" + nulls(ofService) + R"(},{"Name":"t","Pieces":)" + pieces + R"(,"Engine":)" + engine
+                                   + R"(}],"Tenants":[{"Name":"circle")" + nulls(ofAccount) + R"(}],"Limits":null})");
+    CHECK(deployment.has_value());
+    const RouteSpec *route = (*deployment)->route("h", "/p/x");
+    CHECK(route != nullptr && route->timeout == RouteSpec{}.timeout && !route->anonymous && route->maxAttempts == 1);
+    CHECK((*deployment)->requiresApiKey());
+    LONGS_EQUAL(0, static_cast<long>((*deployment)->keyCount()));
+    CHECK((*deployment)->limits().maxBodyBytes == FrontLimits{}.maxBodyBytes);
+    LONGS_EQUAL(1, (*deployment)->service("t")->stage->slots);
+}
+
 // Guards against nodes that stop following a table because of one row: the others are read.
 TEST(Documents, ARowThatCannotBeReadHidesNoOther)
 {
