Heads of replies have at most 256 lines, and count with the request

Here all bytes are limited, but not all memory: a head of 60 KB in lines of four bytes takes more than 1 MB when it is parsed, and was not counted while its body was awaited, or while a failure was kept for the caller.

Cause: each line is a field of 64 bytes with allocations of its own; only the bytes of a head were limited, only while its end was missing, and only bodies were taken from the memory budget.

--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -411,6 +411,7 @@
     if (!head && head.error().code == ErrorCode::ServerTimeout && replyLimit < m_deadline && !grantRepetition()) {
         head = call.awaitHead(m_deadline, m_exchange);
     }
+    m_replyHeadBytes = head ? head->headers.heldBytes() : 0;
     const AttemptOutcome outcome = head ? readReply(call, *head, *lease, began) : handleFailure(head.error(), *lease, began);
     reportPlacement(std::nullopt, InstanceCallOutcome::Inconclusive); // unless it was reported above
     if (outcome == AttemptOutcome::Unknown && m_lastError == ErrorCode::ConnectionLost) {
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -179,6 +179,7 @@
     std::optional<PlacementDemand> m_placed; // the placement of the current attempt, until it is reported
     ErrorCode m_lastError = ErrorCode::NoFitServer;
     bool m_streamStarted = false; // the caller has got the head of a stream
+    std::size_t m_replyHeadBytes = 0; // memory of the head of the reply that is being read
     std::optional<std::pair<ReplyHead, std::string>> m_serverFailure; // failure reply of a server; sent to the caller if no later attempt succeeds
     std::string m_lastEventId;
     std::string m_weightsVersion;
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -18,7 +18,8 @@
 
 std::size_t ForwardRun::heldBytes() const
 {
-    return m_settings.bytesOfRun + m_exchange.body().size() + (m_serverFailure ? m_serverFailure->second.capacity() : 0);
+    const std::size_t kept = m_serverFailure ? m_serverFailure->first.headers.heldBytes() + m_serverFailure->second.capacity() : 0;
+    return m_settings.bytesOfRun + m_exchange.body().size() + m_replyHeadBytes + kept;
 }
 
 ForwardRun::AttemptOutcome ForwardRun::relayPlain(UpstreamCall &call, const ReplyHead &head, InstanceLease &lease, TimePoint began)
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/NetException.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -14,6 +15,7 @@
 {
 constexpr int FirstInterimStatus = 100; // replies with 1xx are interim
 constexpr int FirstFinalStatus = 200;
+constexpr std::size_t ShortHeadBytes = 2 * Connection::ReceiveBytes; // capacity that the buffer of a connection may keep after the head of a reply
 
 void setOption(int descriptor, int level, int name, int value)
 {
@@ -144,8 +146,15 @@
             }
             return std::nullopt;
         }
-        auto head = parseReplyHead(std::string_view(received).substr(0, end + 4));
+        const std::string_view block = std::string_view(received).substr(0, end + 4);
+        if (block.size() > m_settings.maxHeadBytes || static_cast<std::size_t>(std::count(block.begin(), block.end(), '\n')) > m_settings.maxHeadLines) {
+            return fail(ErrorCode::InvalidReply, "expected a reply's head within the limits; it is longer, or has more lines");
+        }
+        auto head = parseReplyHead(block);
         received.erase(0, end + 4);
+        if (received.capacity() > ShortHeadBytes) {
+            received = std::string(received); // a long head takes no memory while the body is awaited
+        }
         if (head && head->status >= FirstInterimStatus && head->status < FirstFinalStatus) {
             if (++m_interimReplies > m_settings.maxInterimReplies) {
                 return fail(ErrorCode::InvalidReply, "expected the reply after a few interim replies; more of them came");
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -240,6 +240,8 @@
     std::chrono::seconds keepAliveInterval{1}; // TCP_KEEPINTVL: time between two probes
     int keepAliveProbes = 2; // TCP_KEEPCNT: this many unanswered probes end the connection
     std::size_t maxHeadBytes = 64 * 1024; // largest head of a reply, bytes
+    // Largest number of lines in the head of a reply. Each takes memory of its own, so that a head of short lines would take many times its size.
+    std::size_t maxHeadLines = 256;
     unsigned maxInterimReplies = 16; // largest number of interim replies (1xx) before the reply itself
 };
 
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -204,6 +204,23 @@
                                   m_folder + "/" + entry.name + ".log", entry.maxDescriptors);
 }
 
+void EntryCluster::replaceServers(const std::string &service, const std::string &address, unsigned count)
+{
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        if (m_servers[i].service == service) {
+            m_servers[i].process->kill();
+            removeServerEntry(i);
+        }
+    }
+    const Json entry{{"Service", service}, {"Address", address}, {"Zone", "dc1"}, {"State", "ready"}, {"Slots", 64}, {"Sequence", 1}, {"born", 1}};
+    Json rows = Json::array();
+    for (unsigned i = 0; i < count; ++i) {
+        const std::string id = service + "-" + std::to_string(++m_startedInstances);
+        rows.push_back(Json{{"Table", "servers"}, {"part", ""}, {"Key", id}, {"Value", base64(entry.dump())}});
+    }
+    transact(Json{{"Writes", rows}}.dump());
+}
+
 void EntryCluster::addNode(const std::string &dataCentre, const NodeOptions &options)
 {
     NodeEntry entry;
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -69,6 +69,8 @@
     // Starts a stand-in of `kind` plain, engine or stage with further command-line `arguments`. Does not wait until the nodes have
     // learned of the new server.
     void addServer(const std::string &service, const std::string &kind, const std::vector<std::string> &arguments = {});
+    // Registers `count` instances at an address that the test itself serves, in place of all other servers of the service.
+    void replaceServers(const std::string &service, const std::string &address, unsigned count);
     void addDefaultServers(); // two servers of each of the services that writeConfiguration() names: plain, engine, first, second
     void addNode(const std::string &dataCentre = "dc1", const NodeOptions &options = {}); // reaches the store through its own link of the fault proxy
     void restartNode(std::size_t nodeIndex); // ends the node with SIGKILL and starts it with the same settings
