--- a/tests/integration/floods_test.cpp
+++ b/tests/integration/floods_test.cpp
@@ -118,6 +118,13 @@
         start("engine", flood, CallKind::ResumableStream);
         check(150, "POST " + path + Fields + StageFields + "X-Pieces: 0,0\r\n\r\nbody", CallKind::Idempotent);
     }
+    void checkStage(const std::string &body)
+    {
+        Flood flood;
+        flood.begin = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        start("first", flood, CallKind::StagedStream);
+        check(100, "POST /draft/1" + Fields + StageFields + "X-Pieces: 8,8\r\n\r\nbody", CallKind::Idempotent);
+    }
 };
 
 // Guards against heads without end.
@@ -178,3 +185,20 @@
 {
     checkStream(Flood{"data: ", repeat("x", 8192), true, "Content-Type: text/event-stream\r\n"}, "/explain/1");
 }
+
+// Guards against replies of stage servers that nest so deeply, or hold so many values, that they take many times their size when they are parsed.
+TEST(Floods, StageRepliesThatNestDeeply)
+{
+    checkStage(std::string(500'000, '[') + std::string(500'000, ']'));
+}
+
+TEST(Floods, StageRepliesWithManyValues)
+{
+    checkStage("{\"Items\":[" + repeat("{},", 1'000'000) + "{}]}");
+}
+
+TEST(Floods, StageRepliesWithoutEnd)
+{
+    start("first", Flood{"HTTP/1.1 200 OK\r\n\r\n{\"Items\":[", repeat("{},", 8190)}, CallKind::StagedStream);
+    check(100, "POST /draft/1" + Fields + StageFields + "X-Pieces: 8,8\r\n\r\nbody", CallKind::Idempotent);
+}
--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -117,3 +117,44 @@
         STRCMP_EQUAL("x", rows->rows[3].value.c_str());
     }
 }
+
+// Guards against replies of stage servers that take many times their size when they are parsed: one that nests deeply, or holds many values, is no reply.
+TEST(Documents, TheReplyToAStageCallIsReadWithinLimits)
+{
+    constexpr std::size_t Pieces = 96; // the largest batch of any deployment
+    ScriptedServer server;
+    std::string body;
+    server.script = [&body](ServerConnection &connection) {
+        (void)connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    const auto channel = platform::makeStageChannel(UpstreamSettings{});
+    const auto call = [&](const std::string &reply) {
+        body = reply;
+        StageTask task;
+        task.request = "a";
+        task.pieceKey = "k";
+        std::vector<PieceCall> pieces;
+        for (unsigned i = 0; i < Pieces; ++i) {
+            pieces.push_back(PieceCall{&task, i});
+        }
+        const TimePoint now = std::chrono::steady_clock::now();
+        return channel->run(InstanceSpec{"i", "s", server.address(), "z"}, pieces, now, now + seconds(5));
+    };
+    const auto list = [](const std::string &item, std::size_t count) {
+        std::string text = R"({ "Items" : [)";
+        for (std::size_t i = 0; i < count; ++i) {
+            text += (i == 0 ? "" : " ,\n") + item;
+        }
+        return text + "] }";
+    };
+    const std::string longest = R"({ "Handle" : "10.1.64.7:8080/)" + std::string(200, 'f') + R"(", "More" : {"of" : [1, 2, 3]} })";
+    const auto whole = call(list(longest, Pieces));
+    CHECK(whole.has_value());
+    LONGS_EQUAL(Pieces, static_cast<long>(whole->outcomes.size()));
+    for (const std::string &odd : {nested(40'000), list("{}", 20'000), list("0", 40'000), list(R"({"Handle":"h","a":)" + nested(20) + "}", Pieces),
+                                   list(longest, Pieces) + std::string(100'000, ' '), std::string(90'000, '{')}) {
+        const auto reply = call(odd);
+        CHECK_FALSE_TEXT(reply.has_value(), odd.substr(0, 60).c_str());
+        CHECK_TEXT(reply.error().code == ErrorCode::InvalidReply, odd.substr(0, 60).c_str());
+    }
+}
