An event's id may have 1 KB, since it is kept for resuming the stream

The id of the last event was limited only by the size of an event (1 MB), and kept beside what the request had taken from the memory budget.

--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -284,6 +284,7 @@
     std::chrono::milliseconds unplacedRetryAfter{5000};
     std::chrono::milliseconds limitedWaitWhenLate{300}; // how long a request whose target has passed may wait for limited servers
     std::chrono::milliseconds engineMargin{250}; // added to the expected time until an engine's first event when the target of a stage is computed
+    std::size_t maxEventIdBytes = 1024; // longest id of an event, which is kept for resuming the stream; a longer one counts as a failure of the attempt
     std::size_t maxReplyBytes = 8 * 1024 * 1024; // largest body of a reply that isn't streamed, bytes; a larger reply counts as a failure of the attempt
     std::size_t maxRunningRequests = 400; // largest number of requests running at the same time, each on a thread of its own; further ones get status 503
     // Counted for each running request beside its body: the stack of its thread, what it receives from its server, and its small allocations.
--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -72,6 +72,9 @@
         }
         complete = read && *read;
         const EventScan scan = scanEvents(buffer);
+        if (scan.lastId && scan.lastId->size() > m_settings.maxEventIdBytes) {
+            return handleFailure(UpstreamFailure{ErrorCode::InvalidReply, true, false}, lease, began);
+        }
         hasEvents = hasEvents || scan.completeBytes > 0;
         // Without a length or chunks, a stream that ends within an event or before the first one has broken off.
         const bool brokeOff = scan.completeBytes < buffer.size() || !hasEvents;
--- a/tests/integration/floods_test.cpp
+++ b/tests/integration/floods_test.cpp
@@ -186,6 +186,12 @@
     checkStream(Flood{"data: ", repeat("x", 8192), true, "Content-Type: text/event-stream\r\n"}, "/explain/1");
 }
 
+// Guards against events whose ids, which are kept for resuming the stream, are nearly as long as an event may be.
+TEST(Floods, EventsWithLongIds)
+{
+    checkStream(Flood{"id: " + repeat("x", 1'000'000) + "\ndata: 1\n\n", "", true, "Content-Type: text/event-stream\r\n"}, "/explain/1");
+}
+
 // Guards against replies of stage servers that nest so deeply, or hold so many values, that they take many times their size when they are parsed.
 TEST(Floods, StageRepliesThatNestDeeply)
 {
