documents_test: the stage server waits until the node has read its reply

The script closed its connection with a part of the request unread, which resets it, so the reply could be lost.

--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -126,6 +126,7 @@
     std::string body;
     server.script = [&body](ServerConnection &connection) {
         (void)connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        connection.wait(seconds(5)); // closing while a part of the request is unread would reset the connection, and the reply could be lost
     };
     const auto channel = platform::makeStageChannel(UpstreamSettings{});
     const auto call = [&](const std::string &reply) {
