--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -136,6 +136,7 @@
                       {"service", spec->service},
                       {"address", spec->address},
                       {"draining", spec->draining ? 1 : 0},
+                      {"started_unix_ms", spec->startedUnixMs},
                       {"row_version", row.version}});
             m_table.upsert(*spec);
         } else {
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -10,6 +10,7 @@
 {
 constexpr double MaxUnreachableShare = 0.5; // if a larger share of a service's instances is unreachable, the fault is probably at this node, so none is avoided
 constexpr unsigned MaxDoublings = 5; // how often the time for which an unreachable instance is avoided is doubled at most
+constexpr std::chrono::hours MaxClockDifference{24}; // a start that lies further in the future isn't one
 constexpr Duration LoadReportMaxAge = std::chrono::seconds(1); // older load reports are ignored
 } // namespace
 
@@ -96,11 +97,34 @@
     m_listener = std::move(listener);
 }
 
-void InstanceTable::upsertLocked(const InstanceSpec &spec)
+// Whether the known entry holds against `spec`: that is of an earlier start, or of an unknown one and says that the instance doesn't leave after all.
+bool InstanceTable::holdsAgainstLocked(const Entry &entry, const InstanceSpec &spec, TimePoint now) const
 {
+    const std::int64_t known = entry.spec.startedUnixMs;
+    if (known == 0 || spec.startedUnixMs >= known) {
+        return false;
+    }
+    const Duration listedAgo = now - entry.listedAt;
+    return entry.spec.draining ? listedAgo < m_settings.maxLeaving : spec.startedUnixMs != 0 && listedAgo < m_settings.lateEntryTime;
+}
+
+void InstanceTable::upsertLocked(InstanceSpec spec)
+{
+    const TimePoint now = m_clock.now();
+    const auto latestStart = (m_clock.wallNow() + MaxClockDifference).time_since_epoch();
+    if (spec.startedUnixMs < 0 || spec.startedUnixMs > std::chrono::floor<std::chrono::milliseconds>(latestStart).count()) {
+        spec.startedUnixMs = 0;
+    }
     Entry &entry = m_entries[spec.id];
-    if (entry.spec.startedUnixMs > spec.startedUnixMs && spec.startedUnixMs != 0) {
-        return; // `spec` belongs to an earlier start of the instance and arrived late
+    if (holdsAgainstLocked(entry, spec, now)) {
+        if (spec.draining && !entry.spec.draining) {
+            entry.spec.draining = true; // whichever start it is of: without further requests nothing can go wrong
+            clearCachesLocked();
+        }
+        return;
+    }
+    if (spec.startedUnixMs == 0 && entry.spec.address == spec.address) {
+        spec.startedUnixMs = entry.spec.startedUnixMs;
     }
     const bool sameProcess = entry.spec.address == spec.address && entry.spec.startedUnixMs == spec.startedUnixMs;
     if (!sameProcess) {
@@ -108,8 +132,9 @@
         entry = Entry{};
         entry.outstanding = outstanding;
     }
-    entry.spec = spec;
-    recordColdEntryLocked(entry, !sameProcess, m_clock.now());
+    entry.spec = std::move(spec);
+    entry.listedAt = now;
+    recordColdEntryLocked(entry, !sameProcess, now);
     entry.removeAt.reset();
     clearCachesLocked();
 }
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -10,7 +10,7 @@
 //   [TABLE]   InstanceTable: all registered instances; InstanceLease: a request's slot at one of them; QueuePlace: a request that waits for one
 //
 // Rules this aggregate enforces:
-//   - a draining or removed instance gets no new work;
+//   - a draining or removed instance gets no new work; entries of an earlier or unknown start don't take back that it is draining;
 //   - an instance in an evacuated data centre gets no new work, whichever way that comes;
 //   - an instance that can't be reached is avoided for a while, unless that would exclude more than half of its service's instances;
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
@@ -42,8 +42,7 @@
     std::string dataCentre;
     unsigned slots = 1; // largest number of requests that the instance runs at the same time
     bool draining = false;
-    // When its process started, Unix ms by its own clock; tells restarts under the same id apart. An entry with an earlier start than the known one
-    // is ignored, except one with 0 (unknown start).
+    // When its process started, Unix ms by its own clock; tells restarts under the same id apart. 0, or a time that can't be a start: unknown.
     std::int64_t startedUnixMs = 0;
     std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold, as its entry states it; nullopt: not stated
 
@@ -218,6 +217,9 @@
     // Upper limit of the time for which an unreachable instance is avoided. It is about as long as an entry lasts without a heartbeat, so the
     // entry of a stopped instance has expired by then.
     std::chrono::milliseconds maxUnreachableDuration{4000};
+    // How long an entry holds, after it was registered last, against ones of an earlier start. Such a one is usually a late write of the former process;
+    // but another writer may have stated a wrong start, and the instance's own entries then have the earlier one.
+    std::chrono::milliseconds lateEntryTime{10000};
     std::chrono::milliseconds missingEntryGrace{1900}; // how long entries that expired while the registry was unreachable are kept after its return
     double pastWeight = 0.8; // weight of the previous value when a moving average takes in a new outcome
     std::chrono::milliseconds failureHalfLife{4000}; // half-life of the failure average without new outcomes
@@ -361,6 +363,7 @@
     friend class QueuePlace;
     struct Entry {
         InstanceSpec spec;
+        TimePoint listedAt{}; // when it was registered last with this start
         unsigned outstanding = 0;
         std::multiset<TimePoint> unanswered; // when the outstanding requests began whose replies haven't
         std::optional<ReportedLoad> load;
@@ -420,7 +423,8 @@
     // Removes the instances of data centres to which this request may not return yet. Some instances remain.
     void removeNotRestoredLocked(const ChoiceInput &input, std::vector<InstanceView> &views, TimePoint now) const;
     std::set<std::string> evacuatedLocked() const; // evacuated data centres with registered instances
-    void upsertLocked(const InstanceSpec &spec);
+    void upsertLocked(InstanceSpec spec);
+    bool holdsAgainstLocked(const Entry &entry, const InstanceSpec &spec, TimePoint now) const;
     void removeLocked(const std::string &id, Duration registryWorksFor, Duration seenAgo, TimePoint now);
     void removeExpiredLocked(TimePoint now);
     void release(const std::string &id, TimePoint begun);
--- a/tests/standins/instance_standin.cpp
+++ b/tests/standins/instance_standin.cpp
@@ -230,7 +230,8 @@
 // and a pause of 100 ms between attempts, then returns without an error.
 void publishState(const std::string &state, const std::string &address)
 {
-    Json entry{{"Service", FLAGS_service}, {"Address", address}, {"Zone", FLAGS_data_centre}, {"Slots", 8}, {"State", state}, {"Sequence", 1}};
+    Json entry{{"Service", FLAGS_service}, {"Address", address}, {"Zone", FLAGS_data_centre}, {"Version", "v1"}, {"Slots", 8}, {"State", state},
+               {"ColdRemainingMs", 0},     {"Sequence", 1}};
     std::ostringstream value;
     Poco::Base64Encoder encoder(value);
     encoder.rdbuf()->setLineLength(0);
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -212,7 +212,8 @@
             removeServerEntry(i);
         }
     }
-    const Json entry{{"Service", service}, {"Address", address}, {"Zone", "dc1"}, {"State", "ready"}, {"Slots", 64}, {"Sequence", 1}, {"born", 1}};
+    const Json entry{{"Service", service}, {"Address", address},   {"Zone", "dc1"}, {"Version", "v1"}, {"State", "ready"},
+                     {"Slots", 64},        {"ColdRemainingMs", 0}, {"Sequence", 1}, {"born", 1}};
     Json rows = Json::array();
     for (unsigned i = 0; i < count; ++i) {
         const std::string id = service + "-" + std::to_string(++m_startedInstances);
--- a/tests/unit/cold_test.cpp
+++ b/tests/unit/cold_test.cpp
@@ -16,7 +16,8 @@
 {
 std::optional<milliseconds> statedByEntry(const std::string &value)
 {
-    const auto spec = platform::decodeInstance("i", R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","ColdRemainingMs":)" + value + "}");
+    const auto spec = platform::decodeInstance(
+        "i", R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":8,"State":"ready","Sequence":4,"ColdRemainingMs":)" + value + "}");
     CHECK_TEXT(spec.has_value(), value.c_str());
     return spec->coldRemaining;
 }
@@ -58,7 +59,8 @@
     CHECK(statedByReply("-1e400") == milliseconds(0));
     CHECK(statedByReply("1e-400") == milliseconds(0));
     CHECK(platform::makeRequestCodec()->readReply(ReplyHead{}, "a").statement.coldRemaining == std::nullopt);
-    CHECK_FALSE(platform::decodeInstance("i", R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready"})")->coldRemaining.has_value());
+    CHECK_FALSE(platform::decodeInstance("i", R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":8,"State":"ready","Sequence":4})")
+                    ->coldRemaining.has_value());
 }
 
 // Guards against a configuration that is refused, or that limits no server or each one for ever, because of one value.
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -7,6 +7,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+
 using namespace vanillanotch;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -284,6 +286,67 @@
     STRCMP_EQUAL("127.0.0.1:2", table->usableInstances("s")->specs.front().address.c_str());
 }
 
+// Guards against requests to an instance that has reported that it leaves (DRAIN), because another writer's entry with a wrong start, under the same id, hides
+// all that the instance writes later.
+TEST(Instances, AWrongStartOfAnotherWriterDoesNotHideTheInstancesOwnEntries)
+{
+    clock.advance(std::chrono::hours(1));
+    const auto wallNow = std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch()).count();
+    const std::int64_t started = wallNow - 60'000;
+    for (const std::int64_t wrong :
+         {started * 1000 + 1'000'000'000'000, std::numeric_limits<std::int64_t>::max(), started + 1000, std::int64_t{0}, std::int64_t{-1}}) {
+        table = std::make_unique<InstanceTable>(clock, settings);
+        table->upsert(instance("i", started));
+        InstanceSpec other = instance("i", wrong);
+        other.slots = 7;
+        table->upsert(other);
+        table->upsert(instance("i", started));
+        CHECK(table->usable("i"));
+        clock.advance(seconds(5));
+        InstanceSpec leaving = instance("i", started);
+        leaving.draining = true;
+        table->upsert(leaving);
+        CHECK_FALSE(table->usable("i"));
+    }
+}
+
+// Guards against requests to an instance that has reported that it leaves (DRAIN), because a late entry of its former process, or one that states no start,
+// says that it is ready. What holds against the store's present entry holds for a time only, and ends when the row is removed.
+TEST(Instances, AnEntryOfAnEarlierStartDoesNotTakeBackThatAnInstanceLeaves)
+{
+    InstanceSpec leaving = instance("i", 200);
+    leaving.draining = true;
+    table->upsert(leaving);
+    table->upsert(instance("i", 100));
+    CHECK_FALSE(table->usable("i"));
+    table->upsert(instance("i", 0));
+    CHECK_FALSE(table->usable("i"));
+    table->upsert(instance("i", 200)); // its own word
+    CHECK(table->usable("i"));
+    table->upsert(leaving);
+    clock.advance(settings.maxLeaving);
+    table->upsert(instance("i", 100));
+    CHECK(table->usable("i"));
+    table->upsert(leaving);
+    table->remove("i");
+    table->upsert(instance("i", 100));
+    CHECK(table->usable("i"));
+}
+
+// Guards against an instance whose later entries are ignored for ever, because one with a wrong start came before them.
+TEST(Instances, AnEarlierStartIsTakenWhenTheLaterOneIsNotRenewed)
+{
+    InstanceSpec wrong = instance("i", 200);
+    wrong.address = "127.0.0.1:2";
+    table->upsert(wrong);
+    clock.advance(settings.lateEntryTime - milliseconds(1));
+    table->upsert(instance("i", 100));
+    STRCMP_EQUAL("127.0.0.1:2", table->usableInstances("s")->specs.front().address.c_str());
+    clock.advance(milliseconds(1));
+    table->upsert(instance("i", 100));
+    STRCMP_EQUAL("127.0.0.1:1", table->usableInstances("s")->specs.front().address.c_str());
+}
+
 // Guards against calls to an unreachable instance, and against avoiding all of a service when the fault is at this node.
 TEST(Instances, AnUnreachableInstanceIsAvoidedButNeverMostOfAService)
 {
--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -2,6 +2,8 @@
 #include "entry/entry.h"
 #include "scripted_server.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace vanillanotch;
@@ -20,7 +22,7 @@
 
 std::string serverEntry(const std::string &address, const std::string &more = {})
 {
-    return R"({"Service":"s","Address":")" + address + R"(","Zone":"z","State":"ready")" + more + "}";
+    return R"({"Service":"s","Address":")" + address + R"(","Zone":"z","Version":"v1","Slots":8,"State":"ready","Sequence":4)" + more + "}";
 }
 } // namespace
 
@@ -59,6 +61,27 @@
     CHECK(platform::decodeInstance("i", serverEntry("10.0.0.1:80", R"(,"Extra":)" + nested(RowLimit / 2 - 200))).has_value());
 }
 
+// Guards against requests to an address that another writer has left in an entry which lacks a part of what each server says of itself.
+TEST(Documents, AnEntryWithMissingFieldsNamesNoServer)
+{
+    const nlohmann::json whole = nlohmann::json::parse(serverEntry("10.0.0.1:80", R"(,"ColdRemainingMs":0,"born":1760000000000)"));
+    CHECK(platform::decodeInstance("i", whole.dump()).has_value());
+    for (const char *name : {"Service", "Address", "Zone", "Version", "Slots", "State", "Sequence"}) {
+        nlohmann::json entry = whole;
+        entry.erase(name);
+        CHECK_FALSE_TEXT(platform::decodeInstance("i", entry.dump()).has_value(), name);
+        for (const nlohmann::json &value : {nlohmann::json(), nlohmann::json::array(), nlohmann::json(true)}) {
+            entry[name] = value;
+            CHECK_FALSE_TEXT(platform::decodeInstance("i", entry.dump()).has_value(), name);
+        }
+    }
+    for (const char *start : {"\"1760000000000\"", "1.5", "null", "[]"}) {
+        nlohmann::json entry = whole;
+        entry["born"] = nlohmann::json::parse(start);
+        CHECK_FALSE_TEXT(platform::decodeInstance("i", entry.dump()).has_value(), start);
+    }
+}
+
 // The same for a configuration and for the rows of this system's own tables.
 TEST(Documents, OddDocumentsOfOtherTablesAreErrors)
 {
