--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -58,6 +58,10 @@
     // `onRead` is called after each read of the whole table, `onChanged` after each answer with rows, `onSelfMissing` when this node's own row
     // isn't in the table any more, or not yet. All run on the thread of the watch.
     MemberListener(MemberTable &table, std::function<void()> onRead, std::function<void()> onChanged, std::function<void()> onSelfMissing);
+    bool hasRead() const // the whole table was read since the start; until then this node doesn't know whether there are others
+    {
+        return m_hasRead;
+    }
     bool selfListed() const // this node's own row was in the table when it was seen last
     {
         return m_selfListed;
@@ -73,6 +77,7 @@
     const std::function<void()> m_onChanged;
     const std::function<void()> m_onSelfMissing;
     std::atomic<bool> m_selfListed{false};
+    std::atomic<bool> m_hasRead{false};
 };
 
 // Table of the platform's store in which the nodes share what they know of requests that crash servers.
--- a/src/entry/listeners.cpp
+++ b/src/entry/listeners.cpp
@@ -170,6 +170,7 @@
             remove(member.name); // its row was removed while this node missed changes
         }
     }
+    m_hasRead = true;
     m_onChanged();
     m_onRead();
 }
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -137,7 +137,7 @@
     , m_members(m_clock, MembershipSettings{}, selfRecord(settings))
     , m_retryBudget(m_clock, retryBudgetSettings(settings),
                     [this] {
-                        return m_members.aliveCount();
+                        return m_memberListener.hasRead() ? std::optional(m_members.aliveCount()) : std::nullopt;
                     })
     , m_store(platform::makeStore(settings.storeAddress, longPollSettings()))
     , m_relayChannel(makeRelayChannel(longPollSettings()))
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -115,8 +115,9 @@
 class ServiceRetryBudget final : public RetryBudget
 {
 public:
-    // `nodes` returns the number of nodes, among which RetryBudgetSettings::extraPerWindow is divided evenly.
-    ServiceRetryBudget(const Clock &clock, RetryBudgetSettings settings, std::function<std::size_t()> nodes);
+    // `nodes` returns the number of nodes, among which RetryBudgetSettings::extraPerWindow is divided evenly. nullopt: this node doesn't know them yet, so it
+    // has no part of that; otherwise each node that doesn't know the others would take all of it.
+    ServiceRetryBudget(const Clock &clock, RetryBudgetSettings settings, std::function<std::optional<std::size_t>()> nodes);
     void recordFirstCall(const std::string &service) override;
     bool tryTake(const std::string &service) override;
 
@@ -129,7 +130,7 @@
 
     const Clock &m_clock;
     const RetryBudgetSettings m_settings;
-    const std::function<std::size_t()> m_nodes;
+    const std::function<std::optional<std::size_t>()> m_nodes;
     RankedMutex m_mutex{LockRank::Estimates};
     std::map<std::string, Window> m_windows;
 };
--- a/src/forwarding/retry_budget.cpp
+++ b/src/forwarding/retry_budget.cpp
@@ -3,7 +3,7 @@
 namespace vanillanotch
 {
 
-ServiceRetryBudget::ServiceRetryBudget(const Clock &clock, RetryBudgetSettings settings, std::function<std::size_t()> nodes)
+ServiceRetryBudget::ServiceRetryBudget(const Clock &clock, RetryBudgetSettings settings, std::function<std::optional<std::size_t>()> nodes)
     : m_clock(clock)
     , m_settings(settings)
     , m_nodes(std::move(nodes))
@@ -28,13 +28,14 @@
 
 bool ServiceRetryBudget::tryTake(const std::string &service)
 {
-    const std::size_t nodes = std::max<std::size_t>(1, m_nodes());
+    const std::optional<std::size_t> nodes = m_nodes();
+    const double extra = nodes ? m_settings.extraPerWindow / static_cast<double>(std::max<std::size_t>(1, *nodes)) : 0;
     const TimePoint now = m_clock.now();
     const Lock lock(m_mutex);
     Window &window = m_windows[service];
     removeOlder(window.firstCalls, now - m_settings.window);
     removeOlder(window.repeatedCalls, now - m_settings.window);
-    const double budget = m_settings.ratio * static_cast<double>(window.firstCalls.size()) + m_settings.extraPerWindow / static_cast<double>(nodes);
+    const double budget = m_settings.ratio * static_cast<double>(window.firstCalls.size()) + extra;
     if (static_cast<double>(window.repeatedCalls.size()) + 1 > budget * m_settings.usedShare) {
         return false;
     }
--- a/tests/integration/entry_test.cpp
+++ b/tests/integration/entry_test.cpp
@@ -11,6 +11,8 @@
 
 #include <csignal>
 #include <fstream>
+#include <set>
+#include <sstream>
 #include <thread>
 
 using namespace vanillanotch;
@@ -64,6 +66,74 @@
     }
 };
 
+// Guards against nodes that each take the whole retry budget (BUDGET), because they know no other node: all are started again while only the members' table
+// can't be read. Counted are the stage calls with a piece that has arrived before.
+TEST(Entry, NodesThatDoNotKnowEachOtherKeepTheCommonRetryBudget)
+{
+    constexpr std::size_t FirstServers[] = {2, 6}; // those of addDefaultServers() that run the first stage
+    constexpr int CallersOfNode = 8;
+    constexpr double Ratio = 0.2;
+    constexpr double Extra = 50; // retry_extra of the cluster's nodes
+    for (const char *dataCentre : {"dc1", "dc2", "dc1", "dc2", "dc1", "dc2"}) {
+        cluster->addNode(dataCentre);
+    }
+    CHECK(cluster->awaitReady());
+    for (const std::size_t server : FirstServers) {
+        cluster->controlServer(server, "slow=10");
+    }
+    cluster->controlStore("down=members");
+    for (std::size_t i = 0; i < cluster->nodeCount(); ++i) {
+        cluster->node(i).kill();
+    }
+    for (std::size_t i = 0; i < cluster->nodeCount(); ++i) {
+        cluster->restartNode(i);
+    }
+    CHECK(eventually([&] {
+        for (std::size_t i = 0; i < cluster->nodeCount(); ++i) {
+            if (!cluster->ready(i)) {
+                return false;
+            }
+        }
+        return true;
+    }));
+    const std::size_t before = cluster->ledgerAttempts("call", FirstServers[0]).size() + cluster->ledgerAttempts("call", FirstServers[1]).size();
+    std::atomic<int> sent{0};
+    std::atomic<int> served{0};
+    std::vector<std::thread> callers;
+    const TimePoint until = std::chrono::steady_clock::now() + seconds(6); // within one window of the budget
+    for (std::size_t i = 0; i < cluster->nodeCount() * CallersOfNode; ++i) {
+        callers.emplace_back([&, i] {
+            while (std::chrono::steady_clock::now() < until) {
+                ++sent;
+                served += callNode(i % cluster->nodeCount(), makeCall(CallKind::StagedStream)).status == 200 ? 1 : 0;
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    cluster->controlStore("down=none");
+    std::size_t calls = 0;
+    int again = 0;
+    std::set<std::string> arrived;
+    for (const std::size_t server : FirstServers) {
+        for (const std::string &pieces : cluster->ledgerAttempts("call", server)) {
+            ++calls;
+            bool repeated = false;
+            std::istringstream list(pieces);
+            for (std::string piece; std::getline(list, piece, ',');) {
+                repeated = !arrived.insert(piece).second || repeated;
+            }
+            again += repeated ? 1 : 0;
+        }
+    }
+    UT_PRINT(StringFromFormat("requests %d, served %d, stage calls %u, of these again %d", sent.load(), served.load(), static_cast<unsigned>(calls - before),
+                              again));
+    CHECK(served > 0);
+    CHECK(again <= Ratio * sent + Extra);
+}
+
 // Guards against nodes of one test that get the same port, so that the second one doesn't start.
 TEST(Entry, AddressesOfNodesAreGivenOnce)
 {
--- a/tests/standins/instance_standin.cpp
+++ b/tests/standins/instance_standin.cpp
@@ -6,6 +6,7 @@
 //   run INSTANCE ATTEMPT LAST-EVENT-ID tenant=TENANT   execution of a plain request or stream begins. LAST-EVENT-ID: header,
 //     the event after which a stream is resumed; empty: it isn't resumed. TENANT: header X-Tenant
 //   stage INSTANCE ATTEMPT   execution of a piece of a request's stage begins
+//   call INSTANCE PIECES   a stage call has come, whether it is executed or refused. PIECES: ATTEMPT.STAGE.PIECE of each, separated by commas
 //   paused INSTANCE ATTEMPT   a plain request or stream was refused because of the control `pause`
 //   wrong INSTANCE ATTEMPT input=NAME | piece-input=NAME   the instance was given the input NAME, which belongs to another
 //     request; input: with a plain request or stream, piece-input: with a stage call
@@ -184,9 +185,19 @@
         }
     }
 
+    static std::string piecesOf(const std::string &call)
+    {
+        std::string pieces;
+        for (const Json &item : Json::parse(call, nullptr, false).value("Items", Json::array())) {
+            pieces += (pieces.empty() ? "" : ",") + item.at("Id").get<std::string>() + "." + item.at("Stage").dump() + "." + item.at("Piece").dump();
+        }
+        return pieces;
+    }
+
     void runPieces(HttpExchange &exchange)
     {
         const auto text = exchange.readBody();
+        writeLedger("call " + FLAGS_name + " " + piecesOf(text ? *text : std::string()));
         if (!text || ++m_stageCalls > StageQueue + 1) {
             --m_stageCalls;
             refuse(exchange);
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -8,6 +8,7 @@
 //     silent  does not execute requests; holds each for 5 s and sends no reply
 //     lost    writes take effect, then are held for 5 s and get no reply; feeds are answered with 503, other reads are served
 //   A feed request that is waiting when the mode changes from ok to another is answered with 503.
+//   POST /control?down=TABLE  answers all requests for this table with 503, and serves the others; TABLE none: serves all again
 //   POST /control?compact=1   as if the feed's history were deleted: feeds from an older version are answered with 410
 #include "standin.h"
 
@@ -53,6 +54,8 @@
         const bool write = path == "/api/rows-tx";
         if (mode == "busy" || mode == "many") {
             reply(exchange, mode == "busy" ? 503 : 429, Json::object());
+        } else if (!write && isDown(exchange.query("Table"))) {
+            reply(exchange, 503, Json::object());
         } else if (mode == "silent") {
             standin::sleepFor(SilenceDuration);
         } else if (write) {
@@ -73,10 +76,19 @@
         return m_mode;
     }
 
+    bool isDown(const std::string &table)
+    {
+        const std::unique_lock<std::mutex> lock(m_mutex);
+        return !table.empty() && table == m_down;
+    }
+
     void control(HttpExchange &exchange)
     {
         {
             const std::unique_lock<std::mutex> lock(m_mutex);
+            if (const std::string table = exchange.query("down"); !table.empty()) {
+                m_down = table;
+            }
             if (const std::string mode = exchange.query("mode"); !mode.empty()) {
                 m_mode = mode;
             }
@@ -136,10 +148,10 @@
                         body["Rows"].push_back(rowOf(key, value));
                     }
                 }
-                return after < m_oldest || !body["Rows"].empty() || m_mode != "ok";
+                return after < m_oldest || !body["Rows"].empty() || m_mode != "ok" || exchange.query("Table") == m_down;
             };
             m_changed.wait_for(lock, maxWait, changed);
-            status = after < m_oldest ? 410 : m_mode != "ok" ? 503 : 200;
+            status = after < m_oldest ? 410 : m_mode != "ok" || exchange.query("Table") == m_down ? 503 : 200;
             body["Ver"] = m_version;
         }
         reply(exchange, status, body);
@@ -149,6 +161,14 @@
     {
         const auto text = exchange.readBody();
         const Json json = Json::parse(*text);
+        for (const char *list : {"Writes", "Remove"}) {
+            for (const Json &row : json.value(list, Json::array())) {
+                if (isDown(row.at("Table").get<std::string>())) {
+                    reply(exchange, 503, Json::object());
+                    return;
+                }
+            }
+        }
         int status = 200;
         {
             const std::unique_lock<std::mutex> lock(m_mutex);
@@ -186,6 +206,7 @@
     std::uint64_t m_version = 1;
     std::uint64_t m_oldest = 0; // oldest version after which a feed can continue; set by compact
     std::string m_mode = "ok";
+    std::string m_down; // table that is down; empty or "none": none
 };
 } // namespace
 
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -92,7 +92,8 @@
 
     bool ready(std::size_t nodeIndex) const; // sends the readiness probe that a load balancer uses; true: answered with status 200
     // Sets faults of the store stand-in. `query`: "mode=" and ok, busy (503), many (429), silent (no reply) or lost (writes take effect
-    // but get no reply); or "compact=1", which deletes the history of changes.
+    // but get no reply); or "compact=1", which deletes the history of changes; or
+    // "down=TABLE", which answers requests for this table with 503 ("down=none": no longer).
     void controlStore(const std::string &query) const;
     // Sets faults of the instance, and what it says of itself: `query` as in instance_standin.cpp, for example "fail=PERCENT" or "leaving=1".
     void controlServer(std::size_t serverIndex, const std::string &query) const;
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -679,6 +679,34 @@
     CHECK(retryBudget.tryTake("s"));
 }
 
+// Guards against a budget that each node takes for its own alone, while it doesn't know the other nodes: only the part by its own first calls is safe then.
+TEST(RetryBudgets, ANodeThatDoesNotKnowTheOthersHasNoPartOfWhatIsDivided)
+{
+    ManualClock clock;
+    RetryBudgetSettings settings;
+    settings.ratio = 0.2;
+    settings.extraPerWindow = 54;
+    settings.usedShare = 1;
+    std::optional<std::size_t> nodes;
+    ServiceRetryBudget retryBudget(clock, settings, [&nodes] {
+        return nodes;
+    });
+    CHECK_FALSE(retryBudget.tryTake("s"));
+    for (int i = 0; i < 100; ++i) {
+        retryBudget.recordFirstCall("s");
+    }
+    int retries = 0;
+    while (retryBudget.tryTake("s")) {
+        ++retries;
+    }
+    LONGS_EQUAL(20, retries);
+    nodes = 6; // what was taken before counts
+    while (retryBudget.tryTake("s")) {
+        ++retries;
+    }
+    LONGS_EQUAL(29, retries);
+}
+
 TEST_GROUP(Relay){};
 
 // Guards against followers that miss removed rows, take old rows for new ones, or get only part of the changes because the cache does not
