--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -420,6 +420,12 @@
     return outcome;
 }
 
+bool ForwardRun::serverEnded(const UpstreamCall &call, const InstanceSpec &instance) const
+{
+    return call.bodyEndsWithConnection()
+        && UpstreamCall::refused(m_dependencies.upstream, instance.address, m_dependencies.clock.now() + m_settings.crashCheckTimeout);
+}
+
 // The connection to the instance was lost before the answer's end. The instance has crashed if nothing listens at its address any more.
 void ForwardRun::reportCrash(const InstanceSpec &instance) const
 {
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -123,6 +123,8 @@
     AttemptOutcome relayStream(UpstreamCall &call, const ReplyHead &head, const ReplyFacts &facts, InstanceLease &lease, TimePoint began);
     bool forwardEvents(std::string &buffer, const ReplyHead &head, std::size_t bytes, std::optional<std::string> lastId);
     void recordFirstEvent(InstanceLease &lease, Duration time) const;
+    // A reply that has ended in order with its connection may be a part only: its server's process may have been killed. True: nothing listens at its address.
+    bool serverEnded(const UpstreamCall &call, const InstanceSpec &instance) const;
     void reportCrash(const InstanceSpec &instance) const;
     AttemptOutcome handleFailure(const UpstreamFailure &failure, InstanceLease &lease, TimePoint began);
 
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -29,6 +29,9 @@
     if (!body) {
         return handleFailure(body.error(), lease, began);
     }
+    if (serverEnded(call, lease.instance())) {
+        return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began);
+    }
     const ReplyFacts facts = m_dependencies.codec.readReply(head, m_request.attemptId);
     const Duration took = m_dependencies.clock.now() - began;
     if (isServerFailure(head.status)) {
--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -102,9 +102,8 @@
             }
         }
     }
-    if (call.bodyEndsWithConnection()
-        && UpstreamCall::refused(m_dependencies.upstream, lease.instance().address, m_dependencies.clock.now() + m_settings.crashCheckTimeout)) {
-        return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began); // its server ended, perhaps before the last event
+    if (serverEnded(call, lease.instance())) {
+        return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began); // perhaps before the last event
     }
     if (!m_streamStarted) { // the stream ended without any event
         (void)m_exchange.beginStream(head.status, m_dependencies.codec.replyHeaders(head), {}, m_deadline);
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -463,6 +463,34 @@
     }
 }
 
+// Guards against a part of a plain answer that passes for the whole (MIXED): without a length it ends with its connection, also when its server's process is
+// killed in the middle. It is repeated where that is allowed, and else is no success; nothing of it reaches the caller.
+TEST(Forwarding, APlainAnswerWhoseServerEndedIsNotComplete)
+{
+    for (const char *fields : {"", "Connection: close\r\n"}) {
+        for (const std::string route : {"again", "once"}) {
+            first = std::make_unique<ScriptedServer>();
+            first->script = [&](ServerConnection &connection) {
+                (void)connection.send(connection.head(fields) + "half of");
+                first->stopListening();
+            };
+            second->script = [&](ServerConnection &connection) {
+                (void)connection.send(connection.head(fields) + "half of the answer");
+            };
+            const int before = second->requests;
+            const bool repeated = route == "again";
+            instances->synchronise({});
+            serve(route, true);
+            instances->report("i2", InstanceCallOutcome::Unreachable, Duration::zero()); // so that the first server is chosen first
+            const CallerAnswer answer = Caller(front->address()).call("POST", route, "a1");
+            LONGS_EQUAL(repeated ? 200 : 502, answer.status);
+            CHECK(answer.complete);
+            CHECK(repeated ? answer.body == "half of the answer" : answer.body.find("half") == std::string::npos);
+            LONGS_EQUAL(before + (repeated ? 1 : 0), second->requests);
+        }
+    }
+}
+
 // An answer that is lost after the run: a request that must not be repeated runs once, and nobody says that it didn't run. One that may be
 // repeated is answered by the next server.
 TEST(Forwarding, ALostAnswerIsNeitherRepeatedNorDenied)
