--- /dev/null
+++ b/tests/integration/eras_test.cpp
@@ -0,0 +1,127 @@
+// vanillanotch-entryd while the store comes back from an older copy (issue 45): what was acknowledged since is gone, versions go back and are given out again,
+// and the operator writes its rows again only after a while.
+#include "entry_cluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr seconds RevocationBound{5}; // revocation_bound_ms by default
+constexpr seconds Margin{3}; // for the store's return and a call to it
+
+int statusOf(const EntryCluster &cluster, std::size_t node, const std::string &key)
+{
+    static int number = 0;
+    EntryCall call;
+    call.apiKey = key;
+    call.attempt = "e" + std::to_string(++number);
+    call.deadline = milliseconds(1000);
+    return callEntry(cluster.callerAddress(node), call).status;
+}
+} // namespace
+
+TEST_GROUP(Eras)
+{
+    std::unique_ptr<EntryCluster> cluster;
+
+    void setup() override
+    {
+        cluster = makeTwoNodeCluster("eras");
+        CHECK(cluster->awaitReady());
+    }
+    void teardown() override
+    {
+        cluster.reset();
+    }
+    // Writes rows of the operator's table that change nothing for requests; each takes one version of the store.
+    void writeOtherRows(unsigned count) const
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            cluster->setEvacuated("elsewhere", i % 2 == 0);
+        }
+    }
+};
+
+// Guards against a node that follows the table by its version alone: the store has given out more versions since its return than it had lost, so that the
+// node's next read passes over the configuration that was written between the copy and the node's version.
+TEST(Eras, ARowThatGotAFormerVersionIsSeen)
+{
+    constexpr unsigned Lost = 4;
+    for (const unsigned further : {0U, 3U, 7U}) { // versions given out after the return: fewer than were lost, as many, and more
+        cluster->controlStore("copy=1");
+        writeOtherRows(Lost);
+        std::this_thread::sleep_for(seconds(1)); // the nodes see them
+        for (std::size_t node = 0; node < cluster->nodeCount(); ++node) {
+            cluster->setStoreLink(node, "refuse");
+        }
+        cluster->controlStore("return=1");
+        const std::string key = "key-after-" + std::to_string(further);
+        cluster->writeConfiguration({key});
+        writeOtherRows(further);
+        for (std::size_t node = 0; node < cluster->nodeCount(); ++node) {
+            cluster->setStoreLink(node, "pass");
+        }
+        for (std::size_t node = 0; node < cluster->nodeCount(); ++node) {
+            CHECK_TEXT(eventually(
+                           [&] {
+                               return statusOf(*cluster, node, key) == 200;
+                           },
+                           RevocationBound + Margin),
+                       key.c_str());
+            LONGS_EQUAL_TEXT(401, statusOf(*cluster, node, "key-1"), key.c_str());
+        }
+    }
+}
+
+// Guards against an evacuation that the copy has forgotten: it was acknowledged, so it holds until the operator writes it again.
+TEST(Eras, AnEvacuationHoldsAgainstAnOlderCopy)
+{
+    cluster->controlStore("copy=1");
+    cluster->setEvacuated("dc1", true); // all servers are there
+    const auto refused = [this] {
+        return statusOf(*cluster, 0, "key-1") == 503;
+    };
+    CHECK(eventually(refused, seconds(5)));
+    cluster->controlStore("return=1");
+    const TimePoint until = std::chrono::steady_clock::now() + seconds(3);
+    while (std::chrono::steady_clock::now() < until) {
+        CHECK(refused());
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    cluster->setEvacuated("dc1", true); // the operator writes it again
+    std::this_thread::sleep_for(seconds(1));
+    CHECK(refused());
+    cluster->setEvacuated("dc1", false);
+    CHECK(eventually(
+        [this] {
+            return statusOf(*cluster, 0, "key-1") == 200;
+        },
+        seconds(10)));
+}
+
+// Guards against a node that starts while the store's copy has an older configuration, with a key that was taken away: the other node knows better.
+TEST(Eras, ANodeThatStartsInTheGapDoesNotServeARevokedKey)
+{
+    cluster->controlStore("copy=1");
+    cluster->writeConfiguration({"key-2"});
+    for (std::size_t node = 0; node < cluster->nodeCount(); ++node) {
+        CHECK(eventually([&] {
+            return statusOf(*cluster, node, "key-1") == 401;
+        }));
+    }
+    std::this_thread::sleep_for(RevocationBound);
+    cluster->controlStore("return=1");
+    cluster->restartNode(0);
+    const TimePoint until = std::chrono::steady_clock::now() + seconds(4);
+    while (std::chrono::steady_clock::now() < until) {
+        CHECK(statusOf(*cluster, 0, "key-1") != 200);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+}
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -9,6 +9,9 @@
 //     lost    writes take effect, then are held for 5 s and get no reply; feeds are answered with 503, other reads are served
 //   A feed request that is waiting when the mode changes from ok to another is answered with 503.
 //   POST /control?down=TABLE  answers all requests for this table with 503, and serves the others; TABLE none: serves all again
+//   POST /control?copy=1      keeps a copy of all rows and of the version
+//   POST /control?return=1    comes back from that copy: what was written since is gone, versions go back and are given out again, a feed from a version
+//     that isn't there gets 410, and the header Store-Era of all answers rises by one. The requests for feeds that wait end with 503.
 //   POST /control?compact=1   as if the feed's history were deleted: feeds from an older version are answered with 410
 #include "standin.h"
 
@@ -95,6 +98,14 @@
             if (!exchange.query("compact").empty()) {
                 m_oldest = m_version;
             }
+            if (!exchange.query("copy").empty()) {
+                m_copy = Copy{m_rows, m_version};
+            }
+            if (!exchange.query("return").empty()) {
+                m_rows = m_copy.rows;
+                m_version = m_copy.version;
+                ++m_era;
+            }
         }
         m_changed.notify_all();
         reply(exchange, 200, Json::object());
@@ -104,6 +115,7 @@
     {
         const auto now = std::chrono::steady_clock::now().time_since_epoch() / std::chrono::milliseconds(1);
         body["NowMs"] = now;
+        exchange.setHeader("Store-Era", std::to_string(m_era));
         exchange.reply(status, "application/json", body.dump());
     }
 
@@ -141,6 +153,13 @@
         int status = 200;
         {
             std::unique_lock<std::mutex> lock(m_mutex);
+            const std::uint64_t era = m_era;
+            const auto gone = [&] {
+                return after < m_oldest || after > m_version;
+            };
+            const auto faulty = [&] {
+                return m_mode != "ok" || exchange.query("Table") == m_down || era != m_era;
+            };
             const auto changed = [&] {
                 body["Rows"] = Json::array();
                 for (const auto &[key, value] : m_rows) {
@@ -148,10 +167,10 @@
                         body["Rows"].push_back(rowOf(key, value));
                     }
                 }
-                return after < m_oldest || !body["Rows"].empty() || m_mode != "ok" || exchange.query("Table") == m_down;
+                return gone() || !body["Rows"].empty() || faulty();
             };
             m_changed.wait_for(lock, maxWait, changed);
-            status = after < m_oldest ? 410 : m_mode != "ok" || exchange.query("Table") == m_down ? 503 : 200;
+            status = faulty() ? 503 : gone() ? 410 : 200; // calls that waited when the store went away learn nothing of its return
             body["Ver"] = m_version;
         }
         reply(exchange, status, body);
@@ -200,8 +219,15 @@
         return RowKey{row.at("Table").get<std::string>(), row.value("part", std::string()), row.at("Key").get<std::string>()};
     }
 
+    struct Copy {
+        std::map<RowKey, StoredValue> rows;
+        std::uint64_t version = 1;
+    };
+
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    Copy m_copy;
+    std::atomic<std::uint64_t> m_era{1};
     std::map<RowKey, StoredValue> m_rows;
     std::uint64_t m_version = 1;
     std::uint64_t m_oldest = 0; // oldest version after which a feed can continue; set by compact
