--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -69,6 +69,12 @@
         return "deadline_exceeded";
     case ErrorCode::CallerDisconnected:
         return "caller_gone";
+    case ErrorCode::StreamUnknown:
+        return "stream_unknown";
+    case ErrorCode::StreamUnread:
+        return "stream_unread";
+    case ErrorCode::StreamVersionGone:
+        return "stream_version_gone";
     case ErrorCode::ConnectFailed:
         return "connect_failed";
     case ErrorCode::ConnectionLost:
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -74,6 +74,9 @@
     NoFitServer = 1301, // no backend server (or registered instance of one) may take the work now
     DeadlineExceeded = 1302, // the deadline passed before the request finished
     CallerDisconnected = 1303, // the caller disconnected or cancelled the request
+    StreamUnknown = 1304, // a stream can't go on: it isn't known which software version began it
+    StreamUnread = 1305, // the same, because the platform's store couldn't be asked
+    StreamVersionGone = 1306, // a stream can't go on: no server of the software version that began it may take the work
     // 14xx: backend servers
     ConnectFailed = 1401, // no connection was made, so nothing was sent
     ConnectionLost = 1402, // the connection was closed or reset after bytes were sent
@@ -219,6 +222,7 @@
     StageOwners = 33, // OwnerStageExecutor: plan and state of the owners, the nodes that schedule stages for others, and the work that waits there
     Placement = 34, // PlacementOwner: what is known of engines; OwnedPlacement: reports to be sent
     Accounts = 40, // AccountTable: rates and concurrency of client accounts
+    Continuity = 45, // StreamVersions: software versions of services, and streams that this node has begun
     Requests = 50, // RequestTable, ForwardService: requests in flight
     Estimates = 60, // measured times, retry budgets and deadlines: StageEstimates, RetryPolicy, ServiceRetryBudget, EngineTimeEstimator, StatedDeadlines
     Suspects = 65, // SuspectTable, CrashTable: requests that were running when backend servers crashed
--- /dev/null
+++ b/src/continuity/continuity.h
@@ -0,0 +1,222 @@
+// vanillanotch continuity library: at which software version of its service a stream that broke off may go on.
+//
+// Instances of several software versions may serve one service side by side, and what two of them write doesn't fit together. Nodes have no disks and may all
+// be killed at once, so what a node must know to let a stream go on is in the ledger, tables of the platform's store. A record for each stream would be dear;
+// so each service has a default version, and only streams of other versions are recorded, before the caller gets their first event. A stream without a
+// record was begun by the default version. The ledger may come back from a copy that is some seconds old; a missing record then proves nothing for a while,
+// unless only one version has served.
+//
+// Index of sections:
+//   [LEDGER]   StreamLedger: records of streams and default versions, shared by all nodes
+//   [VERSIONS] ServiceVersions: what this node knows of the versions of one service
+//   [STREAMS]  StreamRecord, StreamVersions: the version at which a stream may begin and go on
+//
+// Rules this aggregate enforces:
+//   - a stream goes on only at the version that began it; where that can't be known, it doesn't go on;
+//   - while instances of the default version may take new work, a stream begins at another version only once the ledger holds a record of it;
+//   - the default version is replaced only when it has no instances any more, first by none, so that every stream is recorded, and by another one when that
+//     has been the only one for as long as a stream may be taken up again.
+#pragma once
+
+#include "base/base.h"
+#include "instances/instances.h"
+#include "transport/transport.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace vanillanotch
+{
+
+//-----------------------------------------------------------------------------
+// [LEDGER]
+//-----------------------------------------------------------------------------
+
+struct DefaultVersion {
+    std::string version; // empty: none, so that each stream has a record
+    std::uint64_t revision = 0; // of the ledger's entry; 0: the service has no entry yet
+    std::uint64_t era = 0; // of the ledger when the entry was written
+    std::uint64_t ledgerEra = 0; // of the ledger now
+    // False: the ledger has lost what was written for some seconds, so that a record may be missing.
+    bool recordsComplete() const
+    {
+        return era == ledgerEra;
+    }
+};
+
+// `stream`: the id of the caller's attempt that brought its first event. Errors of all: those of StateStore::writeRows().
+class StreamLedger
+{
+public:
+    virtual ~StreamLedger() = default;
+    virtual Result<std::optional<std::string>> versionOf(const std::string &stream, Duration timeout) = 0; // nullopt: there is no record
+    // `replaces`: the stream may have a record, of an attempt that brought the caller nothing. Otherwise ConditionFailed: it has one; so a write that is
+    // performed late can't undo a later one.
+    virtual Result<void> record(const std::string &stream, const std::string &version, bool replaces, Duration timeout) = 0;
+    virtual Result<DefaultVersion> defaultOf(const std::string &service, Duration timeout) = 0;
+    // The new entry is of the era that `replaced` was read in. ConditionFailed: the entry isn't `replaced` any more.
+    virtual Result<void> replaceDefault(const std::string &service, const DefaultVersion &replaced, const std::string &version, Duration timeout) = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [VERSIONS]
+//-----------------------------------------------------------------------------
+
+struct ContinuitySettings {
+    // Longest time from the first event of a stream until it is taken up for the last time.
+    std::chrono::milliseconds streamLifetime{30000};
+    std::chrono::milliseconds observationGap{3000}; // a node that hasn't observed a service for longer, because it stood still, begins anew
+    std::chrono::milliseconds registrySettling{5000}; // after an outage of the registry, until its entries are complete again
+    std::chrono::milliseconds ledgerTimeout{1000}; // of a call to the ledger
+    std::chrono::milliseconds ledgerRetry{2000}; // after a failed record, streams begin at the default version for this long
+    std::size_t maxRemembered = 20000; // streams whose versions this node remembers itself
+};
+
+// Not thread-safe. All times are of the same clock.
+class ServiceVersions
+{
+public:
+    explicit ServiceVersions(const ContinuitySettings &settings)
+        : m_settings(settings)
+    {
+    }
+    // `registered`: the versions of all registered instances. Call it at every change, and at least every observationGap. True: they have changed.
+    bool observe(const std::set<std::string> &registered, TimePoint now);
+    void recordDefault(const DefaultVersion &read, TimePoint asked); // `asked`: when the read began
+    const std::set<std::string> &registered() const
+    {
+        return m_registered;
+    }
+    // The default version. nullopt: not known since the registered versions have changed last.
+    std::optional<DefaultVersion> knownDefault() const;
+    TimePoint defaultAsked() const // when the last read of the default version began
+    {
+        return m_defaultAsked;
+    }
+    // The last default version that was read, which may have been replaced since. nullopt: none was read.
+    const std::optional<DefaultVersion> &lastDefault() const
+    {
+        return m_default;
+    }
+    // The version of all registered instances, unless this node has seen another one within streamLifetime. nullopt: there are or were several.
+    std::optional<std::string> onlyVersion(TimePoint now) const;
+    // What the default version's entry must be replaced with now; empty: none. nullopt: it stays.
+    std::optional<std::string> successor(TimePoint now, Duration registryWorksFor) const;
+
+private:
+    const ContinuitySettings &m_settings;
+    std::set<std::string> m_registered;
+    TimePoint m_changedAt{}; // when they have changed last, or when observation began anew
+    TimePoint m_observedAt{};
+    std::optional<TimePoint> m_otherAt; // when another version than the present only one was registered last; nullopt: never
+    std::optional<DefaultVersion> m_default;
+    TimePoint m_defaultAsked{};
+    TimePoint m_defaultSince{}; // when it was read first with its revision, in this era of the ledger
+};
+
+//-----------------------------------------------------------------------------
+// [STREAMS]
+//-----------------------------------------------------------------------------
+
+// The record of one stream in the ledger, which is written in the background. Thread-safe.
+class StreamRecord : public RefCounted<StreamRecord>
+{
+public:
+    enum class State {
+        Pending,
+        Written,
+        NotWritten, // nothing was done
+        Unknown, // it may have been written, or may still be
+    };
+    StreamRecord(std::string version, bool replaces, Ref<WakeupSignal> done); // `replaces`: the ledger may hold another record of the stream
+    const std::string &version() const
+    {
+        return m_version;
+    }
+    State state() const
+    {
+        return m_state;
+    }
+    bool replaces() const
+    {
+        return m_replaces;
+    }
+    bool underWay() const
+    {
+        return m_state == State::Pending || m_state == State::Written;
+    }
+    bool ledgerMayHoldOne() const // a record of the stream, this or another one
+    {
+        return m_replaces || m_state != State::NotWritten;
+    }
+    void finish(State state); // raises the signal
+
+private:
+    const std::string m_version;
+    const bool m_replaces;
+    const Ref<WakeupSignal> m_done;
+    std::atomic<State> m_state{State::Pending};
+};
+
+// A stream that a caller takes up again.
+struct StreamTakeUp {
+    std::string service;
+    std::string stream; // empty: the caller doesn't say which
+    bool registryCurrent = false; // this node's copy of the registry is up to date, as far as it knows
+};
+
+// Thread-safe; calls the ledger without its lock held.
+class StreamVersions
+{
+public:
+    StreamVersions(const Clock &clock, const InstanceTable &instances, StreamLedger &ledger, GrowingPool &pool, ContinuitySettings settings,
+                   MetricsRegistry &metrics);
+    // The services whose streams may be taken up; those that are asked for are added. Their versions are known before their first stream comes.
+    void setServices(const std::set<std::string> &services);
+    void instancesChanged();
+    // Reads and replaces default versions where that is due, in the background. Call it every second or so. `onDuty`: of all nodes, this one looks whether the
+    // ledger has come back from an older copy.
+    void maintain(Duration registryWorksFor, bool onDuty);
+    std::size_t mixedServices() const; // services with registered instances of several versions
+
+    // The version at which the stream goes on. Asks the ledger unless this node has begun the stream itself. Errors: StreamUnknown, StreamUnread (the
+    // ledger couldn't be asked).
+    Result<std::string> versionOf(const StreamTakeUp &takeUp);
+    // The only version at which a new stream may begin at the moment; nullopt: any.
+    std::optional<std::string> requiredVersion(const std::string &service);
+    // Begins to write the record, unless the stream needs none. `former`: the record of an earlier attempt at the same stream, which may hold another version.
+    // Returns the record that must be written before the caller gets the first event; null: none.
+    Ref<StreamRecord> begin(const std::string &service, const std::string &stream, const std::string &version, const Ref<StreamRecord> &former,
+                            const Ref<WakeupSignal> &done);
+    // True: a stream whose record couldn't be written may begin all the same, since no take-up would take it for another version's.
+    bool mayBeginUnrecorded(const std::string &service, const std::string &version);
+    void remember(const std::string &stream, const std::string &version); // this node has begun the stream
+
+private:
+    void check(Duration registryWorksFor, bool onDuty);
+    ServiceVersions &serviceLocked(const std::string &service);
+    void observe(const std::string &service);
+    void maintainService(const std::string &service, Duration registryWorksFor);
+    Result<DefaultVersion> readDefault(const std::string &service);
+    Result<std::string> decide(const StreamTakeUp &takeUp); // versionOf() without the log
+
+    const Clock &m_clock;
+    const InstanceTable &m_instances;
+    StreamLedger &m_ledger;
+    GrowingPool &m_pool;
+    const ContinuitySettings m_settings;
+    Counter &m_records;
+    Counter &m_recordFailures;
+    mutable RankedMutex m_mutex{LockRank::Continuity};
+    std::map<std::string, ServiceVersions> m_services;
+    std::set<std::string> m_maintained; // services whose default version is being read
+    TimePoint m_ledgerFailedAt{};
+    struct Remembered {
+        std::string version;
+        TimePoint until{};
+    };
+    std::unordered_map<std::string, Remembered> m_remembered; // by stream
+    std::deque<std::string> m_rememberedOrder; // the oldest first
+};
+
+} // namespace vanillanotch
--- /dev/null
+++ b/src/continuity/streams.cpp
@@ -0,0 +1,277 @@
+// StreamRecord and StreamVersions.
+#include "continuity/continuity.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillanotch
+{
+
+namespace
+{
+// Pause before the default version is read again while it isn't the only one that is registered: another node may have replaced it.
+constexpr Duration DefaultRereadPause = std::chrono::seconds(5);
+constexpr Duration EraCheckPause = std::chrono::seconds(10); // the same while it is the only one
+
+std::string listOf(const std::set<std::string> &versions)
+{
+    std::string text;
+    for (const std::string &version : versions) {
+        text += (text.empty() ? "" : ",") + version;
+    }
+    return text;
+}
+} // namespace
+
+//-----------------------------------------------------------------------------
+// StreamRecord
+//-----------------------------------------------------------------------------
+
+StreamRecord::StreamRecord(std::string version, bool replaces, Ref<WakeupSignal> done)
+    : m_version(std::move(version))
+    , m_replaces(replaces)
+    , m_done(std::move(done))
+{
+}
+
+void StreamRecord::finish(State state)
+{
+    m_state = state;
+    m_done->raise();
+}
+
+//-----------------------------------------------------------------------------
+// StreamVersions
+//-----------------------------------------------------------------------------
+
+StreamVersions::StreamVersions(const Clock &clock, const InstanceTable &instances, StreamLedger &ledger, GrowingPool &pool, ContinuitySettings settings,
+                               MetricsRegistry &metrics)
+    : m_clock(clock)
+    , m_instances(instances)
+    , m_ledger(ledger)
+    , m_pool(pool)
+    , m_settings(settings)
+    , m_records(metrics.counter("vanillanotch_stream_records_total"))
+    , m_recordFailures(metrics.counter("vanillanotch_stream_record_failures_total"))
+{
+}
+
+ServiceVersions &StreamVersions::serviceLocked(const std::string &service)
+{
+    return m_services.try_emplace(service, m_settings).first->second;
+}
+
+void StreamVersions::observe(const std::string &service)
+{
+    const std::set<std::string> registered = m_instances.softwareVersions(service);
+    {
+        const Lock lock(m_mutex);
+        if (!serviceLocked(service).observe(registered, m_clock.now())) {
+            return;
+        }
+    }
+    logEvent(LogLevel::Info, "service.versions", {{"service", service}, {"versions", listOf(registered)}});
+}
+
+void StreamVersions::setServices(const std::set<std::string> &services)
+{
+    {
+        const Lock lock(m_mutex);
+        for (const std::string &service : services) {
+            (void)serviceLocked(service);
+        }
+    }
+    instancesChanged();
+}
+
+void StreamVersions::instancesChanged()
+{
+    check(Duration::zero(), false);
+}
+
+void StreamVersions::maintain(Duration registryWorksFor, bool onDuty)
+{
+    if (registryWorksFor == Duration::zero()) { // the registry and the ledger are in the same store
+        const Lock lock(m_mutex);
+        m_ledgerFailedAt = m_clock.now();
+    }
+    check(registryWorksFor, onDuty);
+}
+
+void StreamVersions::check(Duration registryWorksFor, bool onDuty)
+{
+    std::vector<std::string> services;
+    {
+        const Lock lock(m_mutex);
+        for (const auto &[service, versions] : m_services) {
+            services.push_back(service);
+        }
+    }
+    for (const std::string &service : services) {
+        observe(service);
+        const TimePoint now = m_clock.now();
+        const Lock lock(m_mutex);
+        const ServiceVersions &versions = serviceLocked(service);
+        const auto known = versions.knownDefault();
+        const bool plain = known && versions.registered() == std::set<std::string>{known->version};
+        const bool rereads = known && now - versions.defaultAsked() >= (plain ? EraCheckPause : DefaultRereadPause) && (!plain || onDuty);
+        const bool due = !known || rereads || versions.successor(now, registryWorksFor);
+        if (due && m_maintained.insert(service).second) {
+            m_pool.post([this, service, registryWorksFor] {
+                maintainService(service, registryWorksFor);
+            });
+        }
+    }
+}
+
+void StreamVersions::maintainService(const std::string &service, Duration registryWorksFor)
+{
+    const auto read = readDefault(service);
+    std::optional<std::string> successor;
+    {
+        const Lock lock(m_mutex);
+        successor = read ? serviceLocked(service).successor(m_clock.now(), registryWorksFor) : std::nullopt;
+    }
+    if (successor) {
+        const auto replaced = m_ledger.replaceDefault(service, *read, *successor, m_settings.ledgerTimeout);
+        logEvent(LogLevel::Info, "service.default_version",
+                 {{"service", service}, {"from", read->version}, {"to", *successor}, {"error", replaced ? 0 : static_cast<int>(replaced.error().code)}});
+        (void)readDefault(service);
+    }
+    const Lock lock(m_mutex);
+    m_maintained.erase(service);
+}
+
+Result<DefaultVersion> StreamVersions::readDefault(const std::string &service)
+{
+    const TimePoint asked = m_clock.now();
+    auto read = m_ledger.defaultOf(service, m_settings.ledgerTimeout);
+    if (read) {
+        const Lock lock(m_mutex);
+        serviceLocked(service).recordDefault(*read, asked);
+    }
+    return read;
+}
+
+std::size_t StreamVersions::mixedServices() const
+{
+    const Lock lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_services.begin(), m_services.end(), [](const auto &item) {
+        return item.second.registered().size() > 1;
+    }));
+}
+
+Result<std::string> StreamVersions::versionOf(const StreamTakeUp &takeUp)
+{
+    observe(takeUp.service);
+    auto version = decide(takeUp);
+    logEvent(LogLevel::Info, version ? "stream.taken_up" : "stream.not_taken_up",
+             {{"stream", takeUp.stream},
+              {"service", takeUp.service},
+              {"version", version ? *version : std::string()},
+              {"reason", version ? 0 : static_cast<int>(version.error().code)}});
+    return version;
+}
+
+Result<std::string> StreamVersions::decide(const StreamTakeUp &takeUp)
+{
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_remembered.find(takeUp.stream);
+        if (found != m_remembered.end() && m_clock.now() < found->second.until) {
+            return found->second.version;
+        }
+    }
+    const auto record = takeUp.stream.empty() ? Result<std::optional<std::string>>(std::nullopt) : m_ledger.versionOf(takeUp.stream, m_settings.ledgerTimeout);
+    if (record && *record) {
+        return **record;
+    }
+    const auto byDefault = record ? readDefault(takeUp.service) : tl::unexpected(record.error());
+    const Lock lock(m_mutex);
+    const ServiceVersions &versions = serviceLocked(takeUp.service);
+    const auto only = versions.onlyVersion(m_clock.now());
+    if (!byDefault) {
+        // Without the ledger, the stream goes on only where this node knows of a single version, and would know of another one.
+        const bool certain = takeUp.registryCurrent && only && (!versions.lastDefault() || versions.lastDefault()->version == *only);
+        return certain ? Result<std::string>(*only) : fail(ErrorCode::StreamUnread, byDefault.error().detail);
+    }
+    const bool proven = !takeUp.stream.empty() && byDefault->recordsComplete();
+    const bool isDefault = !byDefault->version.empty() && (proven || only == byDefault->version);
+    const bool isFirst = byDefault->revision == 0 && only;
+    return isDefault ? Result<std::string>(byDefault->version) : isFirst ? Result<std::string>(*only) : fail(ErrorCode::StreamUnknown);
+}
+
+std::optional<std::string> StreamVersions::requiredVersion(const std::string &service)
+{
+    std::optional<DefaultVersion> known;
+    {
+        const Lock lock(m_mutex);
+        const bool failing = m_ledgerFailedAt != TimePoint{} && m_clock.now() - m_ledgerFailedAt < m_settings.ledgerRetry;
+        known = failing ? serviceLocked(service).lastDefault() : std::nullopt;
+    }
+    const bool usable = known && !known->version.empty() && m_instances.someUsable(service, InstanceScope::ofVersion(known->version));
+    return usable ? std::optional(known->version) : std::nullopt;
+}
+
+Ref<StreamRecord> StreamVersions::begin(const std::string &service, const std::string &stream, const std::string &version, const Ref<StreamRecord> &former,
+                                        const Ref<WakeupSignal> &done)
+{
+    observe(service);
+    const bool replaces = former && former->ledgerMayHoldOne();
+    {
+        const Lock lock(m_mutex);
+        const auto known = serviceLocked(service).knownDefault();
+        if (stream.empty() || (!replaces && known && known->version == version)) {
+            return Ref<StreamRecord>();
+        }
+    }
+    if (former && former->version() == version && former->underWay()) {
+        return former;
+    }
+    m_records.add();
+    auto record = makeRef<StreamRecord>(version, replaces, done);
+    m_pool.post([this, stream, record] {
+        const auto written = m_ledger.record(stream, record->version(), record->replaces(), m_settings.ledgerTimeout);
+        if (!written) {
+            m_recordFailures.add();
+            logEvent(LogLevel::Warning, "stream.record_failed", {{"stream", stream}, {"version", record->version()}, {"error", written.error().code}});
+            const Lock lock(m_mutex);
+            m_ledgerFailedAt = m_clock.now();
+        }
+        const bool nothingDone = !written && (written.error().code == ErrorCode::StoreRefused || written.error().code == ErrorCode::PlatformUnavailable);
+        record->finish(written ? StreamRecord::State::Written : nothingDone ? StreamRecord::State::NotWritten : StreamRecord::State::Unknown);
+    });
+    return record;
+}
+
+bool StreamVersions::mayBeginUnrecorded(const std::string &service, const std::string &version)
+{
+    std::optional<DefaultVersion> last;
+    {
+        const Lock lock(m_mutex);
+        const ServiceVersions &versions = serviceLocked(service);
+        last = versions.lastDefault();
+        if (!last || last->revision == 0) {
+            return versions.registered() == std::set<std::string>{version};
+        }
+    }
+    return last->version.empty() || last->version == version || !m_instances.someUsable(service, InstanceScope::ofVersion(last->version));
+}
+
+void StreamVersions::remember(const std::string &stream, const std::string &version)
+{
+    if (stream.empty()) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    const Lock lock(m_mutex);
+    if (m_remembered.insert_or_assign(stream, Remembered{version, now + m_settings.streamLifetime}).second) {
+        m_rememberedOrder.push_back(stream);
+    }
+    while (!m_rememberedOrder.empty() && (m_rememberedOrder.size() > m_settings.maxRemembered || m_remembered.at(m_rememberedOrder.front()).until <= now)) {
+        m_remembered.erase(m_rememberedOrder.front());
+        m_rememberedOrder.pop_front();
+    }
+}
+
+} // namespace vanillanotch
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -118,6 +118,10 @@
     {
         return m_accounts.has_value();
     }
+    const std::vector<RouteSpec> &routes() const
+    {
+        return m_routes;
+    }
     const std::vector<ServiceSpec> &services() const
     {
         return m_services;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -108,6 +108,23 @@
     Duration m_retryPause; // after the next failure; used by write() only
 };
 
+// Keeps the software versions of streams in tables of the platform's store, a row for each stream and for each service's default version.
+class StoreStreamLedger final : public StreamLedger
+{
+public:
+    explicit StoreStreamLedger(RowStore &store);
+    Result<std::optional<std::string>> versionOf(const std::string &stream, Duration timeout) override;
+    Result<void> record(const std::string &stream, const std::string &version, bool replaces, Duration timeout) override;
+    Result<DefaultVersion> defaultOf(const std::string &service, Duration timeout) override;
+    Result<void> replaceDefault(const std::string &service, const DefaultVersion &replaced, const std::string &version, Duration timeout) override;
+    // Removes records that were there at the call before; calls must be further apart than a stream lasts. For one node at a time, and one thread.
+    void removeOld(Duration timeout);
+
+private:
+    RowStore &m_store;
+    std::map<std::string, std::uint64_t> m_seen; // row versions by key, at the latest call
+};
+
 // Receives the rows of CrashesTable and passes them on to the CrashTable.
 class CrashListener final : public TableListener
 {
@@ -180,7 +197,8 @@
     void beginAnnouncing(); // has announce() run on the pool, unless it is about to run already
     void announce(); // writes this node's row to the members' table; after a failure it repeats the write until the store confirms it or the node stops
     void registerGauges(const std::string &server, const FrontServer &front); // of one of the servers; `server`: its label
-    void removeExpiredCrashRows(); // if it is this node's duty
+    bool removesExpiredRows() const; // whether that is this node's duty
+    void removeExpiredRows();
     void waitUntil(TimePoint time, const std::function<bool()> &done); // returns at that time, or earlier when done() is true
 
     const EntrySettings m_settings;
@@ -201,6 +219,7 @@
     EngineTimeEstimator m_engineTimes;
     StatedDeadlines m_statedDeadlines;
     std::unique_ptr<StateStore> m_store;
+    std::unique_ptr<RowStore> m_rowStore;
     std::unique_ptr<RelayChannel> m_relayChannel;
     RelayedStore m_relayedStore;
     StoreHealth m_storeHealth;
@@ -216,6 +235,8 @@
     CrashTable m_crashes;
     StoreCrashLedger m_crashLedger;
     CrashGuard m_crashGuard;
+    StoreStreamLedger m_streamLedger;
+    StreamVersions m_streamVersions;
     ResultReleaser m_releaser;
     StageScheduler m_scheduler;
     OwnerStageExecutor m_stages;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t MegaByte = 1'000'000;
 constexpr std::size_t BackgroundWorkers = 1; // threads for the timers' short tasks
 constexpr const char *MembersTable = "members";
-constexpr Duration CrashCleanupInterval = std::chrono::minutes(1);
+constexpr Duration RowCleanupInterval = std::chrono::minutes(1);
+constexpr Duration VersionsInterval = std::chrono::seconds(1); // between two checks of the software versions of services
 constexpr Duration AnnounceTimeout = std::chrono::seconds(2); // timeout for writing or removing this node's row of the members' table
 // Longest time for which the first reads of the other tables wait for that of the members.
 constexpr Duration MembersReadLimit = std::chrono::milliseconds(500);
@@ -55,6 +56,19 @@
     return rules;
 }
 
+std::set<std::string> resumableServices(const Deployment &deployment)
+{
+    std::set<std::string> services;
+    for (const RouteSpec &route : deployment.routes()) {
+        for (const WeightedService &service : route.services) {
+            if (route.kind == RequestKind::Streaming && route.resumable) {
+                services.insert(service.service);
+            }
+        }
+    }
+    return services;
+}
+
 std::unique_ptr<ChoicePolicy> makeEngineChoice(const std::string &name)
 {
     if (name == "shortest_time") {
@@ -140,6 +154,7 @@
                         return m_memberListener.hasRead() ? std::optional(m_members.aliveCount()) : std::nullopt;
                     })
     , m_store(platform::makeStore(settings.storeAddress, longPollSettings()))
+    , m_rowStore(platform::makeRowStore(settings.storeAddress, longPollSettings()))
     , m_relayChannel(makeRelayChannel(longPollSettings()))
     , m_relayedStore(*m_store, *m_relayChannel,
                      [this](const std::string &table) {
@@ -153,6 +168,8 @@
     , m_crashes(m_clock)
     , m_crashLedger(*m_store, m_pool, m_timers)
     , m_crashGuard(m_crashes, m_crashLedger)
+    , m_streamLedger(*m_rowStore)
+    , m_streamVersions(m_clock, m_instances, m_streamLedger, m_pool, ContinuitySettings{}, m_metrics)
     , m_releaser(*m_stageChannel, m_timers, m_pool)
     , m_scheduler(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_crashGuard, m_releaser, m_pool, m_timers, m_metrics})
     , m_stages(StageDependencies{m_clock, m_deployments, m_instances, *m_stageChannel, m_retryBudget, m_crashGuard, m_releaser, m_pool, m_timers, m_metrics},
@@ -161,7 +178,7 @@
     , m_placementOwner(m_clock, m_instances, m_deployments, m_metrics)
     , m_placement(m_clock, m_placementOwner, m_stages, *m_placementChannel, m_pool, m_timers, m_metrics)
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
-                                    m_crashGuard, m_placement, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
+                                    m_crashGuard, m_streamVersions, m_placement, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
                 forwardSettings(settings, m_capacity))
     , m_deploymentListener(m_deployments, m_instances, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
@@ -200,10 +217,12 @@
                     m_leaving, m_metrics)
 {
     m_deploymentListener.setInstalledListener([this] {
+        m_streamVersions.setServices(resumableServices(*m_deployments.current()));
         m_instances.setColdRules(coldRulesOf(*m_deployments.current(), parseStageAssignment(m_settings.stageSharing)));
     });
     m_instances.setChangeListener([this] {
         m_scheduler.instancesChanged();
+        m_streamVersions.instancesChanged();
     });
     m_metrics.gauge("vanillanotch_requests_running", [this] {
         return static_cast<double>(m_service.runningCount());
@@ -214,6 +233,9 @@
     m_metrics.gauge("vanillanotch_instances_cold", [this] {
         return static_cast<double>(m_instances.coldCount());
     });
+    m_metrics.gauge("vanillanotch_services_of_several_versions", [this] {
+        return static_cast<double>(m_streamVersions.mixedServices());
+    });
     m_metrics.gauge("vanillanotch_data_centres_evacuated", [this] {
         return static_cast<double>(m_instances.evacuatedCount());
     });
@@ -259,9 +281,12 @@
     m_timers.every(OwnedStagesInterval, [this] {
         m_stages.publishOwned();
     });
-    m_timers.every(CrashCleanupInterval, [this] {
+    m_timers.every(VersionsInterval, [this] {
+        m_streamVersions.maintain(m_storeHealth.worksFor(suspendAwareNow()), removesExpiredRows());
+    });
+    m_timers.every(RowCleanupInterval, [this] {
         m_pool.post([this] {
-            removeExpiredCrashRows();
+            removeExpiredRows();
         });
     });
     return {};
@@ -331,7 +356,7 @@
     }
 }
 
-void EntryNode::removeExpiredCrashRows()
+bool EntryNode::removesExpiredRows() const
 {
     const std::vector<MemberRecord> members = m_members.all();
     const MemberRecord *remover = nullptr; // one node removes them for all
@@ -340,12 +365,18 @@
             remover = &member;
         }
     }
-    if (remover == nullptr || remover->name != m_settings.node) {
+    return remover != nullptr && remover->name == m_settings.node;
+}
+
+void EntryNode::removeExpiredRows()
+{
+    if (!removesExpiredRows()) {
         return;
     }
+    m_streamLedger.removeOld(AnnounceTimeout);
     for (const CrashRow &row : m_crashes.expired()) {
         if (!m_store->removeRow(CrashesTable, encodeCrashRow(row).key, AnnounceTimeout)) {
-            return; // tried again after CrashCleanupInterval
+            return; // tried again after RowCleanupInterval
         }
     }
 }
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -20,10 +20,12 @@
 //   - a successful reply is returned only if it is complete, belongs to this try of the caller and carries the header by which a backend
 //     server marks its own replies (its seal);
 //   - the statuses 429, 503 and 408 are sent only when the request has not run and will not run;
+//   - a resumable stream, once begun, gets servers of one software version only, in one answer and over the caller's tries;
 //   - during a planned stop, no request is passed on that would probably still run at the end of the stop.
 #pragma once
 
 #include "base/base.h"
+#include "continuity/continuity.h"
 #include "crashes/crashes.h"
 #include "deployment/deployment.h"
 #include "instances/instances.h"
@@ -53,6 +55,7 @@
     // that data.
     std::string pieceKey;
     std::string resumeAfter; // id of the last event that the caller has; empty: the stream starts from the beginning
+    std::string resumedStream; // attemptId of the attempt that brought the first event of a stream that the caller takes up; empty: not stated
 };
 
 struct ServerCall {
@@ -303,6 +306,7 @@
     EngineTimeEstimator &engineTimeEstimator;
     StatedDeadlines &statedDeadlines;
     CrashGuard &crashGuard;
+    StreamVersions &streamVersions;
     EnginePlacement &placement;
     ChoicePolicy &serverChoice; // for backend servers that aren't model engines
     ChoicePolicy &engineChoice; // for model engines
--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -1,6 +1,6 @@
 // ForwardRun: admission of a request and attempts at servers. Index of sections: [ADMISSION], [ATTEMPTS]. The stages are in run_stages.cpp, what the
-// owners of engines are asked in run_placement.cpp, streamed replies in run_streams.cpp, plain replies, refusals and the end of a request in
-// run_answers.cpp.
+// owners of engines are asked in run_placement.cpp, software versions of servers in run_versions.cpp, streamed replies in run_streams.cpp, plain replies,
+// refusals and the end of a request in run_answers.cpp.
 #include "forwarding/run.h"
 
 #include <algorithm>
@@ -120,6 +120,9 @@
     const auto timeSpent = m_request.timeLeft ? m_dependencies.statedDeadlines.estimateSpent(m_route->name, *m_request.timeLeft) : std::chrono::milliseconds(0);
     m_target = arrived + m_route->targetLatency - timeSpent;
     chooseService();
+    if (auto bound = bindVersion(); !bound) {
+        return bound;
+    }
     const auto placed = checkPlaces();
     return placed ? checkCrashes() : placed;
 }
@@ -284,7 +287,7 @@
 {
     const TimePoint now = m_dependencies.clock.now();
     const Duration engineTime = streaming() ? m_dependencies.engineTimeEstimator.estimate(m_service, ownTokens()) + m_settings.engineMargin : Duration::zero();
-    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority, m_scope);
+    const Duration wait = m_dependencies.instances.limitedForNext(m_service, m_priority, serverScope());
     const bool late = now + wait > std::max(m_target - engineTime, now + m_settings.limitedWaitWhenLate);
     if (late) {
         logEvent(LogLevel::Info, "request.limited_on_arrival",
@@ -304,7 +307,7 @@
 bool ForwardRun::limitedBeyondTarget() const
 {
     const TimePoint now = m_dependencies.clock.now();
-    return now + m_dependencies.instances.limitedFor(m_service, m_scope) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
+    return now + m_dependencies.instances.limitedFor(m_service, serverScope()) > std::max(m_target, now + m_settings.limitedWaitWhenLate);
 }
 
 // All servers that could take the request are limited. Waits until one may get a request, unless that would take too long: then the caller is
@@ -314,7 +317,7 @@
     if (limitedBeyondTarget() || m_refuseWaiting) {
         return false;
     }
-    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service, m_scope));
+    const auto woken = awaitSignal(*m_progress, m_exchange, m_dependencies.clock.now() + m_dependencies.instances.limitedFor(m_service, serverScope()));
     return !m_refuseWaiting && (woken || woken.error().code != ErrorCode::CallerDisconnected);
 }
 
@@ -376,7 +379,7 @@
 {
     ChoiceInput input = choiceInput();
     input.avoid = m_tried;
-    input.scope = m_scope;
+    input.scope = serverScope();
     input.acceptsSlow = m_streamStarted; // the caller has a part of the answer
     const ServiceSpec *service = m_deployment->service(m_service);
     const bool engine = service != nullptr && service->engine;
@@ -406,6 +409,7 @@
         return handleFailure(opened.error(), *lease, began);
     }
     ++m_sentCount;
+    beginRecord(instance);
     const TimePoint replyLimit = firstReplyLimit();
     auto head = call.exchange(m_dependencies.codec.encodeCall(prepareCall(instance)), replyLimit, m_exchange);
     if (!head && head.error().code == ErrorCode::ServerTimeout && replyLimit < m_deadline && !grantRepetition()) {
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -81,6 +81,12 @@
     RequestTraits partTraits() const; // without the whole request, whose hash takes time
     RequestTraits allTraits() const;
 
+    // [VERSIONS]
+    StepResult bindVersion();
+    InstanceScope serverScope() const;
+    void beginRecord(const InstanceSpec &instance);
+    bool awaitRecord(const InstanceSpec &instance);
+
     // [STAGES]
     StepResult runStages();
     void submitReady();
@@ -156,6 +162,8 @@
     std::string m_account;
     std::string m_crashTrait; // RequestTraits::whole; empty: the request has no stages
     DataCentreScope m_scope; // of the home regions of route and account
+    std::optional<std::string> m_softwareVersion; // of the servers that may answer: the caller has a part of a stream of this version; nullopt: any
+    Ref<StreamRecord> m_streamRecord; // of the version at which the stream is about to begin
     int m_priority = 0;
     std::atomic<bool> m_refuseWaiting{false};
     std::uint64_t m_affinity = 0; // hash of all parts of the prompt but the last, or of the only part; 0: no prompt
--- a/src/forwarding/run_answers.cpp
+++ b/src/forwarding/run_answers.cpp
@@ -75,6 +75,8 @@
         retryAfter = m_settings.suspectRetryAfter;
         break;
     case ErrorCode::NoFitServer:
+    case ErrorCode::StreamUnknown:
+    case ErrorCode::StreamVersionGone:
         retryAfter = m_settings.unplacedRetryAfter;
         break;
     default:
@@ -117,7 +119,7 @@
         : code == ErrorCode::SuspectRefused                ? m_settings.suspectRetryAfter
         : code == ErrorCode::NoFitServer && !checkPlaces() ? m_settings.unplacedRetryAfter
         : code == ErrorCode::ServersLimited
-        ? std::max(m_settings.retryAfter, toMilliseconds(m_dependencies.instances.limitedForNext(m_service, m_priority, m_scope)))
+        ? std::max(m_settings.retryAfter, toMilliseconds(m_dependencies.instances.limitedForNext(m_service, m_priority, serverScope())))
         : m_settings.retryAfter;
     const auto retryAfter = m_mayHaveRun ? std::nullopt : std::optional(retryPause);
     (void)m_exchange.reply(m_outcome.status, m_dependencies.codec.refusalHeaders(m_request.attemptId, retryAfter), describeRefusal(code), sendLimit);
--- a/src/forwarding/run_placement.cpp
+++ b/src/forwarding/run_placement.cpp
@@ -43,7 +43,7 @@
 
 bool ForwardRun::asksOwner() const
 {
-    return !m_request.prompt.empty() && m_dependencies.instances.uneven(m_service);
+    return !m_request.prompt.empty() && !serverScope().softwareVersion && m_dependencies.instances.uneven(m_service);
 }
 
 std::string ForwardRun::engineDataCentre() const
--- a/src/forwarding/run_stages.cpp
+++ b/src/forwarding/run_stages.cpp
@@ -56,7 +56,7 @@
     ChoiceInput input;
     input.service = m_service;
     input.affinity = m_affinity;
-    input.scope = m_scope;
+    input.scope = serverScope();
     if (const auto preferred = m_dependencies.instances.preview(input, m_dependencies.engineChoice)) {
         m_preferredDataCentre = preferred->dataCentre;
     }
--- a/src/forwarding/run_streams.cpp
+++ b/src/forwarding/run_streams.cpp
@@ -82,10 +82,15 @@
             return handleFailure(UpstreamFailure{ErrorCode::ConnectionLost, true, false}, lease, began);
         }
         const bool started = m_streamStarted;
-        if (!forwardEvents(buffer, head, complete ? buffer.size() : scan.completeBytes, scan.lastId)) {
+        const std::size_t bytes = complete ? buffer.size() : scan.completeBytes;
+        if (!started && bytes > 0 && !awaitRecord(lease.instance())) {
+            return handleFailure(UpstreamFailure{ErrorCode::StreamUnread, true, false}, lease, began);
+        }
+        if (!forwardEvents(buffer, head, bytes, scan.lastId)) {
             return handleFailure(UpstreamFailure{ErrorCode::CallerDisconnected, true, false}, lease, began);
         }
         if (m_streamStarted && !started) {
+            m_softwareVersion = lease.instance().softwareVersion;
             recordFirstEvent(lease, m_firstEventAt - began);
             reportPlacement(m_firstEventAt - began, InstanceCallOutcome::Succeeded);
         }
--- a/src/instances/evacuations.cpp
+++ b/src/instances/evacuations.cpp
@@ -157,14 +157,36 @@
     return evacuatedLocked().size();
 }
 
-bool InstanceTable::noneLeft(const std::string &service, const DataCentreScope &scope) const
+bool InstanceTable::someUsableLocked(const std::string &service, const InstanceScope &scope) const
 {
-    const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
-    const bool someUsable = std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        return item.second.spec.service == service && scope.allows(item.second.spec.dataCentre) && usableLocked(item.second, now);
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        return item.second.spec.service == service && scope.allows(item.second.spec) && usableLocked(item.second, now);
     });
-    return !someUsable && ((scope.dataCentres() && !m_entries.empty()) || !evacuatedLocked().empty());
+}
+
+bool InstanceTable::someUsable(const std::string &service, const InstanceScope &scope) const
+{
+    const Lock lock(m_mutex);
+    return someUsableLocked(service, scope);
+}
+
+bool InstanceTable::noneLeft(const std::string &service, const InstanceScope &scope) const
+{
+    const Lock lock(m_mutex);
+    return !someUsableLocked(service, scope) && ((scope.restricted() && !m_entries.empty()) || !evacuatedLocked().empty());
+}
+
+std::set<std::string> InstanceTable::softwareVersions(const std::string &service) const
+{
+    const Lock lock(m_mutex);
+    std::set<std::string> versions;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.spec.service == service) {
+            versions.insert(entry.spec.softwareVersion);
+        }
+    }
+    return versions;
 }
 
 } // namespace vanillanotch
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -292,7 +292,7 @@
     bool someLimited = false;
     std::vector<double> prefixRanks;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service == input.service && input.scope.allows(entry.spec.dataCentre) && usableLocked(entry, now)) {
+        if (entry.spec.service == input.service && input.scope.allows(entry.spec) && usableLocked(entry, now)) {
             entries.push_back(&entry);
             prefixRanks.push_back(input.affinity == 0 ? 0 : prefixRank(input.affinity, entry.spec));
             shortest.include(entry, dataCentre);
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -3,7 +3,8 @@
 //
 // Index of sections:
 //   [SPECS]   InstanceSpec, InstanceView, NodePlace
-//   [PLACES]  DataCentreScope: which data centres a request may use; Evacuations: those whose instances get nothing new
+//   [PLACES]  DataCentreScope, InstanceScope: which data centres and software versions a request may use; Evacuations: data centres whose instances get
+//             nothing new
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
 //   limits.h  InstanceStatement, RequestLimiter, planLimitHolders(): requests to an instance that has stated a limit; RequestRate
 //   cold.h    ColdLimiter: how long an instance is cold, and the requests that it gets meanwhile; planColdSenders(): which nodes may send them
@@ -12,6 +13,7 @@
 // Rules this aggregate enforces:
 //   - a draining or removed instance gets no new work; entries of an earlier or unknown start don't take back that it is draining;
 //   - an instance in an evacuated data centre gets no new work, whichever way that comes;
+//   - a request that is bound to a software version gets no instance of another one;
 //   - an instance that can't be reached is avoided for a while, unless that would exclude more than half of its service's instances;
 //   - an entry that expired while the registry was unreachable is kept for a short time after the registry's return;
 //   - an instance that states a limit gets no more requests than that from all nodes together, and what it may not get does not go to
@@ -45,6 +47,7 @@
     // When its process started, Unix ms by its own clock; tells restarts under the same id apart. 0, or a time that can't be a start: unknown.
     std::int64_t startedUnixMs = 0;
     std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold, as its entry states it; nullopt: not stated
+    std::string softwareVersion{}; // of the program that it runs, not of the model weights
 
     // Names this start of the instance, in at most 171 bytes, so that it fits into the key of a row: a longer id is replaced by its hash.
     std::string process() const;
@@ -114,6 +117,32 @@
     std::optional<std::set<std::string>> m_dataCentres;
 };
 
+// The instances that a request may use.
+struct InstanceScope {
+    InstanceScope() = default;
+    InstanceScope(DataCentreScope scope) // NOLINT(google-explicit-constructor): most requests are restricted by data centre only
+        : dataCentres(std::move(scope))
+    {
+    }
+    static InstanceScope ofVersion(std::string version)
+    {
+        InstanceScope scope;
+        scope.softwareVersion = std::move(version);
+        return scope;
+    }
+    bool allows(const InstanceSpec &instance) const
+    {
+        return dataCentres.allows(instance.dataCentre) && (!softwareVersion || instance.softwareVersion == *softwareVersion);
+    }
+    bool restricted() const
+    {
+        return dataCentres.dataCentres() || softwareVersion;
+    }
+
+    DataCentreScope dataCentres;
+    std::optional<std::string> softwareVersion; // nullopt: any
+};
+
 // The evacuated data centres, and those that get their load back after an evacuation. Not thread-safe.
 class Evacuations
 {
@@ -164,7 +193,7 @@
     Duration timePerToken{}; // that an engine of usual speed takes to read one
     std::size_t preferredCount = 1; // instances that are preferred for the shared parts; set by InstanceTable
     bool acceptsSlow = false; // slow instances may be used also while others of the service are limited
-    DataCentreScope scope; // instances elsewhere aren't used
+    InstanceScope scope; // other instances aren't used
 };
 
 // The rank of an instance for the shared parts of a prompt; the highest is the first in the order of preference (weighted rendezvous hashing). All nodes
@@ -318,7 +347,9 @@
     double restoredShare(const std::string &dataCentre) const;
     // The service has no usable instance within the scope, and the scope is restricted or an evacuation is in force: such requests are refused at
     // once, since waiting for an instance is of no use. False while nothing is registered at all, for example because the registry wasn't read yet.
-    bool noneLeft(const std::string &service, const DataCentreScope &scope = {}) const;
+    bool noneLeft(const std::string &service, const InstanceScope &scope = {}) const;
+    bool someUsable(const std::string &service, const InstanceScope &scope) const;
+    std::set<std::string> softwareVersions(const std::string &service) const; // of all its registered instances, usable or not
 
     // The nodes among which limits are divided. Until the first call this node counts as alone; later, while it isn't among them, as not a holder.
     void setNodes(std::vector<NodePlace> nodes);
@@ -331,10 +362,10 @@
     void recordStatement(const std::string &id, const InstanceStatement &statement);
     // Time until limits and pauses let some usable instance of the service within the scope get a request from this node; zero: one may, or there is none at
     // all. While one is limited, those that are slow (InstanceView::slow) may not: they have as much as they can do.
-    Duration limitedFor(const std::string &service, const DataCentreScope &scope = {}) const;
+    Duration limitedFor(const std::string &service, const InstanceScope &scope = {}) const;
     // The same for a request that arrives now: requests with a QueuePlace that are as urgent or more are sent before it, and those that are more urgent
     // go on coming at their present rate.
-    Duration limitedForNext(const std::string &service, int priority, const DataCentreScope &scope = {}) const;
+    Duration limitedForNext(const std::string &service, int priority, const InstanceScope &scope = {}) const;
     // When a node that alone calls an instance for all others (the owner of its stage work) may call it next; in the past: at once.
     TimePoint callableAt(const std::string &id) const;
     void countCall(const std::string &id); // a call by such a node
@@ -407,7 +438,7 @@
     // Heeded: only those that may get a request now. It is empty or not whatever `input.avoid` says, so that a request which finds none can wait
     // for limitedFor().
     std::vector<InstanceView> viewsLocked(const ChoiceInput &input, Limits limits, TimePoint now) const;
-    Availability availabilityLocked(const std::string &service, const DataCentreScope &scope, TimePoint now) const;
+    Availability availabilityLocked(const std::string &service, const InstanceScope &scope, TimePoint now) const;
     LimitShare shareLocked(const InstanceSpec &spec) const;
     ChoiceInput withPreferredCountLocked(const ChoiceInput &input, const std::vector<InstanceView> &views, TimePoint now) const;
     TimePoint allowedAtLocked(const Entry &entry, TimePoint now) const;
@@ -420,6 +451,7 @@
     InstanceView viewLocked(const Entry &entry, TimePoint now) const;
     Duration averageTimeNow(const Entry &entry, Duration shortest, TimePoint now) const; // `shortest`: as of ShortestTimes
     bool usableLocked(const Entry &entry, TimePoint now) const;
+    bool someUsableLocked(const std::string &service, const InstanceScope &scope) const;
     // Removes the instances of data centres to which this request may not return yet. Some instances remain.
     void removeNotRestoredLocked(const ChoiceInput &input, std::vector<InstanceView> &views, TimePoint now) const;
     std::set<std::string> evacuatedLocked() const; // evacuated data centres with registered instances
--- a/src/instances/statements.cpp
+++ b/src/instances/statements.cpp
@@ -142,13 +142,13 @@
     }
 }
 
-InstanceTable::Availability InstanceTable::availabilityLocked(const std::string &service, const DataCentreScope &scope, TimePoint now) const
+InstanceTable::Availability InstanceTable::availabilityLocked(const std::string &service, const InstanceScope &scope, TimePoint now) const
 {
     Availability result;
     bool someAvailable = false;
     std::optional<TimePoint> earliest;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.spec.service != service || !scope.allows(entry.spec.dataCentre) || !usableLocked(entry, now)) {
+        if (entry.spec.service != service || !scope.allows(entry.spec) || !usableLocked(entry, now)) {
             continue;
         }
         const TimePoint allowed = allowedAtLocked(entry, now);
@@ -177,13 +177,13 @@
     return result;
 }
 
-Duration InstanceTable::limitedFor(const std::string &service, const DataCentreScope &scope) const
+Duration InstanceTable::limitedFor(const std::string &service, const InstanceScope &scope) const
 {
     const Lock lock(m_mutex);
     return availabilityLocked(service, scope, m_clock.now()).wait;
 }
 
-Duration InstanceTable::limitedForNext(const std::string &service, int priority, const DataCentreScope &scope) const
+Duration InstanceTable::limitedForNext(const std::string &service, int priority, const InstanceScope &scope) const
 {
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -1,7 +1,7 @@
 // vanillanotch watch library: keeps this node's copy of the tables in the platform's store up to date.
 //
 // Index of sections:
-//   [STORE]  StateStore: the operations of the platform's store that a node uses
+//   [STORE]  StateStore: the operations of the platform's store that a node uses; RowStore: those on single rows
 //   [WATCH]  TableWatch: follows one table; PollSchedule: how it calls; StoreClockMapping, StoreHealth: what it knows of the store's clock and failures
 //   [SOURCES] SourceOrder, SourceChooser: from which node, or from the store, a node gets a table, and what it does when that fails
 //   [RELAY]  TableCache, RelayedStore: most nodes of a data centre follow a table through a few of them
@@ -79,6 +79,31 @@
     virtual Result<void> removeRow(const std::string &table, const std::string &key, Duration timeout) = 0;
 };
 
+// A table's rows are divided into parts, which the store writes independently of each other.
+struct RowKey {
+    std::string table;
+    std::string part;
+    std::string key;
+};
+
+struct RowReading {
+    std::optional<StoredRow> row; // nullopt: there is no such row
+    std::uint64_t era = 0; // rises each time the store comes back from an older copy, and has lost what was written since
+};
+
+// Operations on single rows, and on parts other than the empty one. `timeout` limits a whole call. Errors: those of StateStore.
+class RowStore
+{
+public:
+    virtual ~RowStore() = default;
+    virtual Result<RowReading> readRow(const RowKey &key, Duration timeout) = 0;
+    // `expected`: version that the row must have; 0: it must not exist. nullopt: any. Further errors: ConditionFailed.
+    virtual Result<void> writeRow(const RowKey &key, const std::string &value, std::optional<std::uint64_t> expected, Duration timeout) = 0;
+    virtual Result<std::vector<StoredRow>> readPart(const std::string &table, const std::string &part, Duration timeout) = 0; // `timeout`: of a page
+    // Removes all of the rows or none; at most StateStore::MaxRowsOfWrite. ConditionFailed: one of them has another version by now.
+    virtual Result<void> removeRows(const std::string &table, const std::string &part, const std::vector<StoredRow> &rows, Duration timeout) = 0;
+};
+
 //-----------------------------------------------------------------------------
 // [WATCH]
 //-----------------------------------------------------------------------------
--- a/tests/standins/instance_standin.cpp
+++ b/tests/standins/instance_standin.cpp
@@ -39,6 +39,8 @@
 DEFINE_string(kind, "plain", "plain, engine or stage; an engine answers plain requests with event streams");
 DEFINE_int32(work_ms, 20, "service time of a plain request, or time until an engine's first event, in ms");
 DEFINE_int32(events, 8, "number of events in a stream");
+DEFINE_string(software_version, "v1", "version of its software, as in its entry");
+DEFINE_bool(signed_events, false, "the data of each event ends with the version");
 DEFINE_int32(gap_ms, 20, "time between two events of a stream, in ms");
 DEFINE_int32(drain_ms, 1500, "time in ms that it serves on in the state draining, and again after its entry is removed");
 
@@ -177,7 +179,9 @@
         const std::string lastEventId = exchange.header("Last-Event-Id");
         std::ostream &out = exchange.beginStream("text/event-stream");
         for (int id = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1; id <= events; ++id) {
-            out << "id: " << id << "\ndata: " << padded(exchange, attempt + "." + std::to_string(id)) << "\n\n" << std::flush;
+            out << "id: " << id << "\ndata: " << padded(exchange, attempt + "." + std::to_string(id))
+                << (FLAGS_signed_events ? " " + FLAGS_software_version : "") << "\n\n"
+                << std::flush;
             if (!out) {
                 return; // the caller disconnected
             }
@@ -241,8 +245,9 @@
 // and a pause of 100 ms between attempts, then returns without an error.
 void publishState(const std::string &state, const std::string &address)
 {
-    Json entry{{"Service", FLAGS_service}, {"Address", address}, {"Zone", FLAGS_data_centre}, {"Version", "v1"}, {"Slots", 8}, {"State", state},
-               {"ColdRemainingMs", 0},     {"Sequence", 1}};
+    Json entry{
+        {"Service", FLAGS_service}, {"Address", address}, {"Zone", FLAGS_data_centre}, {"Version", FLAGS_software_version}, {"Slots", 8}, {"State", state},
+        {"ColdRemainingMs", 0},     {"Sequence", 1}};
     std::ostringstream value;
     Poco::Base64Encoder encoder(value);
     encoder.rdbuf()->setLineLength(0);
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -75,7 +75,13 @@
         + "\r\nX-Deadline-Ms: " + std::to_string(call.deadline.count()) + "\r\nAuthorization: Bearer " + call.apiKey + "\r\n";
     if (isStream(call.kind)) {
         const std::string pieces = std::to_string(StagePieces);
-        text += "X-Model: m\r\nX-Token-Count: 100,8\r\nX-Prompt-Prefix: aa:80,bb:20\r\nX-Pieces: " + pieces + "," + pieces + "\r\nX-Piece-Key: abc\r\n";
+        text += "X-Model: m\r\nX-Token-Count: 100,8\r\nX-Prompt-Prefix: " + call.prompt + "\r\nX-Pieces: " + pieces + "," + pieces + "\r\nX-Piece-Key: abc\r\n";
+    }
+    if (!call.resumes.empty()) {
+        text += "Resumes: " + call.resumes + "\r\n";
+    }
+    if (!call.lastEventId.empty()) {
+        text += "Last-Event-Id: " + call.lastEventId + "\r\n";
     }
     return text + (call.kind == CallKind::Idempotent ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
 }
@@ -156,6 +162,11 @@
 void EntryCluster::startServer(ServerEntry &entry)
 {
     entry.id = entry.service + "-" + std::to_string(++m_startedInstances);
+    startServerProcess(entry);
+}
+
+void EntryCluster::startServerProcess(ServerEntry &entry)
+{
     std::vector<std::string> arguments = entry.arguments;
     arguments.insert(arguments.end(),
                      {"--name=" + entry.id, "--service=" + entry.service, "--store=" + m_store->address("address"), "--ledger=" + m_folder + "/ledger",
@@ -191,6 +202,14 @@
     startServer(entry);
 }
 
+void EntryCluster::replaceProcess(std::size_t serverIndex, const std::vector<std::string> &arguments)
+{
+    ServerEntry &entry = m_servers.at(serverIndex);
+    entry.process->kill();
+    entry.arguments = arguments;
+    startServerProcess(entry);
+}
+
 void EntryCluster::removeServerEntry(std::size_t serverIndex)
 {
     const Json row{{"Table", "servers"}, {"part", ""}, {"Key", m_servers.at(serverIndex).id}};
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -27,6 +27,9 @@
     std::string attempt; // attempt id; sent as X-Attempt-Id
     std::string apiKey = "key-1";
     std::chrono::milliseconds deadline{4000};
+    std::string prompt = "aa:80,bb:20"; // parts of a stream's prompt; engines are preferred by all parts but the last
+    std::string resumes; // attempt that brought the first event of the stream that is taken up; empty: none
+    std::string lastEventId; // of the stream that is taken up; empty: the stream starts from the beginning
 };
 
 struct EntryAnswer {
@@ -102,6 +105,8 @@
     // (forward no replies), mute (forward no requests) or reset (reset the connections open now).
     void setStoreLink(std::size_t nodeIndex, const std::string &mode) const;
     void setServerLink(std::size_t serverIndex, const std::string &mode) const;
+    // Ends the server with SIGKILL and starts another process under its id, with these arguments in place of its own.
+    void replaceProcess(std::size_t serverIndex, const std::vector<std::string> &arguments);
     void removeServerEntry(std::size_t serverIndex); // deletes the server's row in the store, as the platform does when a server is silent for some time
 
     std::string serverId(std::size_t serverIndex) const // id of the instance, as in its row of the store and in executions()
@@ -156,6 +161,7 @@
     };
     void startNode(NodeEntry &entry) const;
     void startServer(ServerEntry &entry);
+    void startServerProcess(ServerEntry &entry);
     void putConfiguration(const std::string &document) const;
     void transact(const std::string &body) const; // writes to the store; repeated for 60 s at most until it succeeds
 
--- /dev/null
+++ b/tests/unit/continuity_test.cpp
@@ -0,0 +1,254 @@
+// The software version at which a stream may go on, against a ledger in memory: which streams are recorded, how the default version changes, and what a node
+// that knows nothing says. A node is a StreamVersions; one that is started again knows only what the ledger holds.
+#include "memory_stream_ledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+using namespace vanillanotch;
+using namespace vanillanotch::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+const std::string Service = "engine";
+constexpr seconds Lifetime{30}; // ContinuitySettings::streamLifetime
+constexpr Duration Settled = Duration::max(); // the registry has been working all the while
+
+InstanceSpec instance(const std::string &id, const std::string &version, bool draining = false)
+{
+    InstanceSpec spec{id, Service, "10.0.0.1:1", "dc1", 8, draining, 1};
+    spec.softwareVersion = version;
+    return spec;
+}
+} // namespace
+
+TEST_GROUP(Continuity)
+{
+    ManualClock clock;
+    MetricsRegistry metrics;
+    MemoryStreamLedger ledger;
+    std::unique_ptr<InstanceTable> instances = std::make_unique<InstanceTable>(clock, InstanceSettings{});
+    std::unique_ptr<GrowingPool> pool = std::make_unique<GrowingPool>(1);
+    std::unique_ptr<StreamVersions> node = makeNode();
+
+    std::unique_ptr<StreamVersions> makeNode()
+    {
+        return std::make_unique<StreamVersions>(clock, *instances, ledger, *pool, ContinuitySettings{}, metrics);
+    }
+    void teardown() override
+    {
+        pool->stop();
+        node.reset();
+    }
+    void awaitTasks() // the pool has one thread, which runs them in their order
+    {
+        const auto done = makeRef<Latch>(1);
+        pool->post([done] {
+            done->countDown();
+        });
+        CHECK(done->wait(seconds(10)));
+    }
+    void restartNode()
+    {
+        awaitTasks();
+        node = makeNode();
+    }
+    void registerVersions(const std::vector<std::string> &versions)
+    {
+        std::vector<InstanceSpec> specs;
+        for (const std::string &version : versions) {
+            specs.push_back(instance("i" + std::to_string(specs.size()) + version, version));
+        }
+        instances->synchronise(specs);
+        node->instancesChanged();
+    }
+    // Lets time pass as it does for a node, with a check each second.
+    void pass(seconds time, Duration registryWorksFor = Settled)
+    {
+        for (seconds passed{0}; passed < time; passed += seconds(1)) {
+            node->maintain(registryWorksFor, true);
+            awaitTasks();
+            clock.advance(seconds(1));
+        }
+        node->maintain(registryWorksFor, true);
+        awaitTasks();
+    }
+    // Begins a stream. False: it must not begin.
+    bool begin(const std::string &stream, const std::string &version)
+    {
+        const auto signal = makeRef<WakeupSignal>();
+        const Ref<StreamRecord> record = node->begin(Service, stream, version, Ref<StreamRecord>(), signal);
+        while (record && record->state() == StreamRecord::State::Pending) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        const bool may = !record || record->state() == StreamRecord::State::Written || node->mayBeginUnrecorded(Service, version);
+        if (may) {
+            node->remember(stream, version);
+        }
+        return may;
+    }
+    std::string versionOf(const std::string &stream, bool registryCurrent = true)
+    {
+        const auto version = node->versionOf(StreamTakeUp{Service, stream, registryCurrent});
+        return version ? *version : std::string(errorName(version.error().code));
+    }
+    // A service in a steady state: its only version is the default one.
+    void startWith(const std::string &version)
+    {
+        registerVersions({version, version});
+        CHECK(begin("before", version));
+        pass(seconds(2));
+        STRCMP_EQUAL(version.c_str(), ledger.defaultVersion(Service).c_str());
+    }
+};
+
+// Guards against records, priced calls to the store, where there is nothing to tell apart.
+TEST(Continuity, StreamsOfTheDefaultVersionAreNotRecorded)
+{
+    startWith("v1");
+    const std::size_t records = ledger.recordCount();
+    CHECK(begin("a", "v1"));
+    LONGS_EQUAL(records, ledger.recordCount());
+    const unsigned reads = ledger.reads();
+    STRCMP_EQUAL("v1", versionOf("a").c_str()); // this node's own
+    LONGS_EQUAL(reads, ledger.reads());
+    restartNode();
+    STRCMP_EQUAL("v1", versionOf("a").c_str());
+}
+
+// Guards against streams that go on at another version after the node has forgotten them.
+TEST(Continuity, AStreamOfAnotherVersionIsKnownAfterARestart)
+{
+    startWith("v1");
+    registerVersions({"v1", "v2"});
+    pass(seconds(1));
+    CHECK(begin("a", "v1"));
+    CHECK(begin("b", "v2"));
+    restartNode();
+    STRCMP_EQUAL("v1", versionOf("a").c_str());
+    STRCMP_EQUAL("v2", versionOf("b").c_str());
+    STRCMP_EQUAL("stream_unknown", versionOf("").c_str());
+}
+
+// Guards against a default version that is replaced while streams of the former one may still be taken up.
+TEST(Continuity, TheDefaultVersionIsReplacedWhenNoStreamOfTheFormerOneIsLeft)
+{
+    startWith("v1");
+    CHECK(begin("old", "v1"));
+    registerVersions({"v1", "v2"});
+    pass(seconds(2) + Lifetime);
+    STRCMP_EQUAL("v1", ledger.defaultVersion(Service).c_str());
+    registerVersions({"v2"});
+    pass(seconds(3));
+    STRCMP_EQUAL("", ledger.defaultVersion(Service).c_str());
+    CHECK(begin("new", "v2"));
+    restartNode();
+    STRCMP_EQUAL("stream_unknown", versionOf("old").c_str());
+    STRCMP_EQUAL("v2", versionOf("new").c_str());
+    pass(Lifetime - seconds(1));
+    STRCMP_EQUAL("", ledger.defaultVersion(Service).c_str());
+    pass(seconds(4));
+    STRCMP_EQUAL("v2", ledger.defaultVersion(Service).c_str());
+    const std::size_t records = ledger.recordCount();
+    CHECK(begin("later", "v2"));
+    LONGS_EQUAL(records, ledger.recordCount());
+}
+
+// Guards against the same by a node whose view of the servers is old: it stood still, or the registry has just come back.
+TEST(Continuity, ANodeThatMayHaveMissedChangesReplacesNothing)
+{
+    startWith("v1");
+    registerVersions({"v2"});
+    pass(seconds(3), seconds(1));
+    STRCMP_EQUAL("v1", ledger.defaultVersion(Service).c_str());
+    pass(seconds(3));
+    STRCMP_EQUAL("", ledger.defaultVersion(Service).c_str());
+    clock.advance(Lifetime * 2); // without a check
+    node->maintain(Settled, true);
+    pass(seconds(3));
+    STRCMP_EQUAL("", ledger.defaultVersion(Service).c_str());
+}
+
+// Guards against streams of another version that begin unrecorded while the default version could take them, and against streams that don't begin where
+// nothing speaks against it.
+TEST(Continuity, WithoutTheLedgerStreamsBeginWhereTheyCanNotBeMistaken)
+{
+    startWith("v1");
+    registerVersions({"v1", "v2"});
+    pass(seconds(1));
+    CHECK_FALSE(node->requiredVersion(Service).has_value());
+    ledger.setFailing(true);
+    CHECK_FALSE(begin("a", "v2"));
+    STRCMP_EQUAL("v1", node->requiredVersion(Service).value_or("none").c_str());
+    CHECK(begin("b", "v1"));
+    instances->synchronise({instance("i0v1", "v1", true), instance("i1v2", "v2")}); // the default version drains
+    CHECK_FALSE(node->requiredVersion(Service).has_value());
+    CHECK(begin("c", "v2"));
+}
+
+// Guards against guesses by a node that can't ask the ledger.
+TEST(Continuity, WithoutTheLedgerAStreamGoesOnOnlyWhereOneVersionIsKnown)
+{
+    startWith("v1");
+    ledger.setFailing(true);
+    STRCMP_EQUAL("v1", versionOf("of-another-node").c_str());
+    STRCMP_EQUAL("stream_unread", versionOf("of-another-node", false).c_str());
+    registerVersions({"v1", "v2"});
+    STRCMP_EQUAL("stream_unread", versionOf("of-another-node").c_str());
+    STRCMP_EQUAL("v1", versionOf("before").c_str()); // its own
+    registerVersions({"v1"});
+    pass(seconds(2));
+    STRCMP_EQUAL("stream_unread", versionOf("of-another-node").c_str());
+}
+
+// Guards against a missing record that passes for a proof after the ledger has lost some, and against refusals that last.
+TEST(Continuity, AMissingRecordProvesNothingAfterAnOlderCopy)
+{
+    startWith("v1");
+    registerVersions({"v1", "v2"});
+    pass(seconds(1));
+    CHECK(begin("lost", "v2"));
+    CHECK(begin("of-default", "v1"));
+    ledger.loseRecords();
+    restartNode();
+    registerVersions({"v1", "v2"});
+    STRCMP_EQUAL("stream_unknown", versionOf("lost").c_str());
+    STRCMP_EQUAL("stream_unknown", versionOf("of-default").c_str());
+    pass(Lifetime + seconds(12));
+    STRCMP_EQUAL("v1", versionOf("of-default").c_str());
+}
+
+// The same where only one version has served: nothing was lost, so streams go on, also once another version comes.
+TEST(Continuity, WithOneVersionAnOlderCopyCostsNothing)
+{
+    startWith("v1");
+    CHECK(begin("a", "v1"));
+    ledger.loseRecords();
+    STRCMP_EQUAL("v1", versionOf("b").c_str());
+    pass(seconds(12));
+    registerVersions({"v1", "v2"});
+    pass(seconds(1));
+    STRCMP_EQUAL("v1", versionOf("b").c_str());
+}
+
+// Guards against a record of a version that did not bring the first event, which a late write could restore.
+TEST(Continuity, ARecordFollowsTheServerThatBringsTheFirstEvent)
+{
+    startWith("v1");
+    registerVersions({"v1", "v2"});
+    pass(seconds(1));
+    const auto signal = makeRef<WakeupSignal>();
+    const auto first = node->begin(Service, "a", "v2", Ref<StreamRecord>(), signal);
+    const auto second = node->begin(Service, "a", "v1", first, signal);
+    CHECK(second && second->version() == "v1");
+    while (first->state() == StreamRecord::State::Pending || second->state() == StreamRecord::State::Pending) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(second->state() == StreamRecord::State::Written);
+    CHECK_FALSE(ledger.record("a", "v2", false, seconds(1)).has_value()); // performed late
+    restartNode();
+    STRCMP_EQUAL("v1", versionOf("a").c_str());
+}
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/forwarding.h"
 #include "kept_caller.h"
 #include "local_ledger.h"
+#include "memory_stream_ledger.h"
 #include "peerhttp/peerhttp.h"
 #include "platform/platform.h"
 #include "scripted_server.h"
@@ -143,9 +144,11 @@
     std::unique_ptr<ChoicePolicy> choice = makeLeastOutstandingChoice();
     UpstreamSettings upstream;
     MetricsRegistry metrics;
+    GrowingPool pool{64};
+    MemoryStreamLedger streamLedger;
+    std::unique_ptr<StreamVersions> streamVersions;
     std::unique_ptr<ForwardService> service;
     std::unique_ptr<ServiceHandler> handler;
-    GrowingPool pool{64};
     std::unique_ptr<FrontServer> front;
     std::unique_ptr<ScriptedServer> first = std::make_unique<ScriptedServer>();
     std::unique_ptr<ScriptedServer> second = std::make_unique<ScriptedServer>();
@@ -153,6 +156,7 @@
     void setup() override
     {
         instances = std::make_unique<InstanceTable>(clock, InstanceSettings{});
+        streamVersions = std::make_unique<StreamVersions>(clock, *instances, streamLedger, pool, ContinuitySettings{}, metrics);
         std::vector<RouteSpec> routes = {makeRoute("once", RequestKind::NonIdempotent, false, 1), makeRoute("again", RequestKind::Idempotent, false, 2),
                                          makeRoute("stream", RequestKind::Streaming, false, 1), makeRoute("resume", RequestKind::Streaming, true, 2),
                                          makeRoute("sound", RequestKind::Idempotent, false, 2)};
@@ -166,9 +170,10 @@
         }
         CHECK(deployments.install(makeRef<Deployment>(1, std::move(routes), std::move(services), std::nullopt, FrontLimits{})));
         deployments.confirmNewest(suspendAwareNow());
-        service = std::make_unique<ForwardService>(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes,
-                                                                       statedDeadlines, crashGuard, placement, *choice, *choice, upstream, metrics},
-                                                   ForwardSettings{});
+        service =
+            std::make_unique<ForwardService>(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes, statedDeadlines,
+                                                                 crashGuard, *streamVersions, placement, *choice, *choice, upstream, metrics},
+                                             ForwardSettings{});
         handler = std::make_unique<ServiceHandler>(*service);
         front = std::make_unique<FrontServer>("callers", "127.0.0.1:0", *handler, pool);
     }
@@ -1291,7 +1296,7 @@
     ForwardSettings settings;
     settings.regions = {{"dc1", "north"}, {"dc2", "south"}};
     ForwardService homes(ForwardDependencies{clock, deployments, *instances, *codec, stages, stages, budget, engineTimes, statedDeadlines, crashGuard,
-                                             placement, *choice, *choice, upstream, metrics},
+                                             *streamVersions, placement, *choice, *choice, upstream, metrics},
                          settings);
     ServiceHandler homesHandler(homes);
     FrontServer homesFront("homes", "127.0.0.1:0", homesHandler, pool);
