--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -59,6 +59,7 @@
     bool checksFencing = true;
     bool draining = false; // true: the server gets no new work
     std::string wantedModel; // model that a node of its data centre orders this server to load; empty: the server gets no such orders
+    std::string softwareVersion; // of its program; a generation that broke off goes on only at servers of the same one; empty counts as one too
 };
 
 struct StageSpec {
--- a/src/configuration/difference.cpp
+++ b/src/configuration/difference.cpp
@@ -12,8 +12,10 @@
 
 bool same(const BackendServerSpec &a, const BackendServerSpec &b)
 {
-    return std::tie(a.name, a.dataCentre, a.address, a.capabilities, a.concurrency, a.pricePerSecond, a.checksFencing, a.draining, a.wantedModel)
-        == std::tie(b.name, b.dataCentre, b.address, b.capabilities, b.concurrency, b.pricePerSecond, b.checksFencing, b.draining, b.wantedModel);
+    return std::tie(a.name, a.dataCentre, a.address, a.capabilities, a.concurrency, a.pricePerSecond, a.checksFencing, a.draining, a.wantedModel,
+                    a.softwareVersion)
+        == std::tie(b.name, b.dataCentre, b.address, b.capabilities, b.concurrency, b.pricePerSecond, b.checksFencing, b.draining, b.wantedModel,
+                    b.softwareVersion);
 }
 
 bool same(const StageSpec &a, const StageSpec &b)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -131,6 +131,7 @@
     std::string capability;
     TimePoint waitDeadline; // end of the wait for a free slot
     std::set<std::string> avoid; // servers that earlier attempts of the stage have used; chosen only when no other one is available
+    std::optional<std::string> softwareVersion; // servers of other versions aren't used; nullopt: any
     bool exclusive = false; // choose a server that runs no other call of this node; no other call is sent to it until this call has ended
     RoutingInput routing;
     std::function<bool()> cancelled; // called while acquire() waits, without the lock held; true ends the wait; may be empty
--- a/src/fleet/servers.cpp
+++ b/src/fleet/servers.cpp
@@ -137,7 +137,8 @@
     std::vector<Server *> servers;
     for (const std::string &name : capable->second) {
         Server &server = m_servers.at(name);
-        if (!withAvoided && input.avoid.count(name) == 1) {
+        const bool otherVersion = input.softwareVersion && server.spec.softwareVersion != *input.softwareVersion;
+        if (otherVersion || (!withAvoided && input.avoid.count(name) == 1)) {
             continue;
         }
         const Availability state = availability(server, input.exclusive, now);
--- a/src/request/run.cpp
+++ b/src/request/run.cpp
@@ -333,6 +333,7 @@
     m_triedServers.clear();
     m_streamedText.clear();
     m_streamedTokens = 0;
+    m_streamedVersion.reset();
     m_freshConnection = !stage.idempotent; // on an idle connection that the server has closed, a non-idempotent call would fail with unknown outcome
     m_dependencies.retries.countFirstAttempt(m_input.request->configuration().preset().retryShare);
     for (;;) {
@@ -397,6 +398,7 @@
     AcquireInput wanted;
     wanted.capability = stage.capability;
     wanted.avoid = m_triedServers;
+    wanted.softwareVersion = m_streamedVersion;
     // A suspect, a request that was in flight when a server crashed, runs alone on a server, so that a further crash affects no other request.
     wanted.exclusive = m_dependencies.suspects.isSuspect(m_input.fingerprint);
     wanted.routing.slack =
@@ -423,6 +425,9 @@
     const TimePoint began = m_dependencies.clock.now();
     auto reply = m_dependencies.channel.call(call, listener);
     const TimePoint ended = m_dependencies.clock.now();
+    if (m_streamedTokens > 0 && !m_streamedVersion) {
+        m_streamedVersion = lease->server().softwareVersion;
+    }
     if (reply) {
         m_input.request->endAttempt(stage, true, std::nullopt, ended);
         recordSuccess(stage, *lease, *reply, report, ended - began);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -70,6 +70,7 @@
     bool m_freshConnection = false; // true: the next call must not reuse an idle connection
     std::string m_streamedText; // text that all attempts of the current generation stage have delivered, also the failed ones
     unsigned m_streamedTokens = 0; // tokens in that text
+    std::optional<std::string> m_streamedVersion; // software version of the servers that made it; nullopt: there is none yet
     std::optional<Reservation> m_reservation; // the reserved journal row; set by prepare() if the pipeline has a non-idempotent stage
     bool m_startRecorded = false; // true: the journal row of the reservation is in the state `started`
 };
--- a/src/wire/json_configuration.cpp
+++ b/src/wire/json_configuration.cpp
@@ -28,7 +28,8 @@
                 {"price_per_second", spec.pricePerSecond},
                 {"checks_fencing", spec.checksFencing},
                 {"draining", spec.draining},
-                {"wanted_model", spec.wantedModel}};
+                {"wanted_model", spec.wantedModel},
+                {"software_version", spec.softwareVersion}};
 }
 
 Json toJson(const StageSpec &spec)
@@ -88,6 +89,7 @@
     spec.checksFencing = json.at("checks_fencing").get<bool>();
     spec.draining = json.at("draining").get<bool>();
     spec.wantedModel = json.value("wanted_model", std::string());
+    spec.softwareVersion = json.value("software_version", std::string());
     return spec;
 }
 
--- a/src/wire/yaml.cpp
+++ b/src/wire/yaml.cpp
@@ -77,6 +77,7 @@
     mapping.read("checks_fencing", spec.checksFencing);
     mapping.read("draining", spec.draining);
     mapping.read("wanted_model", spec.wantedModel);
+    mapping.read("software_version", spec.softwareVersion);
     return spec;
 }
 
@@ -268,6 +269,7 @@
     writeMember(out, "checks_fencing", spec.checksFencing);
     writeMember(out, "draining", spec.draining);
     writeMember(out, "wanted_model", spec.wantedModel);
+    writeMember(out, "software_version", spec.softwareVersion);
 }
 
 void writeSpec(YAML::Emitter &out, const PipelineSpec &spec)
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -63,6 +63,44 @@
     }
 }
 
+// Guards against a text that is joined from two software versions: the connections of models of two versions break after 5 tokens.
+TEST(Answers, CutStreamResumesAtItsSoftwareVersion)
+{
+    Cluster cluster("cut-versions");
+    for (const char *name : {"model-3", "model-4", "model-5"}) {
+        ServerOptions options;
+        options.name = name;
+        options.capability = "model";
+        options.softwareVersion = "v2";
+        cluster.addServer(options);
+    }
+    startTwoNodes(cluster);
+    const std::set<std::string> older{"model-1", "model-2"};
+    unsigned resumed = 0;
+    for (int i = 0; i < 40; ++i) {
+        for (const char *model : {"model-1", "model-3"}) {
+            cluster.controlServer(model, "cut_after_tokens=5");
+        }
+        const std::string input = "version " + std::to_string(i);
+        const CallResult result = cluster.call("n1", "answer", input, streamingOptions());
+        STRCMP_EQUAL(expectedText(input, ModelTokens).c_str(), result.streamed.c_str());
+    }
+    std::map<std::string, std::set<std::string>> servers; // that generated, by request
+    for (const LedgerLine &line : cluster.ledger()) {
+        if (line.path == "/v1/completions" && line.event == "begin") {
+            servers[line.request].insert(line.server);
+        }
+    }
+    for (const auto &[request, names] : servers) {
+        resumed += names.size() > 1 ? 1 : 0;
+        const auto ofOlder = static_cast<std::size_t>(std::count_if(names.begin(), names.end(), [&older](const std::string &name) {
+            return older.count(name) > 0;
+        }));
+        CHECK_TEXT(ofOlder == 0 || ofOlder == names.size(), request.c_str());
+    }
+    CHECK(resumed > 0);
+}
+
 // model-1 stops each stream after 7 tokens and keeps the connection open. Neither a close nor a reset shows this fault, only the
 // token that doesn't come: a node that waits for it would never finish the caller's stream.
 TEST(Answers, StalledStreamResumesOnAnotherServer)
--- a/tests/support/harness.h
+++ b/tests/support/harness.h
@@ -124,6 +124,7 @@
     std::vector<std::string> arguments; // additional command-line arguments of the stand-in
     bool behindProxy = false; // nodes reach it through a link of the fault proxy
     double price = 1; // cost per second of use
+    std::string softwareVersion; // as declared in the configuration
 };
 
 class Cluster
