--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -297,6 +297,23 @@
         return reply;
     }
 
+    // The server has ended its sending. Waits until it has taken the whole request; false: it hasn't within the bound, or the connection has failed.
+    bool requestTaken()
+    {
+        const TimePoint until = std::min(m_deadline, std::chrono::steady_clock::now() + m_gapTimeout);
+        for (;;) {
+            const bool taken = m_requestSent && m_connection.acknowledged(); // asked before the failure, which may come in between
+            if (!m_requestSent || m_connection.failed()) {
+                return false;
+            }
+            if (taken || timeLeft(until) <= Duration::zero()) {
+                return taken;
+            }
+            pollfd entry{m_connection.descriptor(), 0, 0}; // a failure ends the wait
+            (void)::poll(&entry, 1, pollTimeout(std::min(until, std::chrono::steady_clock::now() + AcknowledgementCheck)).count());
+        }
+    }
+
     Result<void> readAll(const BodyFraming &framing, std::string &body)
     {
         ChunkDecoder chunks;
@@ -323,7 +340,7 @@
             }
             if (!*more) {
                 // Without a length, the end of the connection doesn't show that the reply is whole when the server hasn't taken the whole request.
-                const bool whole = framing.kind == BodyKind::UntilClose && m_requestSent;
+                const bool whole = framing.kind == BodyKind::UntilClose && requestTaken();
                 return whole ? Result<void>() : fail(ErrorCode::ConnectionLost, "the reply was cut short");
             }
         }
@@ -333,7 +350,7 @@
     {
         StreamedReply reply(m_connection, *m_listener, EventLineDecoder(framing, m_settings.maxReplyBytes));
         auto outcome = readStream(reply);
-        if (outcome && framing.kind == BodyKind::UntilClose && !m_requestSent) {
+        if (outcome && framing.kind == BodyKind::UntilClose && !requestTaken()) {
             outcome = fail(ErrorCode::ConnectionLost, "the server has not taken the whole request");
         }
         m_surplus = reply.hasSurplus();
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -95,22 +95,26 @@
 }
 
 // Waits until bytes were received or the connection ended, and meanwhile sends what is left of the request. A body that lasts until the connection ends
-// isn't taken for complete while a part of the request is unsent: only sending shows whether the server has closed the whole connection.
+// isn't taken for complete while a part of the request is unsent or not acknowledged: only that shows whether the server has closed the whole connection.
 tl::expected<void, UpstreamFailure> UpstreamCall::waitForBytes(TimePoint until, CancellationWatch &cancellation)
 {
     assertNoLockHeld("UpstreamCall::waitForBytes");
     for (;;) {
         const bool sending = !m_unsent.empty() && !m_sendFailed;
-        if (m_serverEnded && !sending) {
+        const bool taken = m_serverEnded && !sending && m_connection->acknowledged(); // asked before the failure, which may come in between
+        const bool lost = m_serverEnded && !sending && (m_sendFailed || m_connection->failed());
+        if (taken || lost) {
             m_receiveEnded = true;
-            m_reset = m_sendFailed;
+            m_reset = lost;
             return {};
         }
+        const bool awaitsAcknowledgement = m_serverEnded && !sending;
+        const TimePoint wakeAt = awaitsAcknowledgement ? std::min(until, std::chrono::steady_clock::now() + AcknowledgementCheck) : until;
         std::array<pollfd, 2> entries{};
         entries[0].fd = m_connection->descriptor();
         entries[0].events = static_cast<short>((m_serverEnded ? 0 : POLLIN) | (sending ? POLLOUT : 0));
         cancellation.preparePoll(entries[1]);
-        (void)::poll(entries.data(), entries.size(), pollTimeout(until).count());
+        (void)::poll(entries.data(), entries.size(), pollTimeout(wakeAt).count());
         cancellation.checkPoll(entries[1]);
         if (cancellation.cancelled()) {
             return tl::unexpected(failure(ErrorCode::CallerDisconnected));
--- a/src/transport/sockets.cpp
+++ b/src/transport/sockets.cpp
@@ -3,8 +3,10 @@
 #include <Poco/Net/NetException.h>
 
 #include <cerrno>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -89,6 +91,12 @@
     return IoState::Progress;
 }
 
+bool Connection::acknowledged() const
+{
+    int bytes = 0;
+    return ::ioctl(m_descriptor, SIOCOUTQ, &bytes) != 0 || bytes == 0;
+}
+
 void Connection::resetOnClose()
 {
     if (m_descriptor >= 0) {
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -40,6 +40,8 @@
 using MessageParts = std::array<std::string_view, 3>; // sent one after the other; any of them may be empty
 
 // A non-blocking socket and the bytes received from it that have not been parsed yet.
+constexpr std::chrono::milliseconds AcknowledgementCheck{5}; // between two calls of Connection::acknowledged(): no event tells of the last acknowledgement
+
 class Connection
 {
 public:
@@ -66,12 +68,15 @@
     IoState receive();
     IoState send(std::string_view &data); // removes from the front of `data` the bytes that the socket accepted
     IoState send(MessageParts &parts); // the same for a message in several parts, by one call
+    // Whether the peer's system has taken all that was sent, as far as the system says. A peer that has ended its sending in order and leaves a part untaken
+    // may still reset the connection.
+    bool acknowledged() const;
+    bool failed(); // also asks for a failure that no call has met yet
     void resetOnClose(); // from now on close() resets the connection, so that the peer sees an error instead of an orderly end
     void close();
 
 private:
     IoState stateAfterError(); // after a call that has set errno
-    bool failed(); // also asks for a failure that no call has met yet
 
     Poco::Net::StreamSocket m_socket;
     int m_descriptor = -1;
@@ -198,7 +203,7 @@
     std::string_view m_unsent; // the part of m_request that the socket has not accepted yet
     bool m_maybeSent = false; // at least one byte of the request may have left
     bool m_sendFailed = false; // sending failed; an early reply may still be readable
-    bool m_serverEnded = false; // the server has ended its sending in order; the rest of the request is still sent
+    bool m_serverEnded = false; // the server has ended its sending in order; the rest of the request is still sent, and must be acknowledged
     bool m_receiveEnded = false; // no further bytes will be received
     bool m_reset = false; // the connection ended by a failure, not by an orderly close
     ReplyHeadReader m_headReader;
