--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -2,9 +2,9 @@
 // An entry of the registry expires when its instance stops renewing it by heartbeats.
 //
 // Index of sections:
-//   [SPECS]   InstanceSpec, InstanceView, NodePlace
-//   [PLACES]  DataCentreScope, InstanceScope: which data centres and software versions a request may use; Evacuations: data centres whose instances get
-//             nothing new
+//   specs.h   InstanceSpec; DataCentreScope, InstanceScope: which data centres and software versions a request may use
+//   [SPECS]   InstanceView, NodePlace
+//   [PLACES]  Evacuations: data centres whose instances get nothing new
 //   [CHOICE]  ChoicePolicy: selects the instance for a request
 //   limits.h  InstanceStatement, RequestLimiter, planLimitHolders(): requests to an instance that has stated a limit; RequestRate
 //   cold.h    ColdLimiter: how long an instance is cold, and the requests that it gets meanwhile; planColdSenders(): which nodes may send them
@@ -25,9 +25,9 @@
 #include "base/base.h"
 #include "instances/cold.h"
 #include "instances/limits.h"
+#include "instances/specs.h"
 #include "instances/speed.h"
 
-#include <set>
 #include <unordered_map>
 
 namespace vanillanotch
@@ -37,22 +37,6 @@
 // [SPECS]
 //-----------------------------------------------------------------------------
 
-struct InstanceSpec {
-    std::string id;
-    std::string service;
-    std::string address; // IP:port
-    std::string dataCentre;
-    unsigned slots = 1; // largest number of requests that the instance runs at the same time
-    bool draining = false;
-    // When its process started, Unix ms by its own clock; tells restarts under the same id apart. 0, or a time that can't be a start: unknown.
-    std::int64_t startedUnixMs = 0;
-    std::optional<std::chrono::milliseconds> coldRemaining = std::nullopt; // time for which it stays cold, as its entry states it; nullopt: not stated
-    std::string softwareVersion{}; // of the program that it runs, not of the model weights
-
-    // Names this start of the instance, in at most 171 bytes, so that it fits into the key of a row: a longer id is replaced by its hash.
-    std::string process() const;
-};
-
 // Load of an instance, as the instance states it in a reply.
 struct ReportedLoad {
     unsigned running = 0; // number of requests that the instance runs now
@@ -91,58 +75,6 @@
 // [PLACES]
 //-----------------------------------------------------------------------------
 
-using DataCentreRegions = std::map<std::string, std::string>; // region by data centre
-
-// The data centres whose instances a request may use: all, unless it is restricted.
-class DataCentreScope
-{
-public:
-    DataCentreScope() = default;
-    explicit DataCentreScope(std::set<std::string> dataCentres) // no others
-        : m_dataCentres(std::move(dataCentres))
-    {
-    }
-    // Takes away the data centres outside `regions`, and those whose region isn't known; an empty set takes nothing away.
-    void restrictTo(const std::set<std::string> &regions, const DataCentreRegions &regionOf);
-    bool allows(const std::string &dataCentre) const
-    {
-        return !m_dataCentres || m_dataCentres->count(dataCentre) > 0;
-    }
-    const std::optional<std::set<std::string>> &dataCentres() const // nullopt: not restricted
-    {
-        return m_dataCentres;
-    }
-
-private:
-    std::optional<std::set<std::string>> m_dataCentres;
-};
-
-// The instances that a request may use.
-struct InstanceScope {
-    InstanceScope() = default;
-    InstanceScope(DataCentreScope scope) // NOLINT(google-explicit-constructor): most requests are restricted by data centre only
-        : dataCentres(std::move(scope))
-    {
-    }
-    static InstanceScope ofVersion(std::string version)
-    {
-        InstanceScope scope;
-        scope.softwareVersion = std::move(version);
-        return scope;
-    }
-    bool allows(const InstanceSpec &instance) const
-    {
-        return dataCentres.allows(instance.dataCentre) && (!softwareVersion || instance.softwareVersion == *softwareVersion);
-    }
-    bool restricted() const
-    {
-        return dataCentres.dataCentres() || softwareVersion;
-    }
-
-    DataCentreScope dataCentres;
-    std::optional<std::string> softwareVersion; // nullopt: any
-};
-
 // The evacuated data centres, and those that get their load back after an evacuation. Not thread-safe.
 class Evacuations
 {
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -401,8 +401,8 @@
     for (const auto &[name, entry] : m_servers) {
         dataCentres.insert(entry.options.dataCentre);
         servers += "  - {name: " + name + ", data_centre: " + entry.options.dataCentre + ", address: \"" + entry.address + "\", capabilities: ["
-            + entry.options.capability + "], concurrency: 8, price_per_second: " + std::to_string(entry.options.price) + ", software_version: \""
-            + entry.options.softwareVersion + "\"}\n";
+            + entry.options.capability + "], concurrency: 8, price_per_second: " + std::to_string(entry.options.price)
+            + (entry.options.softwareVersion.empty() ? "" : ", software_version: " + entry.options.softwareVersion) + "}\n";
     }
     for (const auto &[name, entry] : m_nodes) {
         dataCentres.insert(entry.dataCentre);
