--- a/src/continuity/continuity.h
+++ b/src/continuity/continuity.h
@@ -174,8 +174,8 @@
     // The services whose streams may be taken up; those that are asked for are added. Their versions are known before their first stream comes.
     void setServices(const std::set<std::string> &services);
     void instancesChanged();
-    // Reads and replaces default versions where that is due, in the background. Call it every second or so. `onDuty`: of all nodes, this one looks whether the
-    // ledger has come back from an older copy.
+    // Reads and replaces default versions where that is due, in the background. Call it every second or so. `onDuty`: of all nodes, this one replaces them, and
+    // looks whether the ledger has come back from an older copy.
     void maintain(Duration registryWorksFor, bool onDuty);
     std::size_t mixedServices() const; // services with registered instances of several versions
 
@@ -193,10 +193,15 @@
     void remember(const std::string &stream, const std::string &version); // this node has begun the stream
 
 private:
-    void check(Duration registryWorksFor, bool onDuty);
-    ServiceVersions &serviceLocked(const std::string &service);
+    void check(std::optional<Duration> registryWorksFor, bool onDuty); // nullopt: replaces nothing
+    struct Followed {
+        ServiceVersions versions;
+        TimePoint since{}; // when its first instance registered
+        std::optional<TimePoint> replaceableSince; // since when the default version's entry is due to be replaced; nullopt: it isn't
+    };
+    Followed &serviceLocked(const std::string &service);
     void observe(const std::string &service);
-    void maintainService(const std::string &service, Duration registryWorksFor);
+    void maintainService(const std::string &service, std::optional<Duration> registryWorksFor);
     Result<DefaultVersion> readDefault(const std::string &service);
     Result<std::string> decide(const StreamTakeUp &takeUp); // versionOf() without the log
 
@@ -208,7 +213,7 @@
     Counter &m_records;
     Counter &m_recordFailures;
     mutable RankedMutex m_mutex{LockRank::Continuity};
-    std::map<std::string, ServiceVersions> m_services;
+    std::map<std::string, Followed> m_services;
     std::set<std::string> m_maintained; // services whose default version is being read
     TimePoint m_ledgerFailedAt{};
     struct Remembered {
--- a/src/continuity/streams.cpp
+++ b/src/continuity/streams.cpp
@@ -9,9 +9,12 @@
 
 namespace
 {
-// Pause before the default version is read again while it isn't the only one that is registered: another node may have replaced it.
-constexpr Duration DefaultRereadPause = std::chrono::seconds(5);
-constexpr Duration EraCheckPause = std::chrono::seconds(10); // the same while it is the only one
+// Between two reads of a default version that may have changed: another node may replace it, or the ledger come back from an older copy.
+constexpr Duration RereadPause = std::chrono::seconds(10);
+// After a start, nodes that aren't on duty leave the first entry to the one that is.
+constexpr Duration FirstReadPause = std::chrono::seconds(2);
+// A replacement that has been due for so long is made by any node: the one on duty may have failed.
+constexpr Duration TakeOverPause = std::chrono::seconds(20);
 
 std::string listOf(const std::set<std::string> &versions)
 {
@@ -56,9 +59,9 @@
 {
 }
 
-ServiceVersions &StreamVersions::serviceLocked(const std::string &service)
+StreamVersions::Followed &StreamVersions::serviceLocked(const std::string &service)
 {
-    return m_services.try_emplace(service, m_settings).first->second;
+    return m_services.try_emplace(service, Followed{ServiceVersions(m_settings), m_clock.now(), std::nullopt}).first->second;
 }
 
 void StreamVersions::observe(const std::string &service)
@@ -66,7 +69,7 @@
     const std::set<std::string> registered = m_instances.softwareVersions(service);
     {
         const Lock lock(m_mutex);
-        if (!serviceLocked(service).observe(registered, m_clock.now())) {
+        if (!serviceLocked(service).versions.observe(registered, m_clock.now())) {
             return;
         }
     }
@@ -86,7 +89,7 @@
 
 void StreamVersions::instancesChanged()
 {
-    check(Duration::zero(), false);
+    check(std::nullopt, false);
 }
 
 void StreamVersions::maintain(Duration registryWorksFor, bool onDuty)
@@ -98,12 +101,12 @@
     check(registryWorksFor, onDuty);
 }
 
-void StreamVersions::check(Duration registryWorksFor, bool onDuty)
+void StreamVersions::check(std::optional<Duration> registryWorksFor, bool onDuty)
 {
     std::vector<std::string> services;
     {
         const Lock lock(m_mutex);
-        for (const auto &[service, versions] : m_services) {
+        for (const auto &[service, followed] : m_services) {
             services.push_back(service);
         }
     }
@@ -111,26 +114,39 @@
         observe(service);
         const TimePoint now = m_clock.now();
         const Lock lock(m_mutex);
-        const ServiceVersions &versions = serviceLocked(service);
+        Followed &followed = serviceLocked(service);
+        const ServiceVersions &versions = followed.versions;
+        if (versions.registered().empty()) {
+            followed.since = now;
+            continue;
+        }
+        const bool replaceable = registryWorksFor && versions.successor(now, *registryWorksFor);
+        if (registryWorksFor) {
+            followed.replaceableSince = replaceable ? std::optional(followed.replaceableSince.value_or(now)) : std::nullopt;
+        }
+        const bool replaces = replaceable && (onDuty || now - *followed.replaceableSince >= TakeOverPause);
+        const bool several = versions.registered().size() > 1;
         const auto known = versions.knownDefault();
-        const bool plain = known && versions.registered() == std::set<std::string>{known->version};
-        const bool rereads = known && now - versions.defaultAsked() >= (plain ? EraCheckPause : DefaultRereadPause) && (!plain || onDuty);
-        const bool due = !known || rereads || versions.successor(now, registryWorksFor);
-        if (due && m_maintained.insert(service).second) {
-            m_pool.post([this, service, registryWorksFor] {
-                maintainService(service, registryWorksFor);
+        const bool awaitsReplacement = known && !several && versions.registered().count(known->version) == 0;
+        const bool mayRead = onDuty || several || awaitsReplacement || (!known && now - followed.since >= FirstReadPause);
+        const bool reads = mayRead && (!known || now - versions.defaultAsked() >= RereadPause);
+        if ((reads || replaces) && m_maintained.insert(service).second) {
+            const auto mayReplace = onDuty || replaces ? registryWorksFor : std::nullopt;
+            m_pool.post([this, service, mayReplace] {
+                maintainService(service, mayReplace);
             });
         }
     }
 }
 
-void StreamVersions::maintainService(const std::string &service, Duration registryWorksFor)
+// `registryWorksFor`: nullopt: this node only reads.
+void StreamVersions::maintainService(const std::string &service, std::optional<Duration> registryWorksFor)
 {
     const auto read = readDefault(service);
     std::optional<std::string> successor;
     {
         const Lock lock(m_mutex);
-        successor = read ? serviceLocked(service).successor(m_clock.now(), registryWorksFor) : std::nullopt;
+        successor = read && registryWorksFor ? serviceLocked(service).versions.successor(m_clock.now(), *registryWorksFor) : std::nullopt;
     }
     if (successor) {
         const auto replaced = m_ledger.replaceDefault(service, *read, *successor, m_settings.ledgerTimeout);
@@ -148,7 +164,7 @@
     auto read = m_ledger.defaultOf(service, m_settings.ledgerTimeout);
     if (read) {
         const Lock lock(m_mutex);
-        serviceLocked(service).recordDefault(*read, asked);
+        serviceLocked(service).versions.recordDefault(*read, asked);
     }
     return read;
 }
@@ -157,7 +173,7 @@
 {
     const Lock lock(m_mutex);
     return static_cast<std::size_t>(std::count_if(m_services.begin(), m_services.end(), [](const auto &item) {
-        return item.second.registered().size() > 1;
+        return item.second.versions.registered().size() > 1;
     }));
 }
 
@@ -188,7 +204,7 @@
     }
     const auto byDefault = record ? readDefault(takeUp.service) : tl::unexpected(record.error());
     const Lock lock(m_mutex);
-    const ServiceVersions &versions = serviceLocked(takeUp.service);
+    const ServiceVersions &versions = serviceLocked(takeUp.service).versions;
     const auto only = versions.onlyVersion(m_clock.now());
     if (!byDefault) {
         // Without the ledger, the stream goes on only where this node knows of a single version, and would know of another one.
@@ -207,7 +223,7 @@
     {
         const Lock lock(m_mutex);
         const bool failing = m_ledgerFailedAt != TimePoint{} && m_clock.now() - m_ledgerFailedAt < m_settings.ledgerRetry;
-        known = failing ? serviceLocked(service).lastDefault() : std::nullopt;
+        known = failing ? serviceLocked(service).versions.lastDefault() : std::nullopt;
     }
     const bool usable = known && !known->version.empty() && m_instances.someUsable(service, InstanceScope::ofVersion(known->version));
     return usable ? std::optional(known->version) : std::nullopt;
@@ -220,7 +236,7 @@
     const bool replaces = former && former->ledgerMayHoldOne();
     {
         const Lock lock(m_mutex);
-        const auto known = serviceLocked(service).knownDefault();
+        const auto known = serviceLocked(service).versions.knownDefault();
         if (stream.empty() || (!replaces && known && known->version == version)) {
             return Ref<StreamRecord>();
         }
@@ -249,7 +265,7 @@
     std::optional<DefaultVersion> last;
     {
         const Lock lock(m_mutex);
-        const ServiceVersions &versions = serviceLocked(service);
+        const ServiceVersions &versions = serviceLocked(service).versions;
         last = versions.lastDefault();
         if (!last || last->revision == 0) {
             return versions.registered() == std::set<std::string>{version};
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -365,7 +365,7 @@
             remover = &member;
         }
     }
-    return remover != nullptr && remover->name == m_settings.node;
+    return remover != nullptr && remover->name == m_settings.node && m_memberListener.hasRead();
 }
 
 void EntryNode::removeExpiredRows()
--- a/tests/support/memory_stream_ledger.h
+++ b/tests/support/memory_stream_ledger.h
@@ -78,7 +78,7 @@
     {
         const Lock lock(m_mutex);
         const auto found = m_defaults.find(service);
-        return found == m_defaults.end() ? std::string("no entry") : found->second.version;
+        return found == m_defaults.end() || found->second.revision == 0 ? std::string("no entry") : found->second.version;
     }
 
 private:
--- a/tests/unit/continuity_test.cpp
+++ b/tests/unit/continuity_test.cpp
@@ -66,14 +66,14 @@
         node->instancesChanged();
     }
     // Lets time pass as it does for a node, with a check each second.
-    void pass(seconds time, Duration registryWorksFor = Settled)
+    void pass(seconds time, Duration registryWorksFor = Settled, bool onDuty = true)
     {
         for (seconds passed{0}; passed < time; passed += seconds(1)) {
-            node->maintain(registryWorksFor, true);
+            node->maintain(registryWorksFor, onDuty);
             awaitTasks();
             clock.advance(seconds(1));
         }
-        node->maintain(registryWorksFor, true);
+        node->maintain(registryWorksFor, onDuty);
         awaitTasks();
     }
     // Begins a stream. False: it must not begin.
@@ -252,3 +252,20 @@
     restartNode();
     STRCMP_EQUAL("v1", versionOf("a").c_str());
 }
+
+// Guards against calls to the store by all nodes where one does for all, and against a replacement that is never made because that one has failed.
+TEST(Continuity, NodesThatAreNotOnDutyLeaveReplacementsToTheOneThatIs)
+{
+    registerVersions({"v1"});
+    node->setServices({Service});
+    pass(seconds(12), Settled, false);
+    STRCMP_EQUAL("no entry", ledger.defaultVersion(Service).c_str());
+    LONGS_EQUAL(2, ledger.reads()); // the first after 2 s, the next 10 s later
+    pass(seconds(22), Settled, false);
+    STRCMP_EQUAL("v1", ledger.defaultVersion(Service).c_str());
+    const unsigned reads = ledger.reads();
+    pass(seconds(60), Settled, false);
+    LONGS_EQUAL(reads, ledger.reads());
+    pass(seconds(60));
+    CHECK(ledger.reads() - reads <= 7); // on duty: whether the ledger has come back from an older copy
+}
