--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -20,6 +20,7 @@
     switch (failure.code) {
     case ErrorCode::CallerDisconnected:
     case ErrorCode::Overloaded: // this node had no memory for the reply
+    case ErrorCode::StreamUnread: // the stream's version could not be recorded
         return InstanceCallOutcome::Inconclusive;
     case ErrorCode::ConnectFailed:
         return InstanceCallOutcome::Unreachable;
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -428,6 +428,56 @@
     }
 }
 
+namespace
+{
+// Notes how often an instance fails, as policies see it.
+class FailureRates final : public ChoicePolicy
+{
+public:
+    std::size_t choose(const ChoiceInput & /*input*/, const std::vector<InstanceView> &views) override
+    {
+        for (const InstanceView &view : views) {
+            rates[view.spec->id] = view.failureRate;
+        }
+        return 0;
+    }
+    std::map<std::string, double> rates;
+};
+} // namespace
+
+// Guards against a server that counts as failing because this node could not record its stream, and against a caller who gets that failure while a server of
+// the default version is free.
+TEST(Forwarding, AStreamThatCanNotBeRecordedIsNoFailureOfItsServer)
+{
+    for (ScriptedServer *server : {first.get(), second.get()}) {
+        server->script = [](ServerConnection &connection) {
+            (void)connection.send(connection.head("Content-Type: text/event-stream\r\n") + event(1) + event(2));
+        };
+    }
+    serve("resume", true);
+    std::vector<InstanceSpec> specs = instances->usableInstances("resume")->specs;
+    specs.at(0).softwareVersion = "v1";
+    specs.at(1).softwareVersion = "v2";
+    CHECK(streamLedger.replaceDefault("resume", DefaultVersion{}, "v1", seconds(1)).has_value());
+    instances->synchronise(specs);
+    streamVersions->setServices({"resume"});
+    const TimePoint until = std::chrono::steady_clock::now() + seconds(5);
+    while (streamLedger.reads() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    streamLedger.setFailing(true);
+    instances->report("i1", InstanceCallOutcome::Unreachable, Duration::zero()); // so that the second server is chosen first
+    const CallerAnswer answer = Caller(front->address()).call("POST", "resume", "a1");
+    CHECK(answer.complete);
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), answer.body.c_str());
+    CHECK(metrics.counter("vanillanotch_stream_record_failures_total").value() > 0);
+    FailureRates seen;
+    ChoiceInput input;
+    input.service = "resume";
+    (void)instances->preview(input, seen);
+    DOUBLES_EQUAL(0, seen.rates.at("i2"), 1e-9);
+}
+
 // An answer whose end only the connection marks is complete when the connection ends in order.
 TEST(Forwarding, AnAnswerThatEndsWithItsConnectionIsComplete)
 {
