--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -461,7 +461,7 @@
         Serves,
         Busy, // 503: nothing was done
         Many, // 429
-        LateWrites // writes are performed and never answered; the rest is served
+        LateWrite // the next write is performed 5 s later, if its condition still holds then, and never answered; the rest is served
     };
 
     // An address for one caller.
@@ -605,12 +605,16 @@
             return answerOf(door.mode == Mode::Busy ? 503 : 429, Json::object());
         }
         if (request.path() == "/api/rows-tx") {
-            Answer answer = transact(Json::parse(request.body));
-            if (door.mode == Mode::LateWrites) {
+            Mode late = Mode::LateWrite;
+            if (door.mode.compare_exchange_strong(late, Mode::Serves)) {
+                record().add("store: a write is lost on its way, and performed 5 s later: " + request.body.substr(0, 200));
                 sleepMs(5000);
+                Answer answer = transact(Json::parse(request.body));
+                record().add("store: the late write ended with " + std::to_string(answer.status));
                 answer.written = true;
+                return answer;
             }
-            return answer;
+            return transact(Json::parse(request.body));
         }
         if (request.path() == "/api/rows-get") {
             return get(request);
@@ -916,9 +920,11 @@
     std::string root; // of the repository
     std::string folder; // temporary; removed by run.sh
     bool trouble = true;
+    bool killOnly = false; // a control: of the disruptions only the kill of a process
 };
 
-// Arguments: the repository, the case's folder, a temporary folder. TROUBLE=0 in the environment: without the disruption.
+// Arguments: the repository, the case's folder, a temporary folder. TROUBLE=0 in the environment: without any disruption; TROUBLE=kill: in the cases that
+// know it, a control with the kill of a process only.
 inline int runScript(int argc, char **argv, const std::function<int(const Script &)> &body)
 {
     if (argc != 4) {
@@ -929,8 +935,9 @@
     ::alarm(118); // a script runs for 120 s at most
     record().open(std::string(argv[2]) + "/record.txt");
     const char *const trouble = std::getenv("TROUBLE");
-    const Script script{argv[1], argv[3], trouble == nullptr || std::string(trouble) != "0"};
-    record().add(script.trouble ? "begins, with the disruption" : "begins, without the disruption");
+    const std::string word = trouble == nullptr ? std::string("1") : std::string(trouble);
+    const Script script{argv[1], argv[3], word != "0" && word != "kill", word == "kill"};
+    record().add(script.trouble ? "begins, with the disruption" : script.killOnly ? "begins, with the kill only" : "begins, without the disruption");
     int result = CouldNotRun;
     try {
         result = body(script);
