--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,276 +1,205 @@
-// A server that answers without a length is cut off from the machines of the system; behind the cut it crashes and starts again (TROUBLE=1). The same without
-// a cut, where the machine of the system freezes meanwhile (TROUBLE=freeze); with the crash only (TROUBLE=kill).
+// The store comes back from a copy some seconds old; then a key is taken away. Nodes that get the configuration from a relay don't learn of it.
 #include "../harness-3.h"
 
 using namespace review;
 
 namespace
 {
-constexpr int Requests = 12;
-constexpr int WorkMs = 1500; // from the first half of an answer to the second one
-constexpr int CrashMs = 2000; // the server is down for so long
-constexpr int TroubleMs = 2500; // the cut, or the freeze
-const std::string Half(400, 'a');
-const std::string OtherHalf(400, 'b');
+constexpr std::size_t Nodes = 10; // in one zone: from 8 on, most nodes get the store's tables from a relay
+constexpr int OtherServers = 35; // of other services, which only write to the store
+constexpr int BeatMs = 1200;
+constexpr int CopyAgeMs = 5000;
+constexpr int AwayMs = 500;
+constexpr int RevokeMs = 5000;
+// Limits and bounds of chakra-kolkata-grown.
+constexpr const char *Bounds = "cores: 0.25\nmemory_mb: 260\nmax_descriptors: 4100\nrevocation_bound_ms: 5000\nrecovery_bound_ms: 4000\ndrain_bound_ms: 3000\n"
+                               "stop_limit_s: 8.0\nretry_window_s: 10\nretry_ratio: 0.2\nretry_extra: 184\n";
 
-std::string configuration()
+std::string configuration(int version, const std::vector<std::string> &keys)
 {
     const Json route{{"Name", "payout-release"}, {"Host", "ledger.example"}, {"Prefix", "/release/"}, {"Kind", "non_idempotent"}, {"Service", "payout-ledger"},
                      {"TimeoutMs", 4000},        {"TargetLatencyMs", 300},   {"Priority", 2},         {"MaxAttempts", 2},         {"AllowAnonymous", false}};
-    return Json{{"Version", 1},
+    return Json{{"Version", version},
                 {"Routes", Json::array({route})},
                 {"Services", Json::array({Json{{"Name", "payout-ledger"}}})},
-                {"Tenants", Json::array({Json{{"Name", "circle"}, {"ApiKeys", {"key-1"}}}})},
+                {"Tenants", Json::array({Json{{"Name", "circle"}, {"ApiKeys", keys}}})},
                 {"Limits", {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 65536}, {"HeaderTimeoutMs", 3000}, {"IdleTimeoutMs", 15000}}}}
         .dump();
 }
 
-// The server's process: answers with neither a length nor chunks; the answer ends with its connection.
-int serve(int port, const std::string &id)
+std::int64_t unixMs()
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const Server server(
-        [&id](const Request &request) {
-            Answer answer;
-            const std::string attempt = request.fields.get("X-Attempt-Id");
-            if (request.fields.get("X-Expect-Instance") != id) {
-                answer.status = 421;
-                answer.fields.list = {{"X-Not-Executed", "1"}};
-                return answer;
-            }
-            sendAll(request.descriptor, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + id + "." + attempt
-                        + "\r\nX-Server-Load: 1,0,48\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n" + Half);
-            sleepMs(WorkMs);
-            sendAll(request.descriptor, OtherHalf);
-            answer.written = true;
-            return answer;
-        },
-        port);
-    for (;;) {
-        ::pause();
-    }
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
-// The way between the machines of the system and the server. While it is cut, it keeps all bytes and ends of connections, and takes no new connections.
-class Way
+// What the servers write to the store: their entries, every BeatMs. While the store is away they write nothing.
+class Beats
 {
 public:
-    explicit Way(int target)
-        : m_target(target)
-        , m_listener(listenOn(0, m_port))
+    Beats(Store &store, std::vector<std::pair<std::string, Json>> entries)
+        : m_store(store)
+        , m_entries(std::move(entries))
     {
+        for (auto &[id, entry] : m_entries) {
+            write(id, entry);
+        }
         m_thread = std::thread([this] {
-            while (!m_stopping) {
-                pollfd entry{m_listener, POLLIN, 0};
-                if (m_cut || ::poll(&entry, 1, 20) <= 0 || m_cut) {
-                    sleepMs(m_cut ? 5 : 0);
-                    continue;
-                }
-                const int caller = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-                const int server = caller < 0 ? -1 : connectTo(m_target);
-                if (server < 0) {
-                    resetOnClose(caller);
-                    ::close(caller);
-                    continue;
+            for (std::size_t next = 0; !m_stopping; next = (next + 1) % m_entries.size()) {
+                sleepMs(BeatMs / static_cast<int>(m_entries.size()));
+                if (!m_away) {
+                    write(m_entries[next].first, m_entries[next].second);
                 }
-                std::thread([this, caller, server] {
-                    std::thread back([this, caller, server] {
-                        forward(server, caller);
-                    });
-                    forward(caller, server);
-                    back.join();
-                    ::close(caller);
-                    ::close(server);
-                }).detach();
             }
         });
     }
-    ~Way()
+    ~Beats()
     {
         m_stopping = true;
         m_thread.join();
-        ::close(m_listener);
     }
-    int port() const
+    void setAway(bool away)
     {
-        return m_port;
-    }
-    void setCut(bool cut)
-    {
-        m_cut = cut;
+        m_away = away;
     }
 
 private:
-    void forward(int from, int to)
+    void write(const std::string &id, Json &entry)
     {
-        char buffer[16384];
-        for (;;) {
-            const ssize_t count = ::recv(from, buffer, sizeof buffer, 0);
-            while (m_cut) {
-                sleepMs(2);
-            }
-            if (count < 0) {
-                resetOnClose(to);
-            }
-            if (count <= 0 || !sendAll(to, std::string(buffer, static_cast<std::size_t>(count)))) {
-                ::shutdown(to, SHUT_WR);
-                return;
-            }
-        }
+        entry["Sequence"] = entry["Sequence"].get<int>() + 1;
+        m_store.write("servers", id, entry.dump());
     }
 
-    const int m_target;
-    int m_port = 0;
-    const int m_listener;
-    std::atomic<bool> m_cut{false};
+    Store &m_store;
+    std::vector<std::pair<std::string, Json>> m_entries;
     std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_away{false};
     std::thread m_thread;
 };
 
-class WorkerProcess
+std::string request(const std::string &attempt, const std::string &key)
 {
-public:
-    WorkerProcess(std::string program, int port)
-        : m_program(std::move(program))
-        , m_port(port)
-    {
-    }
-    ~WorkerProcess()
-    {
-        kill();
-    }
-    void start(const std::string &id)
-    {
-        const std::string port = std::to_string(m_port);
-        m_process = ::fork();
-        if (m_process == 0) {
-            char *const arguments[] = {const_cast<char *>(m_program.c_str()), const_cast<char *>("--serve"), const_cast<char *>(port.c_str()),
-                                       const_cast<char *>(id.c_str()), nullptr};
-            ::execv(m_program.c_str(), arguments);
-            ::_exit(127);
-        }
-        (void)eventually(
-            [this] {
-                const int descriptor = connectTo(m_port);
-                if (descriptor >= 0) {
-                    ::close(descriptor);
-                }
-                return descriptor >= 0;
-            },
-            milliseconds(3000));
-    }
-    void kill()
-    {
-        if (m_process > 0) {
-            ::kill(m_process, SIGKILL);
-            ::waitpid(m_process, nullptr, 0);
-            m_process = -1;
-        }
-    }
-
-private:
-    const std::string m_program;
-    const int m_port;
-    pid_t m_process = -1;
-};
+    return "POST /release/2f HTTP/1.1\r\nHost: ledger.example\r\nAuthorization: Bearer " + key + "\r\nX-Attempt-Id: " + attempt
+        + "\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+}
 
 int run(const Script &script)
 {
     Store store;
-    store.write("op", "config", configuration());
-    const int port = freePort();
-    WorkerProcess worker(script.root + "/target/review-3/case-12", port);
-    worker.start("i-ledger-1");
-    const char *const word = std::getenv("TROUBLE");
-    const bool freezes = word != nullptr && std::string(word) == "freeze";
-    const bool cuts = script.trouble && !freezes;
-    Way way(port);
-    const int address = freezes || script.killOnly ? port : way.port(); // without a cut the node calls the server itself
-    std::atomic<int> sequence{0};
-    const auto born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    const auto registerAs = [&](const std::string &id, std::int64_t started) {
-        store.write("servers", id,
-                    Json{{"Service", "payout-ledger"}, {"Address", addressOf(address)}, {"Zone", "kolkata"}, {"Version", "7"}, {"Slots", 48}, {"State", "ready"},
-                         {"ColdRemainingMs", 0}, {"Sequence", ++sequence}, {"born", started}}
-                        .dump());
+    std::mutex mutex;
+    std::set<std::string> executed; // attempts
+    const auto worker = [&](const std::string &id) {
+        return std::make_unique<Server>([&mutex, &executed, id](const Request &call) {
+            Answer answer;
+            if (call.fields.get("X-Expect-Instance") != id) {
+                answer.status = 421;
+                answer.fields.list = {{"X-Not-Executed", "1"}};
+                return answer;
+            }
+            const std::string attempt = call.fields.get("X-Attempt-Id");
+            {
+                const std::lock_guard<std::mutex> lock(mutex);
+                executed.insert(attempt);
+            }
+            record().add("run    " + attempt + " at " + id);
+            sleepMs(20);
+            answer.fields.list = {{"X-Attempt-Id", attempt}, {"X-Server-Seal", id + "." + attempt}, {"X-Server-Load", "1,0,6"}};
+            answer.body = "done " + attempt;
+            return answer;
+        });
     };
-    registerAs("i-ledger-1", born);
-    const std::size_t door = store.addAddress();
-    Node node(script.root, script.folder, NodeSetup{"edge-kolkata-1", "kolkata", store.address(door), R"({"kolkata": "bengal"})"});
-    if (!eventually(
-            [&] {
-                return isReady(node);
-            },
-            milliseconds(15000))) {
-        record().add("the node did not get ready");
+    const std::unique_ptr<Server> workers[] = {worker("i-ledger-1"), worker("i-ledger-2")};
+    std::vector<std::pair<std::string, Json>> entries;
+    for (int i = 0; i < 2 + OtherServers; ++i) {
+        const bool ledger = i < 2;
+        // The servers of other services get no work here: their routes aren't in the configuration.
+        entries.emplace_back(ledger ? "i-ledger-" + std::to_string(i + 1) : "i-other-" + std::to_string(i),
+                             Json{{"Service", ledger ? "payout-ledger" : "model-desk"},
+                                  {"Address", ledger ? workers[i]->address() : addressOf(freePort())},
+                                  {"Zone", "howrah"},
+                                  {"Version", "7"},
+                                  {"Slots", 6},
+                                  {"State", "ready"},
+                                  {"ColdRemainingMs", 0},
+                                  {"Sequence", 0},
+                                  {"born", unixMs()}});
+    }
+    store.write("op", "config", configuration(3, {"key-a", "key-b"}));
+    std::optional<Beats> beats;
+    beats.emplace(store, entries);
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        const std::size_t door = store.addAddress();
+        nodes.push_back(std::make_unique<Node>(
+            script.root, script.folder, NodeSetup{"edge-howrah-" + std::to_string(i + 1), "howrah", store.address(door), R"({"howrah": "bengal"})", Bounds}));
+    }
+    const bool ready = eventually(
+        [&] {
+            return std::all_of(nodes.begin(), nodes.end(), [](const auto &node) {
+                return isReady(*node);
+            });
+        },
+        milliseconds(15000));
+    if (!ready) {
+        record().add("the nodes did not get ready");
         return CouldNotRun;
     }
-    sleepMs(4000);
-    registerAs("i-ledger-1", born);
-    std::vector<Reply> replies(Requests);
-    std::vector<std::thread> clients;
-    for (int i = 0; i < Requests; ++i) {
-        clients.emplace_back([&, i] {
-            const std::string attempt = "p" + std::to_string(i);
-            record().add("sent   " + attempt);
-            const Reply reply = call(node.callers(),
-                                     "POST /release/2f HTTP/1.1\r\nHost: ledger.example\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: " + attempt
-                                         + "\r\nX-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody",
-                                     milliseconds(4000));
-            replies[static_cast<std::size_t>(i)] = reply;
-            record().add("answer " + attempt + ": " + std::to_string(reply.status) + (reply.complete ? ", complete, " : ", cut or none, ")
-                         + std::to_string(reply.body.size()) + " bytes" + (reply.fields.get("X-Server-Seal").empty() ? "" : ", with the server's seal"));
-        });
-    }
-    sleepMs(300);
-    if (cuts) {
-        record().add("the server is cut off");
-        way.setCut(true);
-    } else if (freezes) {
-        record().add("the node freezes");
-        node.kill(SIGSTOP);
-    }
-    if (script.trouble || script.killOnly) {
-        sleepMs(200);
-        record().add("SIGKILL to the server's process");
-        worker.kill();
-        sleepMs(CrashMs);
-        worker.start("i-ledger-2");
-        record().add("the server's process is there again, as a new incarnation");
-        registerAs("i-ledger-2", born + 10000);
-        sleepMs(TroubleMs - CrashMs - 200);
-    }
-    if (cuts) {
-        record().add("the cut heals");
-        way.setCut(false);
-    } else if (freezes) {
-        record().add("the node wakes");
-        node.kill(SIGCONT);
-    }
-    for (std::thread &client : clients) {
-        client.join();
-    }
-    int parts = 0;
-    int whole = 0;
-    for (const Reply &reply : replies) {
-        const bool success = reply.status == 200 && reply.complete;
-        whole += success && reply.body == Half + OtherHalf ? 1 : 0;
-        parts += success && reply.body != Half + OtherHalf ? 1 : 0;
+    sleepMs(10000); // a quiet time, as before the traffic of a day
+    int number = 0;
+    const auto ask = [&](const std::string &key, const std::string &when) {
+        int runs = 0;
+        for (const auto &node : nodes) {
+            const std::string attempt = key + "-" + std::to_string(++number);
+            record().add("sent   " + attempt + " to " + node->name() + ", " + when);
+            const Reply reply = call(node->callers(), request(attempt, key), milliseconds(3000));
+            const std::lock_guard<std::mutex> lock(mutex);
+            runs += executed.count(attempt) > 0 ? 1 : 0;
+            record().add("answer " + attempt + ": " + std::to_string(reply.status) + (executed.count(attempt) > 0 ? ", has run" : ", has not run"));
+        }
+        return runs;
+    };
+    const int before = ask("key-a", "while the key holds");
+    if (before != static_cast<int>(Nodes)) {
+        return CouldNotRun;
     }
-    record().add(std::to_string(parts) + " of " + std::to_string(Requests) + " clients got a part of the server's answer as a whole one, " + std::to_string(whole)
-                 + " the whole answer; one breaks MIXED");
-    node.kill(SIGKILL);
-    worker.kill();
+    store.keepCopy();
+    sleepMs(CopyAgeMs);
+    if (script.trouble) {
+        const std::uint64_t lastVersion = store.version();
+        record().add("the store goes away at its version " + std::to_string(lastVersion));
+        beats->setAway(true);
+        store.setAway(true);
+        sleepMs(AwayMs);
+        store.returnFromCopy();
+        store.setAway(false);
+        beats->setAway(false);
+        record().add("the store is back, from a copy " + std::to_string(CopyAgeMs) + " ms old, at version " + std::to_string(store.version()));
+    }
+    sleepMs(700);
+    store.write("op", "config", configuration(3, {"key-a", "key-b"}));
+    record().add("the operator writes its configuration 3 again, at version " + std::to_string(store.version()) + " of the store");
+    sleepMs(1300);
+    const std::uint64_t revokedAt = store.write("op", "config", configuration(5, {"key-b"}));
+    const auto acknowledged = Clock::now();
+    record().add("the operator's configuration 5 takes key-a away: acknowledged, version " + std::to_string(revokedAt) + " of the store");
+    std::this_thread::sleep_until(acknowledged + milliseconds(RevokeMs + 500));
+    int late = ask("key-a", "later than RevokeMs after the acknowledgement");
+    sleepMs(10000);
+    late += ask("key-a", "10 s later still");
+    const int kept = ask("key-b", "a key that holds");
+    record().add(std::to_string(late) + " of " + std::to_string(2 * Nodes)
+                 + " requests with the key that was taken away ran, sent later than RevokeMs after the "
+                   "acknowledgement; one breaks CONFIG. With the other key "
+                 + std::to_string(kept) + " of " + std::to_string(Nodes) + " ran");
+    for (const auto &node : nodes) {
+        node->kill(SIGKILL);
+    }
+    beats.reset();
     store.stop();
-    return parts > 0 ? Broken : Held;
+    return late > 0 ? Broken : Held;
 }
 } // namespace
 
 int main(int argc, char **argv)
 {
-    if (argc == 4 && std::string(argv[1]) == "--serve") {
-        return serve(std::stoi(argv[2]), argv[3]);
-    }
     return runScript(argc, argv, run);
 }
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -19,8 +19,7 @@
     const std::vector<std::string> zones{"kolkata", "howrah", "howrah"};
     for (std::size_t i = 0; i < zones.size(); ++i) {
         const std::size_t door = store.addAddress();
-        nodes.push_back(
-            std::make_unique<Node>(script.root, script.folder, NodeSetup{"edge-" + std::to_string(i + 1), zones[i], store.address(door), regions}));
+        nodes.push_back(std::make_unique<Node>(script.root, script.folder, NodeSetup{"edge-" + std::to_string(i + 1), zones[i], store.address(door), regions}));
     }
     Node &first = *nodes[0];
     Node &second = *nodes[1];
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -108,8 +108,8 @@
         whole += stream.whole ? 1 : 0;
     }
     record().add(std::to_string(wentOn) + " of " + std::to_string(takenUp) + " streams that were taken up went on; " + std::to_string(begun) + " of "
-                 + std::to_string(Streams) + " new streams began at the same node; " + std::to_string(joined)
-                 + " streams hold events of two versions; " + std::to_string(whole) + " of " + std::to_string(Streams) + " came whole in the end");
+                 + std::to_string(Streams) + " new streams began at the same node; " + std::to_string(joined) + " streams hold events of two versions; "
+                 + std::to_string(whole) + " of " + std::to_string(Streams) + " came whole in the end");
     for (const auto &node : nodes) {
         node->kill(SIGKILL);
     }
--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -739,8 +739,8 @@
     {
         std::ofstream(m_settings) << "node: \"" << setup.name << "\"\ndata_centre: \"" << setup.zone << "\"\nregions: " << setup.regions
                                   << "\ncaller_address: \"" << addressOf(m_callers) << "\"\nreadiness_address: \"" << addressOf(m_ready)
-                                  << "\"\npeer_address: \"" << addressOf(freePort()) << "\"\nstore_address: \"" << setup.store
-                                  << "\"\n" << setup.bounds;
+                                  << "\"\npeer_address: \"" << addressOf(freePort()) << "\"\nstore_address: \"" << setup.store << "\"\n"
+                                  << setup.bounds;
         start();
     }
     ~Node()
--- a/review/streams-3.h
+++ b/review/streams-3.h
@@ -12,8 +12,8 @@
 
 inline std::string streamConfiguration()
 {
-    const Json route{{"Name", "member-explain"}, {"Host", "desk.example"},  {"Prefix", "/explain/"}, {"Kind", "streaming"},    {"Service", "model-desk"},
-                     {"StreamResume", true},     {"TimeoutMs", DeadlineMs}, {"TargetLatencyMs", 1600}, {"GapAimMs", 400},      {"Priority", 2},
+    const Json route{{"Name", "member-explain"}, {"Host", "desk.example"},  {"Prefix", "/explain/"},   {"Kind", "streaming"}, {"Service", "model-desk"},
+                     {"StreamResume", true},     {"TimeoutMs", DeadlineMs}, {"TargetLatencyMs", 1600}, {"GapAimMs", 400},     {"Priority", 2},
                      {"MaxAttempts", 2},         {"SessionAffinity", true}, {"AllowAnonymous", false}};
     return Json{{"Version", 1},
                 {"Routes", Json::array({route})},
@@ -34,9 +34,11 @@
         , m_zone(std::move(zone))
         , m_version(std::move(version))
         , m_born(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
-        , m_server([this](const Request &request) {
-            return handle(request);
-        }, port)
+        , m_server(
+              [this](const Request &request) {
+                  return handle(request);
+              },
+              port)
     {
         m_registers = registers;
         beat();
@@ -75,8 +77,15 @@
             return;
         }
         m_store.write("servers", m_id,
-                      Json{{"Service", "model-desk"}, {"Address", m_server.address()}, {"Zone", m_zone}, {"Version", m_version}, {"Slots", 48},
-                           {"State", "ready"}, {"ColdRemainingMs", 0}, {"Sequence", ++m_sequence}, {"born", m_born}}
+                      Json{{"Service", "model-desk"},
+                           {"Address", m_server.address()},
+                           {"Zone", m_zone},
+                           {"Version", m_version},
+                           {"Slots", 48},
+                           {"State", "ready"},
+                           {"ColdRemainingMs", 0},
+                           {"Sequence", ++m_sequence},
+                           {"born", m_born}}
                           .dump());
     }
     Answer handle(const Request &request)
@@ -160,8 +169,8 @@
     });
     stream.whole = reply.complete && stream.lastEvent == Events;
     stream.ends += (stream.ends.empty() ? "" : ", then ") + std::to_string(reply.status) + (reply.complete ? "" : " cut");
-    record().add("answer " + id + ": " + std::to_string(reply.status) + (reply.complete ? " whole" : " cut") + ", last event " + std::to_string(stream.lastEvent)
-                 + (reply.status == 503 ? ", Retry-After " + reply.fields.get("Retry-After") + " " + reply.body : ""));
+    record().add("answer " + id + ": " + std::to_string(reply.status) + (reply.complete ? " whole" : " cut") + ", last event "
+                 + std::to_string(stream.lastEvent) + (reply.status == 503 ? ", Retry-After " + reply.fields.get("Retry-After") + " " + reply.body : ""));
 }
 
 } // namespace review
