--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -55,7 +55,18 @@
 public:
     void open(const std::string &path)
     {
-        m_file.open(path);
+        std::ofstream(path).close(); // empties it
+        m_file.open(path, std::ios::app);
+    }
+    // For another process of the script: goes on with the same file and the same times.
+    void join(const std::string &path, std::int64_t start)
+    {
+        m_start = Clock::time_point(Clock::duration(start));
+        m_file.open(path, std::ios::app);
+    }
+    std::int64_t start() const
+    {
+        return m_start.time_since_epoch().count();
     }
     std::int64_t now() const
     {
@@ -64,11 +75,11 @@
     void add(const std::string &line)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        m_file << now() << " ms  " << line << std::endl;
+        m_file << std::to_string(now()) + " ms  " + line + "\n" << std::flush; // one write for each line
     }
 
 private:
-    const Clock::time_point m_start = Clock::now();
+    Clock::time_point m_start = Clock::now();
     std::mutex m_mutex;
     std::ofstream m_file;
 };
@@ -919,24 +930,25 @@
 struct Script {
     std::string root; // of the repository
     std::string folder; // temporary; removed by run.sh
+    std::string record; // record.txt of the case
     bool trouble = true;
     bool killOnly = false; // a control: of the disruptions only the kill of a process
 };
 
-// Arguments: the repository, the case's folder, a temporary folder. TROUBLE=0 in the environment: without any disruption; TROUBLE=kill: in the cases that
+// Arguments: the repository, the case's record.txt, a temporary folder. TROUBLE=0 in the environment: without any disruption; TROUBLE=kill: in the cases that
 // know it, a control with the kill of a process only.
 inline int runScript(int argc, char **argv, const std::function<int(const Script &)> &body)
 {
     if (argc != 4) {
-        std::cerr << "usage: PROGRAM REPOSITORY CASE-FOLDER TEMPORARY-FOLDER\n";
+        std::cerr << "usage: PROGRAM REPOSITORY RECORD-FILE TEMPORARY-FOLDER\n";
         return CouldNotRun;
     }
     std::signal(SIGPIPE, SIG_IGN);
     ::alarm(118); // a script runs for 120 s at most
-    record().open(std::string(argv[2]) + "/record.txt");
+    record().open(argv[2]);
     const char *const trouble = std::getenv("TROUBLE");
     const std::string word = trouble == nullptr ? std::string("1") : std::string(trouble);
-    const Script script{argv[1], argv[3], word != "0" && word != "kill", word == "kill"};
+    const Script script{argv[1], argv[3], argv[2], word != "0" && word != "kill", word == "kill"};
     record().add(script.trouble ? "begins, with the disruption" : script.killOnly ? "begins, with the kill only" : "begins, without the disruption");
     int result = CouldNotRun;
     try {
