A node judges a relay's reply in one place, and logs how the copy came (no change of behaviour)

The logs gave the age of a copy at the end of its transfer only, so they couldn't tell a stale source from a slow link, nor either from a busy processor.

- relay.failed: age_at_source_ms, transfer_ms, bytes, call_ms, detail; relay.copy_received for copies of 64 KB and more; front.reply_cut: a reply that its receiver hadn't taken in time, with the bytes sent; vanillanotch_table_reply_bytes_total.
- SourceChooser::judge() replaces accepts(): what is used of a reply, and whether its source is fit, are two answers (the same one as yet).
- ReplyLimits: until the head, between two bytes, the whole call (one timeout as yet).
- Nodes state the speed of their link in the members' table; nothing uses it yet.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -89,6 +89,7 @@
     self.dataCentre = settings.dataCentre;
     self.peerAddress = settings.peerAddress;
     self.cores = settings.cores;
+    self.linkMbps = settings.linkMbps;
     self.keepsScopes = true;
     // Microseconds of the wall clock, to tell restarts of one node apart. Values of different nodes are never compared.
     self.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -233,6 +233,7 @@
     MemberState state = MemberState::Alive;
     Revision revision = 0; // of the configuration in force at the member
     double cores = 1; // processor cores of the VM; may be fractional
+    double linkMbps = 0; // speed of the VM's network link, Mbit/s; 0: not stated
     bool keepsScopes = false; // it restricts stage tasks to the data centres that they allow; false for earlier versions of the program
 };
 
--- a/src/peerhttp/configuration_calls.cpp
+++ b/src/peerhttp/configuration_calls.cpp
@@ -20,7 +20,7 @@
 
     Result<std::optional<std::string>> documentNewerThan(const std::string &peerAddress, std::uint64_t version, Duration timeout) override
     {
-        const auto reply = askPeer(m_settings, peerAddress, ConfigurationPath, Json{{"newer_than", version}}.dump(), timeout);
+        const auto reply = askPeer(m_settings, peerAddress, ConfigurationPath, Json{{"newer_than", version}}.dump(), ReplyLimits::within(timeout));
         if (!reply) {
             return tl::unexpected(reply.error());
         }
--- a/src/peerhttp/peer_call.h
+++ b/src/peerhttp/peer_call.h
@@ -21,6 +21,7 @@
     // length begins.
     TimePoint firstCheckAt{};
     TimePoint deadline{}; // time by which the later waits and the reading of the reply's body end; doesn't limit the first wait
+    std::optional<ReplyLimits> limits{}; // for the reply's body, counted from the call's beginning; nullopt: only `deadline`
 };
 
 // Sends peerCall.body in a POST request and returns the reply's body, whatever the reply's status. `alive` returns whether the other node
@@ -29,7 +30,7 @@
 tl::expected<std::string, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peerCall, CancellationWatch &canceller,
                                                     const std::function<bool()> &alive);
 
-// callPeer() for a question that nothing cancels: connecting, the only wait and the reading of the reply end after `timeout`. Errors: PeerUnavailable.
-Result<std::string> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, Duration timeout);
+// callPeer() for a question that nothing cancels, with one wait for the reply. Errors: PeerUnavailable.
+Result<std::string> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, const ReplyLimits &limits);
 
 } // namespace vanillanotch
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -146,7 +146,8 @@
 tl::expected<std::string, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peerCall, CancellationWatch &canceller,
                                                     const std::function<bool()> &alive)
 {
-    const Duration checkInterval = peerCall.firstCheckAt - std::chrono::steady_clock::now();
+    const TimePoint begun = std::chrono::steady_clock::now();
+    const Duration checkInterval = peerCall.firstCheckAt - begun;
     UpstreamCall call(settings);
     if (const auto opened = call.open(peerCall.address, peerCall.firstCheckAt, canceller); !opened) {
         return tl::unexpected(opened.error());
@@ -160,16 +161,14 @@
     if (!head) {
         return tl::unexpected(head.error());
     }
-    return call.readAll(ReplyLimit, peerCall.deadline, canceller);
+    return peerCall.limits ? call.readAll(ReplyLimit, *peerCall.limits, begun, canceller) : call.readAll(ReplyLimit, peerCall.deadline, canceller);
 }
 
-Result<std::string> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, Duration timeout)
+Result<std::string> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, const ReplyLimits &limits)
 {
     NeverCancelled neverCancelled;
-    const TimePoint until = std::chrono::steady_clock::now() + timeout;
-    auto reply = callPeer(settings, PeerCall{address, path, std::move(body), until, until}, neverCancelled, [] {
-        return false;
-    });
+    const TimePoint until = std::chrono::steady_clock::now() + limits.head;
+    auto reply = callPeer(settings, PeerCall{address, path, std::move(body), until, until, limits}, neverCancelled, noLivenessCheck);
     return reply ? Result<std::string>(std::move(*reply)) : fail(ErrorCode::PeerUnavailable, std::string(errorName(reply.error().code)));
 }
 
@@ -187,6 +186,7 @@
     , m_relayed(std::move(relayed))
     , m_leaving(leaving)
     , m_metrics(metrics)
+    , m_tableReplyBytes(metrics.counter("vanillanotch_table_reply_bytes_total"))
 {
 }
 
@@ -301,11 +301,8 @@
 
 std::string encodeMember(const MemberRecord &member)
 {
-    return Json{{"data_centre", member.dataCentre},
-                {"peer_address", member.peerAddress},
-                {"incarnation", member.incarnation},
-                {"cores", member.cores},
-                {"keeps_scopes", member.keepsScopes}}
+    return Json{{"data_centre", member.dataCentre}, {"peer_address", member.peerAddress}, {"incarnation", member.incarnation}, {"cores", member.cores},
+                {"link_mbps", member.linkMbps},     {"keeps_scopes", member.keepsScopes}}
         .dump();
 }
 
@@ -318,6 +315,7 @@
         member.dataCentre = document.at("data_centre").get<std::string>();
         member.peerAddress = document.at("peer_address").get<std::string>();
         member.cores = document.value("cores", member.cores);
+        member.linkMbps = document.value("link_mbps", member.linkMbps);
         member.keepsScopes = document.value("keeps_scopes", false);
         member.incarnation = document.at("incarnation").get<std::uint64_t>();
         return member;
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -59,6 +59,7 @@
     const RelayedTables m_relayed;
     const std::atomic<bool> &m_leaving;
     MetricsRegistry &m_metrics;
+    Counter &m_tableReplyBytes;
     RankedMutex m_mutex{LockRank::Requests};
     std::set<WakeupSignal *> m_taskSignals; // of the tasks that haven't ended
     bool m_returningTasks = false; // returnTasks() was called
--- a/src/peerhttp/relay.cpp
+++ b/src/peerhttp/relay.cpp
@@ -44,7 +44,7 @@
     {
     }
 
-    Result<StoredRows> follow(const std::string &peerAddress, const RelayQuery &query, Duration timeout) override
+    Result<StoredRows> follow(const std::string &peerAddress, const RelayQuery &query, const ReplyLimits &limits) override
     {
         const TimePoint requestedAt = suspendAwareNow();
         Json request{{"table", query.table}, {"wait_ms", query.wait.count()}};
@@ -61,7 +61,7 @@
         if (query.maxAge != Duration::max()) {
             request["max_age_ms"] = toMilliseconds(query.maxAge).count();
         }
-        const auto reply = askPeer(m_settings, peerAddress, RelayTablePath, request.dump(), timeout);
+        const auto reply = askPeer(m_settings, peerAddress, RelayTablePath, request.dump(), limits);
         if (!reply) {
             return tl::unexpected(reply.error());
         }
@@ -79,8 +79,11 @@
             }
             // The relay got the request after requestedAt and replied `held_ms` milliseconds later; its rows were `age_ms` milliseconds old then.
             // So asOf is never later than the moment at which the rows were known to be current.
-            rows.asOf = requestedAt + std::chrono::milliseconds(json.at("held_ms").get<std::int64_t>() - json.at("age_ms").get<std::int64_t>());
+            const std::chrono::milliseconds held(json.at("held_ms").get<std::int64_t>());
+            const std::chrono::milliseconds age(json.at("age_ms").get<std::int64_t>());
+            rows.asOf = requestedAt + held - age;
             rows.hops = json.value("hops", 1U);
+            rows.transfer = RowsTransfer{age, suspendAwareNow() - requestedAt - held, reply->size()};
             return rows;
         } catch (const Json::exception &exception) {
             return fail(ErrorCode::PeerUnavailable, exception.what());
@@ -141,6 +144,7 @@
         logEvent(LogLevel::Warning, "peer.question_unreadable", {{"error", ErrorCode::MalformedRequest}});
         body = describeError(ErrorCode::MalformedRequest);
     }
+    m_tableReplyBytes.add(body.size());
     (void)exchange.reply(200, headers, body, std::chrono::steady_clock::now() + PeerReplyTimeout);
 }
 
--- a/src/peerhttp/stream_calls.cpp
+++ b/src/peerhttp/stream_calls.cpp
@@ -23,7 +23,7 @@
         try {
             // Throws for an id that isn't UTF-8: with its bytes replaced it would be that of another stream, of which there is no record.
             const std::string body = Json{{"service", takeUp.service}, {"stream", takeUp.stream}}.dump();
-            const auto reply = askPeer(m_settings, peerAddress, StreamVersionsPath, body, timeout);
+            const auto reply = askPeer(m_settings, peerAddress, StreamVersionsPath, body, ReplyLimits::within(timeout));
             if (!reply) {
                 return tl::unexpected(reply.error());
             }
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -243,7 +243,25 @@
     return readAll(limit, until, cancellation, unlimited);
 }
 
+tl::expected<std::string, UpstreamFailure> UpstreamCall::readAll(std::size_t limit, const ReplyLimits &limits, TimePoint begun, CancellationWatch &cancellation)
+{
+    UnlimitedMemory unlimited;
+    const auto nextByteBy = [&limits, begun] {
+        return limits.nextByteBy(begun, std::chrono::steady_clock::now());
+    };
+    return readAll(limit, nextByteBy, cancellation, unlimited);
+}
+
 tl::expected<std::string, UpstreamFailure> UpstreamCall::readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation, MemoryGrant &memory)
+{
+    const auto nextByteBy = [until] {
+        return until;
+    };
+    return readAll(limit, nextByteBy, cancellation, memory);
+}
+
+tl::expected<std::string, UpstreamFailure> UpstreamCall::readAll(std::size_t limit, const std::function<TimePoint()> &nextByteBy,
+                                                                 CancellationWatch &cancellation, MemoryGrant &memory)
 {
     std::string body;
     if (m_framing.kind == BodyKind::Length && m_framing.length > limit) {
@@ -258,6 +276,7 @@
         if (!m_bodyComplete && !growWithin(body, wanted, known, 0, memory)) {
             return tl::unexpected(failure(ErrorCode::Overloaded));
         }
+        const TimePoint until = nextByteBy();
         const auto complete = readBody(body, until, cancellation);
         if (!complete) {
             return tl::unexpected(complete.error());
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -261,6 +261,10 @@
     }
     for (const auto &connection : closed) {
         if (!connection->unsent.empty()) {
+            logEvent(LogLevel::Info, "front.reply_cut",
+                     {{"server", m_name},
+                      {"sent", static_cast<std::uint64_t>(connection->unsent.sent)},
+                      {"of", static_cast<std::uint64_t>(connection->unsent.text.size())}});
             connection->io.resetOnClose(); // what was sent must not look complete
         }
         endRequest(*connection);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -152,6 +152,23 @@
 // since a call that is ended by mistake is simply repeated.
 UpstreamSettings longPollSettings();
 
+// How long a reply may take.
+struct ReplyLimits {
+    Duration head{}; // from the beginning of the call until the head of the reply has come
+    Duration pause{}; // longest time in which no byte of the body comes
+    Duration whole{}; // the whole call
+
+    static ReplyLimits within(Duration timeout) // a call that must have ended by then
+    {
+        return ReplyLimits{timeout, timeout, timeout};
+    }
+    // Until when the next byte is awaited, `now` being the moment at which the last one came.
+    TimePoint nextByteBy(TimePoint begun, TimePoint now) const
+    {
+        return std::min(begun + whole, now + pause);
+    }
+};
+
 // Why a call to a server failed.
 struct UpstreamFailure {
     // UpstreamCall sets ConnectFailed, ConnectionLost, ServerTimeout, InvalidReply or CallerDisconnected. Code that judges a complete reply may
@@ -184,7 +201,9 @@
     }
     // Waits for the whole body and returns it, decoded. InvalidReply: the body is longer than `limit` bytes.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation);
-    // The same, but asks for memory before it reads on; the server's bytes wait in the system's buffers meanwhile. Overloaded: there was none.
+    // The same for a body that may come slowly: `limits` count from `begun`.
+    tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, const ReplyLimits &limits, TimePoint begun, CancellationWatch &cancellation);
+    // As the first, but asks for memory before it reads on; the server's bytes wait in the system's buffers meanwhile. Overloaded: there was none.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation, MemoryGrant &memory);
 
     // Connects to `address` and closes the connection at once. True: the host refuses connections, as after a crash of its process.
@@ -192,6 +211,8 @@
 
 private:
     UpstreamFailure failure(ErrorCode code) const;
+    tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, const std::function<TimePoint()> &nextByteBy, CancellationWatch &cancellation,
+                                                       MemoryGrant &memory);
     tl::expected<void, UpstreamFailure> waitForBytes(TimePoint until, CancellationWatch &cancellation);
     // Moves the received bytes of the body to `out`, decoded. `ended`: the connection has ended, so no further bytes will be received;
     // `reset`: it ended by a failure, not by an orderly close. Returns true when the body is complete.
--- a/src/watch/relay.cpp
+++ b/src/watch/relay.cpp
@@ -8,6 +8,11 @@
 namespace vanillanotch
 {
 
+namespace
+{
+constexpr std::size_t LargeTransfer = 64 * 1024; // bytes; larger copies are logged
+} // namespace
+
 //-----------------------------------------------------------------------------
 // TableCache
 //-----------------------------------------------------------------------------
@@ -165,10 +170,14 @@
     return after ? m_store.awaitChanges(table, *after, wait, replyTimeout) : m_store.readTable(table, replyTimeout);
 }
 
+ReplyLimits relayReplyLimits(const RelayQuery &query, const RelaySettings &settings)
+{
+    return ReplyLimits::within(query.after ? query.wait + settings.relayReplyTimeout : settings.wholeTableTimeout);
+}
+
 Result<StoredRows> RelayedStore::askRelay(const std::string &relay, const RelayQuery &query)
 {
-    const Duration timeout = query.after ? query.wait + m_settings.relayReplyTimeout : m_settings.wholeTableTimeout;
-    auto rows = m_channel.follow(relay, query, timeout);
+    auto rows = m_channel.follow(relay, query, relayReplyLimits(query, m_settings));
     return rows && !rows->asOf ? fail(ErrorCode::PeerUnavailable, "expected the age of the relay's copy; the reply has none") : std::move(rows);
 }
 
@@ -192,6 +201,7 @@
         if (knownAsOf != TimePoint{}) {
             query.knownAge = suspendAwareNow() - knownAsOf;
         }
+        const TimePoint asked = suspendAwareNow();
         auto rows = plan->isStore() ? askStore(table, after, std::min(wait, plan->wait.value_or(wait)), replyTimeout) : askRelay(plan->relay, query);
         // The source works, but doesn't hold all changes after that version.
         const bool historyGone = !rows && rows.error().code == ErrorCode::StoreHistoryGone;
@@ -200,15 +210,34 @@
         {
             const Lock lock(m_mutex);
             TableState &state = stateLocked(table);
-            usable = usable && (plan->isStore() || historyGone || (state.chooser.accepts(order, rows->hops, age) && rows->position.era() >= m_era));
+            bool sourceFit = usable;
+            if (rows && !plan->isStore()) {
+                const bool news = after && !after->includes(rows->position);
+                const ReplyVerdict verdict = state.chooser.judge(order, RelayReply{rows->hops, age, rows->transfer.ageAtSource, news});
+                usable = verdict.useRows && rows->position.era() >= m_era;
+                sourceFit = usable && verdict.sourceFit;
+            }
             m_era = std::max(m_era, rows ? rows->position.era() : 0);
             if (usable) {
-                state.chooser.recordSuccess(*plan);
                 state.asOf = rows && rows->asOf ? *rows->asOf : state.asOf;
+            }
+            if (sourceFit) {
+                state.chooser.recordSuccess(*plan);
             } else {
                 state.chooser.recordFailure(*plan, order, rows ? SourceFailure::Unfit : SourceFailure::Unreachable, suspendAwareNow());
             }
         }
+        if (rows && rows->transfer.bytes >= LargeTransfer) {
+            logEvent(LogLevel::Info, "relay.copy_received",
+                     {{"table", table},
+                      {"relay", plan->relay},
+                      {"used", usable ? 1 : 0},
+                      {"version", rows->position.version()},
+                      {"hops", rows->hops},
+                      {"bytes", static_cast<std::uint64_t>(rows->transfer.bytes)},
+                      {"age_at_source_ms", rows->transfer.ageAtSource},
+                      {"transfer_ms", rows->transfer.took}});
+        }
         if (usable && historyGone && !plan->isStore()) {
             auto held = askStore(table, after, std::chrono::milliseconds(0), replyTimeout); // the store may still hold them
             return held ? std::move(held) : fail(ErrorCode::StoreHistoryGone); // the relay has the whole table, also for a node that doesn't reach the store
@@ -223,8 +252,13 @@
                      {{"table", table},
                       {"relay", plan->relay},
                       {"error", rows ? ErrorCode::ConfigurationStale : rows.error().code},
+                      {"detail", rows ? std::string() : rows.error().detail},
                       {"hops", rows ? rows->hops : 0U},
-                      {"news_age_ms", age}});
+                      {"news_age_ms", age},
+                      {"age_at_source_ms", rows ? rows->transfer.ageAtSource : Duration::zero()},
+                      {"transfer_ms", rows ? rows->transfer.took : Duration::zero()},
+                      {"bytes", static_cast<std::uint64_t>(rows ? rows->transfer.bytes : 0)},
+                      {"call_ms", suspendAwareNow() - asked}});
         }
     }
 }
--- a/src/watch/sources.cpp
+++ b/src/watch/sources.cpp
@@ -112,9 +112,10 @@
     return tl::unexpected(earliest);
 }
 
-bool SourceChooser::accepts(const SourceOrder &order, unsigned hops, Duration age) const
+ReplyVerdict SourceChooser::judge(const SourceOrder &order, const RelayReply &reply) const
 {
-    return age < m_settings.maxDataAge && (!order.isRelay || hops <= 1);
+    const bool fit = reply.age < m_settings.maxDataAge && (!order.isRelay || reply.hops <= 1);
+    return ReplyVerdict{fit, fit};
 }
 
 void SourceChooser::recordSuccess(const Plan &plan)
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -22,6 +22,7 @@
 
 #include "base/base.h"
 #include "fleet/fleet.h"
+#include "transport/transport.h"
 
 #include <random>
 
@@ -83,6 +84,13 @@
     bool removed = false; // true: the change removed the row, and `value` is empty
 };
 
+// How rows came from a relay.
+struct RowsTransfer {
+    Duration ageAtSource{}; // of the relay's copy when it began to reply
+    Duration took{}; // from then until the last byte had come
+    std::size_t bytes = 0; // of the reply's body
+};
+
 struct StoredRows {
     std::vector<StoredRow> rows;
     StorePosition position; // up to which the rows include all changes; the next request for changes starts from it
@@ -91,6 +99,7 @@
     // came from the store itself, and TableWatch computes the moment from storeClock.
     std::optional<TimePoint> asOf;
     unsigned hops = 0; // number of nodes that passed the rows on: 0 for rows that came from the store itself
+    RowsTransfer transfer; // of rows that came from a relay
 };
 
 struct RowWrite {
@@ -317,6 +326,19 @@
     std::chrono::milliseconds storeRetry{2500};
 };
 
+// What a node got from a relay.
+struct RelayReply {
+    unsigned hops = 0; // StoredRows::hops
+    Duration age{}; // of the copy, when its last byte had come
+    Duration ageAtSource{}; // when the relay began to reply
+    bool news = false; // the copy is known to be further on than the one that this node has
+};
+
+struct ReplyVerdict {
+    bool useRows = false;
+    bool sourceFit = false; // false: another source is asked next
+};
+
 enum class SourceFailure {
     Unreachable, // the call failed
     Unfit // the relay answered, but its copy is too old or of an earlier era, or not direct although this node needs a direct one
@@ -340,7 +362,7 @@
     explicit SourceChooser(SourceSettings settings, std::uint64_t seed);
     // Returns the source to ask now. If each of them failed a short time ago: from when one may be asked again.
     tl::expected<Plan, TimePoint> next(const SourceOrder &order, TimePoint now) const;
-    bool accepts(const SourceOrder &order, unsigned hops, Duration age) const; // whether a relay's copy may be used
+    ReplyVerdict judge(const SourceOrder &order, const RelayReply &reply) const;
     void recordSuccess(const Plan &plan);
     void recordFailure(const Plan &plan, const SourceOrder &order, SourceFailure failure, TimePoint now);
 
@@ -416,10 +438,10 @@
 {
 public:
     virtual ~RelayChannel() = default;
-    // The rows from the TableCache of the relay at `peerAddress`, with asOf and hops set. `timeout` limits the whole call. Errors:
+    // The rows from the TableCache of the relay at `peerAddress`, with asOf, hops and transfer set. Errors:
     // PeerUnavailable (also for a relay of an earlier build, which doesn't say of which era its rows are), and those that the TableCache returned
     // at the relay.
-    virtual Result<StoredRows> follow(const std::string &peerAddress, const RelayQuery &query, Duration timeout) = 0;
+    virtual Result<StoredRows> follow(const std::string &peerAddress, const RelayQuery &query, const ReplyLimits &limits) = 0;
 };
 
 struct RelaySettings {
@@ -430,6 +452,9 @@
     std::chrono::milliseconds wholeTableTimeout{1500}; // timeout of a query for a whole table
 };
 
+// How long a relay's reply to a query may take.
+ReplyLimits relayReplyLimits(const RelayQuery &query, const RelaySettings &settings);
+
 // Gets each table from the source that its SourceChooser names, and turns to the next one when that fails. Writes go to `store`. Thread-safe.
 class RelayedStore final : public StateStore
 {
--- a/src/wire/entry_yaml.cpp
+++ b/src/wire/entry_yaml.cpp
@@ -39,6 +39,7 @@
     document.read("peer_address", settings.peerAddress, true);
     document.read("store_address", settings.storeAddress, true);
     document.read("cores", settings.cores, 0.01, 1024);
+    document.read("link_mbps", settings.linkMbps, 0, 1e7);
     document.read("memory_mb", settings.memoryMb, 64, 1e6);
     document.read("max_descriptors", settings.maxDescriptors, 128, 1e7);
     document.readEitherUnit("revocation_bound", settings.revocationBound, milliseconds(100), milliseconds(600000));
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -98,6 +98,7 @@
     std::string storeAddress; // IP:port of the platform's store; required
     LogLevel logLevel = LogLevel::Info;
     double cores = 1; // processor cores of the VM
+    double linkMbps = 0; // speed of the VM's network link, Mbit/s; 0: not stated
     double memoryMb = 256; // memory of the VM, MB; the memory that callers may make the node hold is derived from it
     double maxDescriptors = 0; // descriptors that the process may have open; 0, or more than the process's limit: that limit
     std::chrono::milliseconds revocationBound{5000}; // longest time for which a removed API key is still accepted after the operator's removal was confirmed
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -829,7 +829,7 @@
     std::map<std::string, Result<StoredRows>> answers; // by peer address; another address fails
     std::vector<std::string> asked; // peer addresses
     std::vector<milliseconds> waits;
-    Result<StoredRows> follow(const std::string &peer, const RelayQuery &query, Duration /*timeout*/) override
+    Result<StoredRows> follow(const std::string &peer, const RelayQuery &query, const ReplyLimits & /*limits*/) override
     {
         asked.push_back(peer);
         waits.push_back(query.wait);
--- a/tests/unit/feed_test.cpp
+++ b/tests/unit/feed_test.cpp
@@ -67,7 +67,7 @@
 class NoRelays final : public RelayChannel
 {
 public:
-    Result<StoredRows> follow(const std::string & /*peerAddress*/, const RelayQuery & /*query*/, Duration /*timeout*/) override
+    Result<StoredRows> follow(const std::string & /*peerAddress*/, const RelayQuery & /*query*/, const ReplyLimits & /*limits*/) override
     {
         return fail(ErrorCode::PeerUnavailable);
     }
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -33,7 +33,7 @@
     }
     Result<StoredRows> follow(const std::string &address, const std::optional<StorePosition> &after)
     {
-        return channel->follow(address, RelayQuery{"t", after}, seconds(2));
+        return channel->follow(address, RelayQuery{"t", after}, ReplyLimits::within(seconds(2)));
     }
 };
 
