--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -26,6 +26,11 @@
     return settings;
 }
 
+ReplyLimits storeReplyLimits(std::chrono::milliseconds wait, Duration timeout)
+{
+    return ReplyLimits::within(wait + timeout);
+}
+
 PollSchedule::PollSchedule(WatchSettings settings, std::uint64_t seed)
     : m_settings(settings)
     , m_longestPause(settings.initialBackoff)
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -108,6 +108,9 @@
     bool mustBeNew = false; // the table must not hold a row with this key yet
 };
 
+// How long the store's reply may take that it may hold for `wait`; `timeout`: of a call, in addition to the wait.
+ReplyLimits storeReplyLimits(std::chrono::milliseconds wait, Duration timeout);
+
 // The operations of the platform's store that a node uses. `timeout` limits a whole call.
 class StateStore
 {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -86,6 +86,21 @@
         }
         return true;
     }
+    // Receives up to `bytes` more; fewer: the node has closed the connection.
+    std::string receiveMore(std::size_t bytes)
+    {
+        std::string more(bytes, '\0');
+        std::size_t received = 0;
+        while (received < bytes) {
+            const ssize_t count = ::recv(m_descriptor, &more[received], bytes - received, 0);
+            if (count <= 0) {
+                break;
+            }
+            received += static_cast<std::size_t>(count);
+        }
+        more.resize(received);
+        return more;
+    }
     void endSending() // in order; the connection can still receive
     {
         (void)::shutdown(m_descriptor, SHUT_WR);
