--- a/src/watch/sources.cpp
+++ b/src/watch/sources.cpp
@@ -114,8 +114,8 @@
 
 ReplyVerdict SourceChooser::judge(const SourceOrder &order, const RelayReply &reply) const
 {
-    const bool fit = reply.age < m_settings.maxDataAge && (!order.isRelay || reply.hops <= 1);
-    return ReplyVerdict{fit, fit};
+    const bool fit = reply.ageAtSource < m_settings.maxDataAge && (!order.isRelay || reply.hops <= 1);
+    return ReplyVerdict{fit || reply.news, fit};
 }
 
 void SourceChooser::recordSuccess(const Plan &plan)
