--- a/src/peerhttp/peer_call.h
+++ b/src/peerhttp/peer_call.h
@@ -11,7 +11,7 @@
 constexpr std::string_view PlacementReportsPath = "/v1/placement-reports";
 constexpr std::string_view ConfigurationPath = "/v1/configuration";
 constexpr std::string_view StreamVersionsPath = "/v1/stream-versions";
-constexpr Duration PeerReplyTimeout = std::chrono::seconds(1); // timeout for sending a reply to another node
+constexpr Duration PeerReplyTimeout = std::chrono::seconds(1); // timeout for sending a reply to another node; of a long one, for each pause in sending it
 
 struct PeerCall {
     std::string address; // IP:port
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -13,7 +13,7 @@
 constexpr std::string_view ReleasePath = "/v1/stage-releases";
 constexpr std::string_view AlivePath = "/v1/alive";
 constexpr std::string_view MetricsPath = "/metrics";
-constexpr std::size_t ReplyLimit = 4 * 1024 * 1024; // largest body of a reply, bytes; the largest replies are tables
+constexpr std::size_t ReplyLimit = 16 * 1024 * 1024; // largest body of a reply, bytes, as that of the store; the largest replies are tables
 
 // Converts the time left until a point in time to milliseconds. Nodes send each other this number in place of the point in time, because their
 // clocks differ.
--- a/src/peerhttp/relay.cpp
+++ b/src/peerhttp/relay.cpp
@@ -145,7 +145,7 @@
         body = describeError(ErrorCode::MalformedRequest);
     }
     m_tableReplyBytes.add(body.size());
-    (void)exchange.reply(200, headers, body, std::chrono::steady_clock::now() + PeerReplyTimeout);
+    (void)exchange.replySlowly(200, headers, std::move(body), PeerReplyTimeout, std::chrono::steady_clock::now() + LongestTransfer);
 }
 
 } // namespace vanillanotch
--- a/src/transport/exchange.cpp
+++ b/src/transport/exchange.cpp
@@ -76,7 +76,7 @@
     return !m_connection.disconnected;
 }
 
-bool FrontExchange::sendOrLeave(std::string_view head, std::string_view body, std::string *ownedBody, TimePoint until)
+bool FrontExchange::sendOrLeave(std::string_view head, std::string_view body, std::string *ownedBody, TimePoint until, Duration pause)
 {
     assertNoLockHeld("FrontExchange::sendOrLeave");
     if (m_connection.disconnected) {
@@ -89,6 +89,7 @@
     }
     UnsentReply &unsent = m_connection.unsent;
     unsent.until = until;
+    unsent.pause = pause;
     unsent.sent = 0;
     if (parts[0].empty() && parts[1].empty()) {
         return true;
@@ -111,13 +112,18 @@
 }
 
 bool FrontExchange::replyLong(int status, const Headers &headers, std::string body, TimePoint until)
+{
+    return replySlowly(status, headers, std::move(body), Duration::max(), until);
+}
+
+bool FrontExchange::replySlowly(int status, const Headers &headers, std::string body, Duration pause, TimePoint until)
 {
     m_replied = true;
     const std::string head = encodeHead(status, headers) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (m_head.method == "HEAD") {
         return sendOrLeave(head, {}, nullptr, until);
     }
-    return sendOrLeave(head, body, &body, until);
+    return sendOrLeave(head, body, &body, until, pause);
 }
 
 bool FrontExchange::beginStream(int status, const Headers &headers, std::string_view firstBytes, TimePoint until)
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -64,6 +64,7 @@
     std::string text;
     std::size_t sent = 0;
     TimePoint until{}; // the connection is closed then
+    Duration pause = Duration::max(); // or when nothing was taken for this long
     bool empty() const
     {
         return sent == text.size();
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -299,7 +299,7 @@
         break;
     case Park::Sending:
         connection.state = FrontConnection::State::Sending;
-        connection.deadline = connection.unsent.until;
+        connection.deadline = connection.unsent.pause < connection.unsent.until - now ? now + connection.unsent.pause : connection.unsent.until;
         break;
     case Park::Draining:
         connection.state = FrontConnection::State::Draining;
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -275,6 +275,8 @@
     // reply() doesn't wait: what the socket doesn't accept at once is sent by the event thread after the handler has returned, and counts as taken.
     bool reply(int status, const Headers &headers, std::string_view body, TimePoint until);
     bool replyLong(int status, const Headers &headers, std::string body, TimePoint until); // as reply(), for a body that isn't copied
+    // The same for a body that may be taken slowly: the connection is closed when nothing of it is taken for `pause`, or by `until`.
+    bool replySlowly(int status, const Headers &headers, std::string body, Duration pause, TimePoint until);
     // Begins a streamed reply: with chunked coding, or, for a caller with HTTP/1.0, with a body that lasts until the connection closes.
     bool beginStream(int status, const Headers &headers, std::string_view firstBytes, TimePoint until);
     bool streamBytes(std::string_view bytes, TimePoint until);
@@ -305,7 +307,7 @@
     std::string encodeHead(int status, const Headers &headers); // also decides whether the connection is closed after the reply
     bool send(MessageParts parts, TimePoint until); // waits until the caller has taken them
     // Sends what the socket accepts, and leaves the rest of the head and of the body to the event thread.
-    bool sendOrLeave(std::string_view head, std::string_view body, std::string *ownedBody, TimePoint until);
+    bool sendOrLeave(std::string_view head, std::string_view body, std::string *ownedBody, TimePoint until, Duration pause = Duration::max());
 
     FrontServer &m_server;
     FrontConnection &m_connection;
--- a/src/watch/relay.cpp
+++ b/src/watch/relay.cpp
@@ -172,7 +172,7 @@
 
 ReplyLimits relayReplyLimits(const RelayQuery &query, const RelaySettings &settings)
 {
-    return ReplyLimits::within(query.after ? query.wait + settings.relayReplyTimeout : settings.wholeTableTimeout);
+    return ReplyLimits{query.after ? query.wait + settings.relayReplyTimeout : settings.wholeTableTimeout, settings.transferPause, LongestTransfer};
 }
 
 Result<StoredRows> RelayedStore::askRelay(const std::string &relay, const RelayQuery &query)
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -28,7 +28,7 @@
 
 ReplyLimits storeReplyLimits(std::chrono::milliseconds wait, Duration timeout)
 {
-    return ReplyLimits::within(wait + timeout);
+    return ReplyLimits{wait + timeout, timeout, LongestTransfer};
 }
 
 PollSchedule::PollSchedule(WatchSettings settings, std::uint64_t seed)
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -108,10 +108,14 @@
     bool mustBeNew = false; // the table must not hold a row with this key yet
 };
 
-// How long the store's reply may take that it may hold for `wait`; `timeout`: of a call, in addition to the wait.
+// Longest time of one reply with rows. Only a source that sends a little now and then comes near it.
+constexpr std::chrono::seconds LongestTransfer{60};
+
+// How long the store's reply may take that it may hold for `wait`. `timeout`: until the reply begins, in addition to the wait, and of each pause within it.
 ReplyLimits storeReplyLimits(std::chrono::milliseconds wait, Duration timeout);
 
-// The operations of the platform's store that a node uses. `timeout` limits a whole call.
+// The operations of the platform's store that a node uses. `timeout`: until the reply begins; of a read also for each pause within the reply, as the
+// time that its bytes take depends on their number and on the link.
 class StateStore
 {
 public:
@@ -119,7 +123,7 @@
     static constexpr std::size_t MaxRowsOfWrite = 100;
     // All rows of a table. Errors: PlatformUnavailable, PlatformAnswerLost, StoreRefused, PlatformReplyInvalid.
     virtual Result<StoredRows> readTable(const std::string &table, Duration timeout) = 0;
-    // Changes after the position `after`: returned at once when there are any, else after at most `wait`, perhaps without rows. The call ends
+    // Changes after the position `after`: returned at once when there are any, else after at most `wait`, perhaps without rows. A call without a reply ends
     // `replyTimeout` after the wait, so that shortening the wait shortens the whole call. Errors: those of readTable(), and StoreHistoryGone
     // when the store no longer holds all changes after that position, or is of another era.
     virtual Result<StoredRows> awaitChanges(const std::string &table, const StorePosition &after, std::chrono::milliseconds wait, Duration replyTimeout) = 0;
@@ -451,8 +455,9 @@
     SourceSettings sources;
     // How long a relay may hold a query while there is nothing new; a failed relay is noticed after this and `relayReplyTimeout`.
     std::chrono::milliseconds relayWait{1200};
-    std::chrono::milliseconds relayReplyTimeout{400}; // timeout of a query to the relay, in addition to the wait
-    std::chrono::milliseconds wholeTableTimeout{1500}; // timeout of a query for a whole table
+    std::chrono::milliseconds relayReplyTimeout{400}; // until a relay begins to reply, in addition to the wait
+    std::chrono::milliseconds wholeTableTimeout{1500}; // the same for a whole table
+    std::chrono::milliseconds transferPause{1000}; // a relay that sends nothing for this long within its reply has failed
 };
 
 // How long a relay's reply to a query may take.
