--- a/src/watch/sources.cpp
+++ b/src/watch/sources.cpp
@@ -18,7 +18,7 @@
         if (member.dataCentre == self.dataCentre || member.state != MemberState::Alive) {
             continue;
         }
-        const double rank = dutyRank(member, duty);
+        const double rank = transferDutyRank(member, duty);
         const auto [best, inserted] = primaries.emplace(member.dataCentre, std::pair(rank, &member));
         if (!inserted && rank > best->second.first) {
             best->second = {rank, &member};
@@ -41,16 +41,18 @@
 SourceOrder sourceOrder(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &table, const RelayPolicy &policy)
 {
     const std::string duty = "relay/" + table;
-    std::vector<MemberRecord> ranked = rankForDuty(members, self.dataCentre, duty);
+    std::vector<MemberRecord> ranked = rankForDuty(members, self.dataCentre, duty, transferDutyRank);
     SourceOrder order;
     if (ranked.size() < policy.minMembers) {
         return order;
     }
     const std::size_t serving = std::clamp<std::size_t>(ranked.size() / policy.membersPerRelay, 1, policy.maxServing);
-    ranked.resize(std::min(ranked.size(), serving + policy.standbys));
-    const auto own = std::find_if(ranked.begin(), ranked.end(), [&self](const MemberRecord &member) {
+    const auto isSelf = [&self](const MemberRecord &member) {
         return member.name == self.name;
-    });
+    };
+    const auto position = static_cast<std::size_t>(std::find_if(ranked.begin(), ranked.end(), isSelf) - ranked.begin());
+    ranked.resize(std::min(ranked.size(), serving + policy.standbys));
+    const auto own = std::find_if(ranked.begin(), ranked.end(), isSelf);
     order.isRelay = own != ranked.end();
     const auto append = [](std::vector<std::string> &addresses, auto first, auto last) {
         std::transform(first, last, std::back_inserter(addresses), [](const MemberRecord &member) {
@@ -62,7 +64,7 @@
         append(order.afterStore, std::next(own), ranked.end());
     } else {
         // The members are spread evenly over the serving relays.
-        const auto preferred = order.beforeStore.begin() + static_cast<std::ptrdiff_t>(stableHash(self.name) % serving);
+        const auto preferred = order.beforeStore.begin() + static_cast<std::ptrdiff_t>(position % serving);
         std::rotate(order.beforeStore.begin(), preferred, std::next(preferred));
     }
     for (std::string &address : remotePrimaries(members, self, duty, policy.remoteRelays)) {
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -295,7 +295,7 @@
 // [SOURCES]
 //-----------------------------------------------------------------------------
 
-// How many members of a data centre pass a table on to the others. The first member by dutyRank() is the primary relay: it alone asks the
+// How many members of a data centre pass a table on to the others. The first member by transferDutyRank() is the primary relay: it alone asks the
 // store while it works. The other serving relays follow the primary and share the remaining members among them. Standbys are only asked
 // when a serving relay fails. Each table has an order of its own, so that its relays are other nodes than those of the next table.
 struct RelayPolicy {
