--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -198,7 +198,7 @@
 public:
     virtual ~DeploymentPeerChannel() = default;
     // The document of the version in force at the node at `peerAddress`. nullopt: that isn't newer than `version`. Errors: PeerUnavailable.
-    virtual Result<std::optional<std::string>> documentNewerThan(const std::string &peerAddress, std::uint64_t version, Duration timeout) = 0;
+    virtual Result<std::optional<std::string>> documentNewerThan(const std::string &peerAddress, std::uint64_t version, const ReplyLimits &limits) = 0;
 };
 
 // A monotonic clock that also counts the time in which the VM was suspended, unlike the steady clock. The age of a
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -33,7 +33,8 @@
 // Longest time for which the members may be out of date after a fault; calls to a node that has gone fail over to another one meanwhile.
 constexpr std::chrono::milliseconds MembersBound{10000};
 constexpr std::size_t ConfigurationPeers = 3; // other nodes that are asked for a newer configuration than the store's copy has
-constexpr Duration ConfigurationPeerTimeout = std::chrono::milliseconds(300);
+// For their replies: documents may come slowly, but the table's watch waits for them.
+constexpr ReplyLimits ConfigurationPeerLimits{std::chrono::milliseconds(300), std::chrono::milliseconds(300), std::chrono::seconds(3)};
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
 constexpr Duration OwnedStagesInterval = std::chrono::seconds(1); // between two updates of the instances that this node calls as an owner
@@ -369,7 +370,7 @@
     const auto done = makeRef<Latch>(peers.size());
     for (const MemberRecord &peer : peers) {
         m_pool.post([this, replies, done, address = peer.peerAddress, newerThan] {
-            auto document = m_deploymentPeers->documentNewerThan(address, newerThan, ConfigurationPeerTimeout);
+            auto document = m_deploymentPeers->documentNewerThan(address, newerThan, ConfigurationPeerLimits);
             if (document && *document) {
                 const Lock lock(replies->mutex);
                 replies->documents.push_back(std::move(**document));
@@ -377,7 +378,7 @@
             done->countDown();
         });
     }
-    (void)done->wait(ConfigurationPeerTimeout);
+    (void)done->wait(ConfigurationPeerLimits.whole);
     const Lock lock(replies->mutex);
     return replies->documents;
 }
--- a/src/peerhttp/configuration_calls.cpp
+++ b/src/peerhttp/configuration_calls.cpp
@@ -18,14 +18,14 @@
     {
     }
 
-    Result<std::optional<std::string>> documentNewerThan(const std::string &peerAddress, std::uint64_t version, Duration timeout) override
+    Result<std::optional<std::string>> documentNewerThan(const std::string &peerAddress, std::uint64_t version, const ReplyLimits &limits) override
     {
-        const auto reply = askPeer(m_settings, peerAddress, ConfigurationPath, Json{{"newer_than", version}}.dump(), ReplyLimits::within(timeout));
+        const auto reply = askPeer(m_settings, peerAddress, ConfigurationPath, Json{{"newer_than", version}}.dump(), limits);
         if (!reply) {
             return tl::unexpected(reply.error());
         }
         try {
-            const Json json = Json::parse(*reply);
+            const Json json = Json::parse(reply->body);
             if (json.contains("error")) {
                 return fail(ErrorCode::PeerUnavailable);
             }
@@ -54,11 +54,15 @@
         const Json json = Json::parse(exchange.body());
         const auto document = m_deployments.documentNewerThan(json.at("newer_than").get<std::uint64_t>());
         body = document ? Json{{"document", *document}}.dump() : "{}";
+        if (document && exchange.head().headers.listContains("Accept-Encoding", "deflate")) {
+            headers.add("Content-Encoding", "deflate");
+            body = deflated(body);
+        }
     } catch (const Json::exception &) { // also for a document that isn't UTF-8
         logEvent(LogLevel::Warning, "peer.question_unreadable", {{"error", ErrorCode::MalformedRequest}});
         body = describeError(ErrorCode::MalformedRequest);
     }
-    (void)exchange.reply(200, headers, body, std::chrono::steady_clock::now() + PeerReplyTimeout);
+    (void)exchange.replySlowly(200, headers, std::move(body), PeerReplyTimeout, std::chrono::steady_clock::now() + LongestTransfer);
 }
 
 } // namespace vanillanotch
--- a/src/peerhttp/peer_call.h
+++ b/src/peerhttp/peer_call.h
@@ -24,13 +24,23 @@
     std::optional<ReplyLimits> limits{}; // for the reply's body, counted from the call's beginning; nullopt: only `deadline`
 };
 
-// Sends peerCall.body in a POST request and returns the reply's body, whatever the reply's status. `alive` returns whether the other node
+struct PeerReply {
+    Headers headers;
+    std::string body; // decompressed
+    std::size_t bytes = 0; // of the body as it came
+};
+
+// The deflate coding of HTTP. Errors of inflated(): InvalidReply, also for a text longer than `limit` bytes.
+std::string deflated(const std::string &text);
+Result<std::string> inflated(const std::string &compressed, std::size_t limit);
+
+// Sends peerCall.body in a POST request and returns the reply, whatever the reply's status. `alive` returns whether the other node
 // still answers. It is called each time a wait for the reply's head has timed out before peerCall.deadline; false ends the call with
 // ServerTimeout.
-tl::expected<std::string, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peerCall, CancellationWatch &canceller,
-                                                    const std::function<bool()> &alive);
+tl::expected<PeerReply, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peerCall, CancellationWatch &canceller,
+                                                  const std::function<bool()> &alive);
 
 // callPeer() for a question that nothing cancels, with one wait for the reply. Errors: PeerUnavailable.
-Result<std::string> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, const ReplyLimits &limits);
+Result<PeerReply> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, const ReplyLimits &limits);
 
 } // namespace vanillanotch
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -109,7 +109,7 @@
             return result;
         }
         try {
-            const Json json = Json::parse(*reply);
+            const Json json = Json::parse(reply->body);
             if (json.contains("wait_ms")) {
                 result.expectedWait = std::chrono::milliseconds(json.at("wait_ms").get<std::int64_t>());
             }
@@ -143,8 +143,8 @@
 };
 } // namespace
 
-tl::expected<std::string, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peerCall, CancellationWatch &canceller,
-                                                    const std::function<bool()> &alive)
+tl::expected<PeerReply, UpstreamFailure> callPeer(const UpstreamSettings &settings, const PeerCall &peerCall, CancellationWatch &canceller,
+                                                  const std::function<bool()> &alive)
 {
     const TimePoint begun = std::chrono::steady_clock::now();
     const Duration checkInterval = peerCall.firstCheckAt - begun;
@@ -153,7 +153,8 @@
         return tl::unexpected(opened.error());
     }
     std::string request = "POST " + std::string(peerCall.path) + " HTTP/1.1\r\nHost: " + peerCall.address
-        + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(peerCall.body.size()) + "\r\n\r\n" + peerCall.body;
+        + "\r\nConnection: close\r\nAccept-Encoding: deflate\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(peerCall.body.size())
+        + "\r\n\r\n" + peerCall.body;
     auto head = call.exchange(std::move(request), peerCall.firstCheckAt, canceller);
     while (!head && head.error().code == ErrorCode::ServerTimeout && std::chrono::steady_clock::now() < peerCall.deadline && alive()) {
         head = call.awaitHead(std::min(peerCall.deadline, std::chrono::steady_clock::now() + checkInterval), canceller);
@@ -161,15 +162,28 @@
     if (!head) {
         return tl::unexpected(head.error());
     }
-    return peerCall.limits ? call.readAll(ReplyLimit, *peerCall.limits, begun, canceller) : call.readAll(ReplyLimit, peerCall.deadline, canceller);
+    auto body = peerCall.limits ? call.readAll(ReplyLimit, *peerCall.limits, begun, canceller) : call.readAll(ReplyLimit, peerCall.deadline, canceller);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    PeerReply reply{std::move(head->headers), std::move(*body), 0};
+    reply.bytes = reply.body.size();
+    if (reply.headers.listContains("Content-Encoding", "deflate")) {
+        auto text = inflated(reply.body, ReplyLimit);
+        if (!text) {
+            return tl::unexpected(UpstreamFailure{ErrorCode::InvalidReply, true, false});
+        }
+        reply.body = std::move(*text);
+    }
+    return reply;
 }
 
-Result<std::string> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, const ReplyLimits &limits)
+Result<PeerReply> askPeer(const UpstreamSettings &settings, const std::string &address, std::string_view path, std::string body, const ReplyLimits &limits)
 {
     NeverCancelled neverCancelled;
     const TimePoint until = std::chrono::steady_clock::now() + limits.head;
     auto reply = callPeer(settings, PeerCall{address, path, std::move(body), until, until, limits}, neverCancelled, noLivenessCheck);
-    return reply ? Result<std::string>(std::move(*reply)) : fail(ErrorCode::PeerUnavailable, std::string(errorName(reply.error().code)));
+    return reply ? Result<PeerReply>(std::move(*reply)) : fail(ErrorCode::PeerUnavailable, std::string(errorName(reply.error().code)));
 }
 
 std::unique_ptr<StagePeerChannel> makeStagePeerChannel(const UpstreamSettings &settings)
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -51,6 +51,15 @@
     void servePlacementReports(FrontExchange &exchange);
     void serveStreamVersion(FrontExchange &exchange);
     void serveConfiguration(FrontExchange &exchange);
+    std::string compressedCopy(const std::string &table, const std::optional<StorePosition> &after, const StoredRows &copy);
+
+    // The rows of one reply, as sent to followers that take compressed ones.
+    struct CompressedCopy {
+        std::optional<StorePosition> after; // the query's; nullopt: for the whole table
+        StorePosition position;
+        unsigned hops = 0;
+        std::string body; // empty: none yet
+    };
 
     StageScheduler &m_stages;
     PlacementOwner &m_placement;
@@ -63,6 +72,8 @@
     RankedMutex m_mutex{LockRank::Requests};
     std::set<WakeupSignal *> m_taskSignals; // of the tasks that haven't ended
     bool m_returningTasks = false; // returnTasks() was called
+    RankedMutex m_copiesMutex{LockRank::Leaf};
+    std::map<std::string, CompressedCopy> m_copies; // the latest one of each table
 };
 
 // JSON of the record by which a node describes itself to the other nodes, as it stands in the platform's store. The node's name
--- a/src/peerhttp/placement_calls.cpp
+++ b/src/peerhttp/placement_calls.cpp
@@ -88,7 +88,7 @@
             return fail(reply.error().code == ErrorCode::CallerDisconnected ? ErrorCode::CallerDisconnected : ErrorCode::PeerUnavailable);
         }
         try {
-            const Json json = Json::parse(*reply);
+            const Json json = Json::parse(reply->body);
             if (json.contains("error")) {
                 return fail(ErrorCode::PeerUnavailable);
             }
--- a/src/peerhttp/relay.cpp
+++ b/src/peerhttp/relay.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <numeric>
+
 namespace vanillanotch
 {
 
@@ -36,6 +38,33 @@
     return json;
 }
 
+// The times of a compressed reply stand in its headers, so that its body is the same for all followers.
+constexpr const char *HeldHeader = "Copy-Held-Ms";
+constexpr const char *AgeHeader = "Copy-Age-Ms";
+constexpr std::size_t MinCompressedBytes = 4096; // smaller replies are sent as they are
+
+std::chrono::milliseconds timeIn(const Headers &headers, const char *header, const Json &json, const char *member)
+{
+    const std::string *text = headers.find(header);
+    return std::chrono::milliseconds(text != nullptr ? Json::parse(*text).get<std::int64_t>() : json.at(member).get<std::int64_t>());
+}
+
+std::size_t valueBytes(const StoredRows &rows)
+{
+    return std::accumulate(rows.rows.begin(), rows.rows.end(), std::size_t{0}, [](std::size_t sum, const StoredRow &row) {
+        return sum + row.value.size();
+    });
+}
+
+Json encodeCopy(const StoredRows &copy)
+{
+    Json rows = Json::array();
+    for (const StoredRow &row : copy.rows) {
+        rows.push_back(encodeRow(row));
+    }
+    return Json{{"era", copy.position.era()}, {"version", copy.position.version()}, {"rows", std::move(rows)}, {"hops", copy.hops + 1}};
+}
+
 class HttpRelayChannel final : public RelayChannel
 {
 public:
@@ -66,7 +95,7 @@
             return tl::unexpected(reply.error());
         }
         try {
-            const Json json = Json::parse(*reply);
+            const Json json = Json::parse(reply->body);
             if (json.contains("error")) {
                 return fail(static_cast<ErrorCode>(json.at("error").get<int>()));
             }
@@ -79,11 +108,11 @@
             }
             // The relay got the request after requestedAt and replied `held_ms` milliseconds later; its rows were `age_ms` milliseconds old then.
             // So asOf is never later than the moment at which the rows were known to be current.
-            const std::chrono::milliseconds held(json.at("held_ms").get<std::int64_t>());
-            const std::chrono::milliseconds age(json.at("age_ms").get<std::int64_t>());
+            const std::chrono::milliseconds held = timeIn(reply->headers, HeldHeader, json, "held_ms");
+            const std::chrono::milliseconds age = timeIn(reply->headers, AgeHeader, json, "age_ms");
             rows.asOf = requestedAt + held - age;
             rows.hops = json.value("hops", 1U);
-            rows.transfer = RowsTransfer{age, suspendAwareNow() - requestedAt - held, reply->size()};
+            rows.transfer = RowsTransfer{age, suspendAwareNow() - requestedAt - held, reply->bytes};
             return rows;
         } catch (const Json::exception &exception) {
             return fail(ErrorCode::PeerUnavailable, exception.what());
@@ -100,6 +129,17 @@
     return std::make_unique<HttpRelayChannel>(settings);
 }
 
+// Encodes the same copy once for all followers: they ask for the same changes at the same moment.
+std::string PeerHandler::compressedCopy(const std::string &table, const std::optional<StorePosition> &after, const StoredRows &copy)
+{
+    const Lock lock(m_copiesMutex);
+    CompressedCopy &last = m_copies[table];
+    if (last.body.empty() || !(last.after == after) || !(last.position == copy.position) || last.hops != copy.hops) {
+        last = CompressedCopy{after, copy.position, copy.hops, deflated(dumpReplacingInvalidUtf8(encodeCopy(copy)))};
+    }
+    return last.body;
+}
+
 void PeerHandler::serveTable(FrontExchange &exchange)
 {
     Headers headers;
@@ -113,6 +153,7 @@
         const auto wait = std::min(MaxWait, std::chrono::milliseconds(request.at("wait_ms").get<std::int64_t>()));
         const auto known = std::chrono::milliseconds(request.value("known_age_ms", std::int64_t{-1}));
         Result<StoredRows> table = fail(ErrorCode::UnknownEntry);
+        std::optional<StorePosition> after;
         if (found != m_relayed.end() && request.value("whole", false)) {
             table = found->second->wholeTable(wait);
         } else if (found != m_relayed.end()) {
@@ -121,24 +162,31 @@
             const Duration maxAge =
                 request.contains("max_age_ms") ? Duration(std::chrono::milliseconds(request["max_age_ms"].get<std::int64_t>())) : Duration::max();
             const auto version = request.at("after").get<std::uint64_t>();
-            table = request.contains("era") ? found->second->changesAfter(StorePosition(request["era"].get<std::uint64_t>(), version), wait, knownAsOf, maxAge)
-                                            : found->second->changesAfterVersion(version, wait, knownAsOf, maxAge);
+            if (request.contains("era")) {
+                after = StorePosition(request["era"].get<std::uint64_t>(), version);
+                table = found->second->changesAfter(*after, wait, knownAsOf, maxAge);
+            } else {
+                table = found->second->changesAfterVersion(version, wait, knownAsOf, maxAge);
+            }
         }
         if (!table) {
             body = describeError(table.error().code);
         } else {
+            const bool compressed = valueBytes(*table) >= MinCompressedBytes && exchange.head().headers.listContains("Accept-Encoding", "deflate");
+            body = compressed ? compressedCopy(tableName, after, *table) : std::string();
             const TimePoint repliedAt = suspendAwareNow();
-            Json rows = Json::array();
-            for (const StoredRow &row : table->rows) {
-                rows.push_back(encodeRow(row));
+            const std::int64_t held = toMilliseconds(repliedAt - receivedAt).count();
+            const std::int64_t age = toMilliseconds(repliedAt - *table->asOf).count() + 1; // rounded up, so that the rows never look newer than they are
+            if (compressed) {
+                headers.add("Content-Encoding", "deflate");
+                headers.add(HeldHeader, std::to_string(held));
+                headers.add(AgeHeader, std::to_string(age));
+            } else {
+                Json copy = encodeCopy(*table);
+                copy["held_ms"] = held;
+                copy["age_ms"] = age;
+                body = dumpReplacingInvalidUtf8(copy);
             }
-            // The age is rounded up, so that the rows never look newer than they are.
-            body = dumpReplacingInvalidUtf8(Json{{"era", table->position.era()},
-                                                 {"version", table->position.version()},
-                                                 {"rows", rows},
-                                                 {"held_ms", toMilliseconds(repliedAt - receivedAt).count()},
-                                                 {"age_ms", toMilliseconds(repliedAt - *table->asOf).count() + 1},
-                                                 {"hops", table->hops + 1}});
         }
     } catch (const Json::exception &) {
         logEvent(LogLevel::Warning, "peer.question_unreadable", {{"error", ErrorCode::MalformedRequest}});
--- a/src/peerhttp/stream_calls.cpp
+++ b/src/peerhttp/stream_calls.cpp
@@ -27,7 +27,7 @@
             if (!reply) {
                 return tl::unexpected(reply.error());
             }
-            const Json json = Json::parse(*reply);
+            const Json json = Json::parse(reply->body);
             if (json.contains("version")) {
                 return json.at("version").get<std::string>();
             }
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -667,7 +667,7 @@
                             R"("target_ms":60000,"deadline_ms":60000,"priority":0,"finishing":false})";
     const TimePoint until = systemClock.now() + seconds(5);
     const auto served = callPeer(UpstreamSettings{}, PeerCall{server.address(), "/v1/stage-orders", old, until, until}, neverCancelled, alive);
-    CHECK(served.has_value() && served->find("handles") != std::string::npos);
+    CHECK(served.has_value() && served->body.find("handles") != std::string::npos);
     server.stop();
     pool.stop(); // its threads may still be in the server's handler when the answer has come
 }
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -56,7 +56,8 @@
         return false;
     });
     CHECK(reply.has_value());
-    CHECK_TEXT(reply->find(R"("version":20)") != std::string::npos && reply->find("error") == std::string::npos, reply->c_str());
+    const std::string &text = reply->body;
+    CHECK_TEXT(text.find(R"("version":20)") != std::string::npos && text.find("error") == std::string::npos, text.c_str());
 
     ScriptedServer earlier;
     earlier.script = [](ServerConnection &connection) {
@@ -67,6 +68,52 @@
     CHECK(follow(earlier.address(), std::nullopt).error().code == ErrorCode::PeerUnavailable);
 }
 
+// Guards against a document that crosses a slow link at its full size, once for each follower (CONFIG, issue 61), and against one that is changed on the way.
+TEST(RelayCall, LargeCopiesAreCompressed)
+{
+    std::string document = "\xff";
+    for (int i = 0; i < 3000; ++i) {
+        document += R"({"Name":"r-)" + std::to_string(i * 7919) + R"(","Host":"h.example","Prefix":"/p/","Kind":"idempotent","TimeoutMs":30000},)";
+    }
+    for (std::uint64_t version = 21; version < 24; ++version) {
+        StoredRows rows;
+        rows.position = StorePosition(4, version);
+        rows.rows = {StoredRow{"large", document + std::to_string(version), version, false}};
+        cache.apply(rows, false, suspendAwareNow());
+        for (const std::optional<StorePosition> &after : {std::optional<StorePosition>(), std::optional<StorePosition>(StorePosition(4, version - 1))}) {
+            for (int follower = 0; follower < 2; ++follower) {
+                const auto copy = follow(server.address(), after);
+                CHECK(copy.has_value());
+                CHECK(copy->position == rows.position);
+                LONGS_EQUAL(after ? 1 : 2, static_cast<long>(copy->rows.size()));
+                const std::string &received = copy->rows.back().value;
+                CHECK(received.substr(received.find('{')) == rows.rows.front().value.substr(1)); // the byte that isn't UTF-8 is replaced
+                CHECK(copy->transfer.bytes < document.size() / 4);
+                CHECK(*copy->asOf <= cache.asOf()); // a copy never looks newer than it is
+                LONGS_EQUAL(1, static_cast<long>(copy->hops));
+            }
+        }
+    }
+}
+
+// Guards against a reply that can't be decompressed and passes for an empty or a whole one.
+TEST(RelayCall, ABrokenCompressedCopyIsNoCopy)
+{
+    const std::string whole = deflated(R"({"era":4,"version":30,"rows":[{"key":"a","version":30,"value":")" + std::string(50'000, 'x') + R"("}],"hops":1})");
+    CHECK(inflated(whole, 100'000).has_value());
+    CHECK(inflated(whole, 1000).error().code == ErrorCode::InvalidReply);
+    std::string damaged = whole;
+    damaged[whole.size() / 2] = static_cast<char>(damaged[whole.size() / 2] ^ 0x55);
+    for (const std::string &body : {whole.substr(0, whole.size() / 2), std::string("no deflate"), std::string(), damaged}) {
+        ScriptedServer broken;
+        broken.script = [&body](ServerConnection &connection) {
+            (void)connection.send("HTTP/1.1 200 OK\r\nContent-Encoding: deflate\r\nCopy-Held-Ms: 0\r\nCopy-Age-Ms: 1\r\nContent-Length: "
+                                  + std::to_string(body.size()) + "\r\n\r\n" + body);
+        };
+        CHECK(follow(broken.address(), StorePosition(4, 20)).error().code == ErrorCode::PeerUnavailable);
+    }
+}
+
 // Guards against an answer that is lost or changed on the way, and against a node of an earlier build, which doesn't know the question.
 TEST(RelayCall, AnotherNodeTellsTheVersionOfAStream)
 {
@@ -94,7 +141,7 @@
 {
     const auto peers = makeDeploymentPeerChannel(node.upstream);
     const auto newerThan = [&](std::uint64_t version) {
-        return *peers->documentNewerThan(server.address(), version, seconds(2));
+        return *peers->documentNewerThan(server.address(), version, ReplyLimits::within(seconds(2)));
     };
     CHECK_FALSE(newerThan(0).has_value());
     const auto deployment = makeRef<Deployment>(7, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{}, std::nullopt, FrontLimits{});
