--- a/tests/standins/instance_standin.cpp
+++ b/tests/standins/instance_standin.cpp
@@ -299,7 +299,7 @@
     });
     const auto [link, address] = FLAGS_proxy.empty() ? std::pair(std::size_t{0}, server.address()) : createProxyLink(server.address());
     instance.m_address = address;
-    std::cout << "listening address=" << server.address() << " link=" << link << std::endl;
+    std::cout << "listening address=" << server.address() << " link=" << link << " registered=" << address << std::endl;
     publishState("ready", address);
     standin::awaitTerminationSignal(signals);
     publishState("draining", address);
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -3,11 +3,14 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/Net/ServerSocket.h>
 
+#include <array>
 #include <filesystem>
 #include <fstream>
+#include <linux/filter.h>
 #include <random>
 #include <set>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace vanillanotch::test
 {
@@ -159,6 +162,10 @@
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
     std::ofstream(m_folder + "/ledger");
+    m_darkness = std::make_unique<Poco::Net::ServerSocket>(Poco::Net::SocketAddress("127.0.0.1:0"));
+    std::array<sock_filter, 1> dropAll{{{BPF_RET | BPF_K, 0, 0, 0}}};
+    const sock_fprog program{dropAll.size(), dropAll.data()};
+    (void)::setsockopt(m_darkness->impl()->sockfd(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
     m_store = std::make_unique<Process>(binaryPath("tests/store_standin"), std::vector<std::string>{}, m_folder + "/store.log");
     m_proxy = std::make_unique<Process>(binaryPath("tests/fault_proxy"), std::vector<std::string>{}, m_folder + "/proxy.log");
 }
@@ -230,7 +237,24 @@
 {
     entry.process =
         std::make_unique<Process>(Process::NoWait{}, binaryPath("src/vanillanotch-entryd"), std::vector<std::string>{"--settings=" + entry.settingsFile},
-                                  m_folder + "/" + entry.name + ".log", entry.maxDescriptors);
+                                  m_folder + "/" + entry.name + ".log", entry.maxDescriptors,
+                                  entry.partitionFile.empty() ? std::vector<std::string>{}
+                                                              : std::vector<std::string>{"LD_PRELOAD=" + binaryPath("tests/libpartition_shim.so"),
+                                                                                         "PARTITION_FILE=" + entry.partitionFile});
+}
+
+void EntryCluster::partitionFromServers(std::size_t nodeIndex, Partition partition) const
+{
+    const std::string &file = m_nodes.at(nodeIndex).partitionFile;
+    {
+        std::ofstream out(file + ".new");
+        out << (partition == Partition::None ? "pass" : partition == Partition::Refused ? "0" : std::to_string(m_darkness->address().port()));
+        for (const ServerEntry &server : m_servers) {
+            const std::string registered = server.process->address("registered");
+            out << ' ' << registered.substr(registered.find(':') + 1);
+        }
+    }
+    std::filesystem::rename(file + ".new", file); // the node never reads a part of it
 }
 
 void EntryCluster::replaceServers(const std::string &service, const std::string &address, unsigned count)
@@ -255,6 +279,7 @@
 {
     NodeEntry entry;
     entry.maxDescriptors = options.maxDescriptors;
+    entry.partitionFile = options.separable ? m_folder + "/entry-" + std::to_string(m_nodes.size() + 1) + ".partition" : std::string();
     entry.name = "entry-" + std::to_string(m_nodes.size() + 1);
     entry.settingsFile = m_folder + "/" + entry.name + ".yaml";
     entry.callerAddress = freeAddress();
--- a/tests/support/entry_cluster.h
+++ b/tests/support/entry_cluster.h
@@ -11,6 +11,8 @@
 #include "harness.h"
 #include "transport/transport.h"
 
+#include <Poco/Net/ServerSocket.h>
+
 namespace vanillanotch::test
 {
 
@@ -63,8 +65,12 @@
 struct NodeOptions {
     unsigned maxDescriptors = 0; // limit of the process's open descriptors; 0: that of the test
     std::string settings; // further lines of the settings file
+    bool separable = false; // partitionFromServers() may be called for it
 };
 
+// How connections of a node fail that has lost its servers.
+enum class Partition { None, Refused, Hanging };
+
 class EntryCluster
 {
 public:
@@ -107,6 +113,8 @@
     // (forward no replies), mute (forward no requests) or reset (reset the connections open now).
     void setStoreLink(std::size_t nodeIndex, const std::string &mode) const;
     void setServerLink(std::size_t serverIndex, const std::string &mode) const;
+    // New connections of the node to all servers that there are now fail; those that are open live on, and other nodes and the store are reached.
+    void partitionFromServers(std::size_t nodeIndex, Partition partition) const;
     // Ends the server with SIGKILL and starts another process under its id, with these arguments in place of its own.
     void replaceProcess(std::size_t serverIndex, const std::vector<std::string> &arguments);
     void removeServerEntry(std::size_t serverIndex); // deletes the server's row in the store, as the platform does when a server is silent for some time
@@ -152,6 +160,7 @@
         std::string callerAddress;
         std::string readinessAddress;
         unsigned maxDescriptors = 0; // as in NodeOptions
+        std::string partitionFile; // of partition_shim; empty: the node isn't separable
         std::size_t storeLink = 0; // id of the link in the fault proxy
         std::unique_ptr<Process> process;
     };
@@ -168,6 +177,7 @@
     void transact(const std::string &body) const; // writes to the store; repeated for 60 s at most until it succeeds
 
     std::string m_folder;
+    std::unique_ptr<Poco::Net::ServerSocket> m_darkness; // drops all packets
     std::unique_ptr<Process> m_store;
     std::unique_ptr<Process> m_proxy;
     std::vector<NodeEntry> m_nodes;
--- a/tests/support/harness.cpp
+++ b/tests/support/harness.cpp
@@ -71,14 +71,23 @@
     }
 }
 
-Process::Process(NoWait /*tag*/, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, unsigned maxDescriptors)
+Process::Process(NoWait /*tag*/, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, unsigned maxDescriptors,
+                 const std::vector<std::string> &environment)
 {
-    start(program, arguments, logFile, std::nullopt, maxDescriptors);
+    start(program, arguments, logFile, std::nullopt, maxDescriptors, environment);
 }
 
 void Process::start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output,
-                    unsigned maxDescriptors)
+                    unsigned maxDescriptors, const std::vector<std::string> &environment)
 {
+    std::vector<char *> variables;
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        variables.push_back(*variable);
+    }
+    for (const std::string &variable : environment) {
+        variables.push_back(const_cast<char *>(variable.c_str()));
+    }
+    variables.push_back(nullptr);
     std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
@@ -92,7 +101,7 @@
         if (const rlimit limit{maxDescriptors, maxDescriptors}; maxDescriptors > 0 && ::setrlimit(RLIMIT_NOFILE, &limit) != 0) {
             ::_exit(127);
         }
-        ::execv(program.c_str(), argv.data());
+        ::execve(program.c_str(), argv.data(), variables.data());
         ::_exit(127);
     }
     ::close(log);
--- a/tests/support/harness.h
+++ b/tests/support/harness.h
@@ -39,7 +39,9 @@
     };
     // Returns without waiting for output; all output goes to the log file, so address() returns an empty string.
     // `maxDescriptors`: the program's limit of open descriptors; 0: that of the test.
-    Process(NoWait tag, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, unsigned maxDescriptors = 0);
+    // `environment`: further variables, as NAME=VALUE.
+    Process(NoWait tag, const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, unsigned maxDescriptors = 0,
+            const std::vector<std::string> &environment = {});
     ~Process(); // sends SIGKILL if the program still runs
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
@@ -56,7 +58,7 @@
 private:
     // `output`: descriptor that becomes standard output; nullopt: standard output goes to the log file.
     void start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile, std::optional<int> output,
-               unsigned maxDescriptors = 0);
+               unsigned maxDescriptors = 0, const std::vector<std::string> &environment = {});
 
     pid_t m_pid = -1;
     bool m_reaped = false; // the ended program's status was collected by waitpid()
