--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -211,6 +211,7 @@
 private:
     void publishNodes(); // tells the parts that divide something among the nodes which ones there are
     std::vector<MemberRecord> otherNodes() const; // that are alive
+    std::function<void(std::string_view)> statementReader(const std::string &server); // TunnelServing::observe
     std::vector<std::string> configurationsOfPeers(std::uint64_t newerThan); // documents in force at some other nodes
     void followTables(); // starts to follow the tables of the configuration and of backend servers, once
     void beginAnnouncing(); // has announce() run on the pool, unless it is about to run already
@@ -247,6 +248,14 @@
     TableCache m_memberCache;
     TableCache m_crashCache;
     std::unique_ptr<RequestCodec> m_codec;
+    std::unique_ptr<TunnelChannel> m_tunnelChannel;
+    Reachability m_reachability;
+    GatewayChooser m_gateways;
+    DirectDialer m_directDialer;
+    TunnelDialer m_serverDialer;
+    const UpstreamSettings m_serverUpstream; // m_upstream for calls to backend servers
+    TunnelGate m_tunnelGate;
+    TunnelServing m_tunnelServing;
     std::unique_ptr<StageChannel> m_stageChannel;
     std::unique_ptr<StagePeerChannel> m_stagePeers;
     std::unique_ptr<ChoicePolicy> m_serverChoice;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -37,6 +37,8 @@
 constexpr ReplyLimits ConfigurationPeerLimits{std::chrono::milliseconds(300), std::chrono::milliseconds(300), std::chrono::seconds(3)};
 constexpr Duration BalancerNoticeTime =
     std::chrono::milliseconds(2300); // time until the load balancer knows that the node isn't ready: two checks, a second apart, and their replies
+constexpr std::size_t MaxTunnels = 200; // for other nodes; each takes a thread of the peers' pool
+constexpr Duration ServerProbeInterval = std::chrono::milliseconds(500); // between two direct connections that show whether servers are reached again
 constexpr Duration OwnedStagesInterval = std::chrono::seconds(1); // between two updates of the instances that this node calls as an owner
 constexpr Duration StopMargin = std::chrono::milliseconds(600); // stop() ends this long before the platform kills the process
 // Before the end of stop(): requests that wait for their stages are refused, and those that were sent to a server during the stop end.
@@ -130,6 +132,12 @@
     return retryBudget;
 }
 
+UpstreamSettings serverUpstream(UpstreamSettings settings, Dialer &dialer)
+{
+    settings.dialer = &dialer;
+    return settings;
+}
+
 // The configuration must also be confirmed before this node counts as not ready.
 WatchSettings deploymentWatchSettings(const EntrySettings &settings)
 {
@@ -168,7 +176,29 @@
                          return sourceOrder(m_members.all(), m_members.self(), table, RelayPolicy{});
                      })
     , m_codec(platform::makeRequestCodec())
-    , m_stageChannel(platform::makeStageChannel(m_upstream))
+    , m_tunnelChannel(makeTunnelChannel(m_upstream))
+    , m_reachability(m_clock)
+    , m_gateways(m_clock, settings.dataCentre,
+                 [this] {
+                     std::vector<Gateway> gateways;
+                     for (const MemberRecord &node : otherNodes()) {
+                         gateways.push_back(Gateway{node.peerAddress, node.dataCentre});
+                     }
+                     return gateways;
+                 })
+    , m_directDialer(m_upstream)
+    , m_serverDialer(m_directDialer, *m_tunnelChannel, m_reachability, m_gateways, m_metrics)
+    , m_serverUpstream(serverUpstream(m_upstream, m_serverDialer))
+    , m_tunnelGate(m_reachability, std::min(m_capacity.runningRequests, MaxTunnels),
+                   [this](const std::string &server) {
+                       const auto instance = m_instances.findByAddress(server);
+                       return instance && m_instances.usable(instance->id) && !m_instances.paused(instance->id);
+                   })
+    , m_tunnelServing{m_tunnelGate, m_serverDialer,
+                      [this](const std::string &server) {
+                          return statementReader(server);
+                      }}
+    , m_stageChannel(platform::makeStageChannel(m_serverUpstream))
     , m_stagePeers(makeStagePeerChannel(m_upstream))
     , m_serverChoice(makeShortestTimeChoice())
     , m_engineChoice(makeEngineChoice(settings.engineChoice))
@@ -195,7 +225,7 @@
     , m_placementOwner(m_clock, m_instances, m_deployments, m_metrics)
     , m_placement(m_clock, m_placementOwner, m_stages, *m_placementChannel, m_pool, m_timers, m_metrics)
     , m_service(ForwardDependencies{m_clock, m_deployments, m_instances, *m_codec, m_stages, m_stages, m_retryBudget, m_engineTimes, m_statedDeadlines,
-                                    m_crashGuard, m_streamVersions, m_placement, *m_serverChoice, *m_engineChoice, m_upstream, m_metrics},
+                                    m_crashGuard, m_streamVersions, m_placement, *m_serverChoice, *m_engineChoice, m_serverUpstream, m_metrics},
                 forwardSettings(settings, m_capacity))
     , m_deploymentListener(m_deployments, m_instances, m_metrics)
     , m_instanceListener(m_instances, m_metrics)
@@ -262,6 +292,13 @@
     m_metrics.gauge("vanillanotch_data_centres_evacuated", [this] {
         return static_cast<double>(m_instances.evacuatedCount());
     });
+    m_peerHandler.setTunnels(&m_tunnelServing);
+    m_metrics.gauge("vanillanotch_tunnels_served", [this] {
+        return static_cast<double>(m_tunnelGate.count());
+    });
+    m_metrics.gauge("vanillanotch_servers_cut_off", [this] {
+        return m_reachability.cutOff() ? 1.0 : 0.0;
+    });
     m_metrics.gauge("vanillanotch_pieces_waiting", [this] {
         return static_cast<double>(m_scheduler.waitingPieces());
     });
@@ -304,6 +341,13 @@
     m_timers.every(OwnedStagesInterval, [this] {
         m_stages.publishOwned();
     });
+    m_timers.every(ServerProbeInterval, [this] {
+        if (m_reachability.cutOff()) {
+            m_pool.post([this] {
+                m_serverDialer.probe(m_clock.now() + ServerProbeInterval);
+            });
+        }
+    });
     m_timers.every(VersionsInterval, [this] {
         m_streamVersions.maintain(m_storeHealth.worksFor(suspendAwareNow()), removesExpiredRows());
     });
@@ -357,6 +401,29 @@
     return nodes;
 }
 
+std::function<void(std::string_view)> EntryNode::statementReader(const std::string &server)
+{
+    struct Reading {
+        std::string bytes;
+        ReplyHeadReader reader{ReplyHeadLimits{}};
+        bool done = false;
+    };
+    const auto instance = m_instances.findByAddress(server);
+    return [this, id = instance ? instance->id : std::string(), reading = std::make_shared<Reading>()](std::string_view bytes) {
+        if (reading->done) {
+            return;
+        }
+        reading->bytes += bytes;
+        if (const auto head = reading->reader.take(reading->bytes)) {
+            reading->done = true;
+            freeMemory(reading->bytes);
+            if (*head) {
+                m_instances.recordStatement(id, m_codec->readReply(**head, std::string()).statement);
+            }
+        }
+    };
+}
+
 std::vector<std::string> EntryNode::configurationsOfPeers(std::uint64_t newerThan)
 {
     std::vector<MemberRecord> peers = otherNodes();
--- a/src/instances/instances.cpp
+++ b/src/instances/instances.cpp
@@ -414,6 +414,13 @@
     return found != m_entries.end() && usableLocked(found->second, m_clock.now());
 }
 
+bool InstanceTable::paused(const std::string &id) const
+{
+    const Lock lock(m_mutex);
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && m_clock.now() < found->second.pausedUntil;
+}
+
 bool InstanceTable::recentlyUnreachable(const std::string &id) const
 {
     const Lock lock(m_mutex);
--- a/src/instances/instances.h
+++ b/src/instances/instances.h
@@ -311,6 +311,7 @@
     InstanceListRef usableInstances(const std::string &service) const; // the same object until the table changes
     bool usable(const std::string &id) const; // neither draining, leaving by its own statement nor in an evacuated data centre, and either registered or, after
                                               // its entry expired, still kept for missingEntryGrace
+    bool paused(const std::string &id) const; // it wants nothing from this node for a while
     bool recentlyUnreachable(const std::string &id) const;
     std::optional<InstanceSpec> findByAddress(const std::string &address) const; // nullopt: no instance has this address
     void report(const std::string &id, InstanceCallOutcome outcome, Duration time);
--- a/src/peerhttp/peer_call.h
+++ b/src/peerhttp/peer_call.h
@@ -10,6 +10,8 @@
 constexpr std::string_view PlacementPath = "/v1/placements";
 constexpr std::string_view PlacementReportsPath = "/v1/placement-reports";
 constexpr std::string_view ConfigurationPath = "/v1/configuration";
+constexpr std::string_view TunnelPath = "/v1/tunnels";
+constexpr const char *TunnelHeader = "Tunnel"; // of the reply after whose head the server's bytes follow
 constexpr std::string_view StreamVersionsPath = "/v1/stream-versions";
 constexpr Duration PeerReplyTimeout = std::chrono::seconds(1); // timeout for sending a reply to another node; of a long one, for each pause in sending it
 
--- a/src/peerhttp/peerhttp.cpp
+++ b/src/peerhttp/peerhttp.cpp
@@ -218,7 +218,8 @@
 {
     const TimePoint until = std::chrono::steady_clock::now() + PeerReplyTimeout;
     Headers headers;
-    if (m_leaving && (exchange.path() == StageTaskPath || exchange.path() == RelayTablePath || exchange.path() == PlacementPath)) {
+    if (m_leaving
+        && (exchange.path() == StageTaskPath || exchange.path() == RelayTablePath || exchange.path() == PlacementPath || exchange.path() == TunnelPath)) {
         headers.add("Content-Type", "application/json");
         (void)exchange.reply(200, headers, describeError(ErrorCode::PeerUnavailable), until);
     } else if (exchange.path() == StageTaskPath && exchange.head().method == "POST") {
@@ -235,6 +236,8 @@
         serveStreamVersion(exchange);
     } else if (exchange.path() == ConfigurationPath && exchange.head().method == "POST") {
         serveConfiguration(exchange);
+    } else if (exchange.path() == TunnelPath && exchange.head().method == "POST") {
+        serveTunnel(exchange);
     } else if (exchange.path() == AlivePath) {
         (void)exchange.reply(200, headers, "{}", until);
     } else if (exchange.path() == MetricsPath && exchange.head().method == "GET") {
--- a/src/peerhttp/peerhttp.h
+++ b/src/peerhttp/peerhttp.h
@@ -7,6 +7,7 @@
 
 #include "continuity/continuity.h"
 #include "stages/stages.h"
+#include "tunnels/tunnels.h"
 #include "watch/watch.h"
 
 namespace vanillanotch
@@ -24,6 +25,18 @@
 // Makes a channel through which this node asks others for the configuration in force there.
 std::unique_ptr<DeploymentPeerChannel> makeDeploymentPeerChannel(const UpstreamSettings &settings);
 
+// Makes a channel through which this node has others connect it to backend servers.
+std::unique_ptr<TunnelChannel> makeTunnelChannel(const UpstreamSettings &settings);
+
+// What a node needs to connect others to backend servers.
+struct TunnelServing {
+    TunnelGate &gate;
+    TunnelDialer &dialer;
+    // Returns what is to be called with the bytes that the server at this address sends, from the first one on: what servers state of themselves holds for this
+    // node too.
+    std::function<std::function<void(std::string_view)>(const std::string &server)> observe;
+};
+
 // Makes a channel through which this node gets tables of the platform's store from another node.
 std::unique_ptr<RelayChannel> makeRelayChannel(const UpstreamSettings &settings);
 
@@ -37,6 +50,10 @@
     // `leaving`: set when this node is about to stop; then it takes no further work, and other nodes turn to others.
     PeerHandler(StageScheduler &stages, PlacementOwner &placement, StreamVersions &streams, const DeploymentTable &deployments, RelayedTables relayed,
                 const std::atomic<bool> &leaving, MetricsRegistry &metrics);
+    void setTunnels(TunnelServing *tunnels) // call it once, before the first request; without it tunnels are refused
+    {
+        m_tunnels = tunnels;
+    }
     void serve(FrontExchange &exchange) override;
     std::string describeError(ErrorCode code) override;
     FrontLimits limits() override;
@@ -51,6 +68,7 @@
     void servePlacementReports(FrontExchange &exchange);
     void serveStreamVersion(FrontExchange &exchange);
     void serveConfiguration(FrontExchange &exchange);
+    void serveTunnel(FrontExchange &exchange);
     std::string compressedCopy(const std::string &table, const std::optional<StorePosition> &after, const StoredRows &copy);
 
     // The rows of one reply, as sent to followers that take compressed ones.
@@ -69,6 +87,7 @@
     const std::atomic<bool> &m_leaving;
     MetricsRegistry &m_metrics;
     Counter &m_tableReplyBytes;
+    TunnelServing *m_tunnels = nullptr;
     RankedMutex m_mutex{LockRank::Requests};
     std::set<WakeupSignal *> m_taskSignals; // of the tasks that haven't ended
     bool m_returningTasks = false; // returnTasks() was called
--- a/src/transport/call.cpp
+++ b/src/transport/call.cpp
@@ -40,25 +40,26 @@
     return UpstreamFailure{code, m_maybeSent, false};
 }
 
-tl::expected<void, UpstreamFailure> UpstreamCall::open(const std::string &address, TimePoint until, CancellationWatch &cancellation)
+tl::expected<std::unique_ptr<Connection>, UpstreamFailure> connectDirectly(const UpstreamSettings &settings, const std::string &address, TimePoint until,
+                                                                           CancellationWatch &cancellation)
 {
-    assertNoLockHeld("UpstreamCall::open");
-    until = std::min(until, std::chrono::steady_clock::now() + m_settings.connectTimeout);
+    assertNoLockHeld("connectDirectly");
+    UpstreamFailure failed{ErrorCode::ConnectFailed, false, false};
+    until = std::min(until, std::chrono::steady_clock::now() + settings.connectTimeout);
     Poco::Net::StreamSocket socket;
     try {
         socket.connectNB(Poco::Net::SocketAddress(address));
     } catch (const Poco::Exception &exception) {
-        UpstreamFailure failed = failure(ErrorCode::ConnectFailed);
         failed.connectionRefused = exception.code() == ECONNREFUSED;
         return tl::unexpected(failed);
     }
-    m_connection = std::make_unique<Connection>(socket);
-    const int descriptor = m_connection->descriptor();
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(m_settings.unacknowledgedTimeout.count()));
+    auto connection = std::make_unique<Connection>(socket);
+    const int descriptor = connection->descriptor();
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(settings.unacknowledgedTimeout.count()));
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(m_settings.keepAliveIdle.count()));
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(m_settings.keepAliveInterval.count()));
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, m_settings.keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(settings.keepAliveIdle.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(settings.keepAliveInterval.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, settings.keepAliveProbes);
     for (;;) {
         std::array<pollfd, 2> entries{};
         entries[0].fd = descriptor;
@@ -67,31 +68,44 @@
         (void)::poll(entries.data(), entries.size(), pollTimeout(until).count());
         cancellation.checkPoll(entries[1]);
         if (cancellation.cancelled()) {
-            return tl::unexpected(failure(ErrorCode::CallerDisconnected));
+            failed.code = ErrorCode::CallerDisconnected;
+            return tl::unexpected(failed);
         }
         if ((entries[0].revents & (POLLOUT | POLLERR | POLLHUP)) != 0) {
             int error = 0;
             socklen_t size = sizeof error;
             (void)::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
             if (error == 0) {
-                return {};
+                return connection;
             }
-            UpstreamFailure failed = failure(ErrorCode::ConnectFailed);
             failed.connectionRefused = error == ECONNREFUSED || error == ECONNRESET;
             return tl::unexpected(failed);
         }
         if (std::chrono::steady_clock::now() >= until) {
-            return tl::unexpected(failure(ErrorCode::ConnectFailed));
+            return tl::unexpected(failed);
         }
     }
 }
 
+tl::expected<void, UpstreamFailure> UpstreamCall::open(const std::string &address, TimePoint until, CancellationWatch &cancellation)
+{
+    auto connection =
+        m_settings.dialer != nullptr ? m_settings.dialer->dial(address, until, cancellation) : connectDirectly(m_settings, address, until, cancellation);
+    if (!connection) {
+        return tl::unexpected(connection.error());
+    }
+    m_connection = std::move(*connection);
+    return {};
+}
+
 bool UpstreamCall::refused(const UpstreamSettings &settings, const std::string &address, TimePoint until)
 {
-    UpstreamCall check(settings);
+    if (settings.dialer != nullptr) {
+        return settings.dialer->refused(address, until);
+    }
     NeverCancelled neverCancelled;
-    const auto opened = check.open(address, until, neverCancelled);
-    return !opened && opened.error().connectionRefused;
+    const auto connection = connectDirectly(settings, address, until, neverCancelled);
+    return !connection && connection.error().connectionRefused;
 }
 
 // Waits until bytes were received or the connection ended, and meanwhile sends what is left of the request. A body that lasts until the connection ends
--- a/src/transport/exchange.cpp
+++ b/src/transport/exchange.cpp
@@ -165,6 +165,11 @@
     }
 }
 
+std::string FrontExchange::takeArrived()
+{
+    return std::exchange(m_connection.io.received(), std::string());
+}
+
 bool FrontExchange::tryHold(std::size_t bytes)
 {
     return m_connection.holdForHandler(bytes);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -138,6 +138,8 @@
 // [CALLS]
 //-----------------------------------------------------------------------------
 
+class Dialer;
+
 struct UpstreamSettings {
     // For making a connection; a server that takes longer counts as unreachable. It allows several round trips between data centres.
     std::chrono::milliseconds connectTimeout{300};
@@ -145,6 +147,7 @@
     std::chrono::seconds keepAliveIdle{1}; // TCP_KEEPIDLE: silence before the first keep-alive probe
     std::chrono::seconds keepAliveInterval{1}; // TCP_KEEPINTVL: time between two probes
     int keepAliveProbes = 2; // TCP_KEEPCNT: this many unanswered probes end the connection
+    Dialer *dialer = nullptr; // makes the connections; nullptr: they are made directly
     ReplyHeadLimits headLimits;
 };
 
@@ -178,6 +181,21 @@
     bool connectionRefused = false; // the server's host refused or reset the attempt to connect: the host is up, but no process listens at the address
 };
 
+// Makes connections to servers. Thread-safe.
+class Dialer
+{
+public:
+    virtual ~Dialer() = default;
+    // Connects to `address` (IP:port) by `until`. Errors: ConnectFailed, CallerDisconnected.
+    virtual tl::expected<std::unique_ptr<Connection>, UpstreamFailure> dial(const std::string &address, TimePoint until, CancellationWatch &cancellation) = 0;
+    // Whether the host at `address` refuses connections, as after a crash of its process. Connects, and closes the connection at once.
+    virtual bool refused(const std::string &address, TimePoint until) = 0;
+};
+
+// Connects this VM to `address`, within the connect timeout and not beyond `until`. Errors as Dialer::dial().
+tl::expected<std::unique_ptr<Connection>, UpstreamFailure> connectDirectly(const UpstreamSettings &settings, const std::string &address, TimePoint until,
+                                                                           CancellationWatch &cancellation);
+
 // Sends one request to a server and receives the reply. The connection is used for nothing else and is closed when the object is
 // destroyed, so bytes that a server sends too late or twice can't be taken for another reply. `settings` must outlive the object.
 class UpstreamCall
@@ -206,7 +224,13 @@
     // As the first, but asks for memory before it reads on; the server's bytes wait in the system's buffers meanwhile. Overloaded: there was none.
     tl::expected<std::string, UpstreamFailure> readAll(std::size_t limit, TimePoint until, CancellationWatch &cancellation, MemoryGrant &memory);
 
-    // Connects to `address` and closes the connection at once. True: the host refuses connections, as after a crash of its process.
+    // Gives the connection away, with the bytes that came after the reply's head; the call ends.
+    std::unique_ptr<Connection> takeConnection()
+    {
+        return std::move(m_connection);
+    }
+
+    // Dialer::refused() of the settings' dialer, or by a direct connection.
     static bool refused(const UpstreamSettings &settings, const std::string &address, TimePoint until);
 
 private:
@@ -288,6 +312,8 @@
     {
         return m_replied;
     }
+    // Takes the bytes that the caller has sent since the request, as far as checkPoll() has received them; for a connection that goes on as a tunnel.
+    std::string takeArrived();
     // Takes memory for what the handler holds beyond the request itself: `bytes` is all of it, and replaces the previous figure. Stalled connections
     // are closed when memory is short. False: it is short still.
     bool tryHold(std::size_t bytes);
