--- a/src/forwarding/run.cpp
+++ b/src/forwarding/run.cpp
@@ -275,9 +275,9 @@
         return awaitLimits();
     }
     if (m_lastError == ErrorCode::ConnectFailed) {
-        // Nothing was sent, so the repetition takes nothing from the retry budget. The number of instances tried is limited only because
-        // each failed connection costs time, so 2 more than maxAttempts are allowed.
-        return m_tried.size() < 2 + m_route->maxAttempts;
+        // Nothing was sent, so the repetition takes nothing from the retry budget. The number of connections is limited only because each failed one
+        // costs time, so 2 more than maxAttempts are allowed, also where there are fewer instances.
+        return ++m_failedConnections < 2 + m_route->maxAttempts;
     }
     const unsigned limit = outcome == AttemptOutcome::NotRun ? m_route->maxAttempts + 1 : m_route->maxAttempts;
     return m_sentCount < limit && m_dependencies.retryBudget.tryTake(m_service);
--- a/src/forwarding/run.h
+++ b/src/forwarding/run.h
@@ -180,6 +180,7 @@
 
     std::optional<QueuePlace> m_queuePlace; // while the request is admitted and wasn't sent yet
     std::set<std::string> m_tried; // ids of the instances that were chosen in earlier attempts
+    unsigned m_failedConnections = 0; // attempts whose connection failed, so that nothing was sent
     unsigned m_sentCount = 0; // attempts that connected to a server, so that the request may have been sent
     bool m_mayHaveRun = false; // some server may have run the request
     bool m_repetitionGranted = false; // mayRepeat() has allowed the next attempt before this one has ended
