--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -306,12 +306,9 @@
 // Rank of a member for a duty by weighted rendezvous hashing; the member of the highest rank is to do it. A VM's weight is the
 // square of its cores, which keeps duties off small VMs.
 double dutyRank(const MemberRecord &member, std::string_view duty);
-// The same for a duty that sends much to other nodes: the weight is also the square of the link's speed. A member that doesn't state it counts as 1 Mbit/s.
-double transferDutyRank(const MemberRecord &member, std::string_view duty);
 
-// The members of a data centre that are alive, in the order in which they are to do the duty: the highest rank first.
-std::vector<MemberRecord> rankForDuty(const std::vector<MemberRecord> &members, const std::string &dataCentre, std::string_view duty,
-                                      double (*rankOf)(const MemberRecord &, std::string_view) = dutyRank);
+// The members of a data centre that are alive, in the order in which they are to do the duty: the highest dutyRank() first.
+std::vector<MemberRecord> rankForDuty(const std::vector<MemberRecord> &members, const std::string &dataCentre, std::string_view duty);
 
 // True when `self` is one of the `count` members that do the duty for their data centre: those with the highest hash of (duty, name).
 // Unlike dutyRank(), it ignores the members' cores.
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -272,19 +272,12 @@
     return member.cores * member.cores / -std::log(std::min(uniform, 1 - 1e-12));
 }
 
-double transferDutyRank(const MemberRecord &member, std::string_view duty)
-{
-    const double link = member.linkMbps > 0 ? member.linkMbps : 1;
-    return dutyRank(member, duty) * link * link;
-}
-
-std::vector<MemberRecord> rankForDuty(const std::vector<MemberRecord> &members, const std::string &dataCentre, std::string_view duty,
-                                      double (*rankOf)(const MemberRecord &, std::string_view))
+std::vector<MemberRecord> rankForDuty(const std::vector<MemberRecord> &members, const std::string &dataCentre, std::string_view duty)
 {
     std::vector<std::pair<double, const MemberRecord *>> ranked;
     for (const MemberRecord &member : members) {
         if (member.dataCentre == dataCentre && member.state == MemberState::Alive) {
-            ranked.emplace_back(rankOf(member, duty), &member);
+            ranked.emplace_back(dutyRank(member, duty), &member);
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) {
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -143,7 +143,10 @@
 struct UpstreamSettings {
     // For making a connection; a server that takes longer counts as unreachable. It allows several round trips between data centres.
     std::chrono::milliseconds connectTimeout{300};
-    std::chrono::milliseconds unacknowledgedTimeout{2500}; // TCP_USER_TIMEOUT: fails the connection when sent bytes stay unacknowledged this long
+    // TCP_USER_TIMEOUT: fails the connection when sent bytes stay unacknowledged this long. On Linux it also decides when unanswered keep-alive probes end an
+    // idle connection, whatever keepAliveProbes says: at the first probe that is due after this time. The two agree here, 3 s of silence; a server may be
+    // silent for a second or somewhat more.
+    std::chrono::milliseconds unacknowledgedTimeout{2500};
     std::chrono::seconds keepAliveIdle{1}; // TCP_KEEPIDLE: silence before the first keep-alive probe
     std::chrono::seconds keepAliveInterval{1}; // TCP_KEEPINTVL: time between two probes
     int keepAliveProbes = 2; // TCP_KEEPCNT: this many unanswered probes end the connection
@@ -152,7 +155,7 @@
 };
 
 // Settings for calls that wait for changes at the other end (long polls). A dead connection fails within 2 s: one unanswered probe is enough,
-// since a call that is ended by mistake is simply repeated.
+// since a call that is ended by mistake is simply repeated. Its unacknowledgedTimeout of 1.5 s ends the probes at the same moment.
 UpstreamSettings longPollSettings();
 
 // How long a reply may take.
--- a/src/watch/sources.cpp
+++ b/src/watch/sources.cpp
@@ -10,18 +10,49 @@
 {
 constexpr unsigned MaxDoublings = 3; // how often SourceSettings::relayRetry is doubled at most
 
+bool hasFastLink(const MemberRecord &member, double fastest, const RelayPolicy &policy)
+{
+    return member.linkMbps * policy.slowestServing >= fastest;
+}
+
+// The members of a data centre in the order in which they are to be relays, and how many of them have fast links, as RelayPolicy::slowestServing says. These
+// come first: a relay sends each document once to each of its followers.
+std::pair<std::vector<MemberRecord>, std::size_t> rankRelays(const std::vector<MemberRecord> &members, const std::string &dataCentre, const std::string &duty,
+                                                             const RelayPolicy &policy)
+{
+    std::vector<MemberRecord> ranked = rankForDuty(members, dataCentre, duty);
+    double fastest = 0;
+    for (const MemberRecord &member : ranked) {
+        fastest = std::max(fastest, member.linkMbps);
+    }
+    const auto slow = std::stable_partition(ranked.begin(), ranked.end(), [&](const MemberRecord &member) {
+        return hasFastLink(member, fastest, policy);
+    });
+    const auto fast = static_cast<std::size_t>(slow - ranked.begin());
+    return {std::move(ranked), fast};
+}
+
 // The primary relays of other data centres, in an order that differs from node to node.
-std::vector<std::string> remotePrimaries(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &duty, std::size_t limit)
+std::vector<std::string> remotePrimaries(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &duty, const RelayPolicy &policy)
 {
-    std::map<std::string, std::pair<double, const MemberRecord *>> primaries; // by data centre
+    std::vector<const MemberRecord *> others;
+    std::map<std::string, double> fastest; // speed of the fastest link, by data centre
     for (const MemberRecord &member : members) {
-        if (member.dataCentre == self.dataCentre || member.state != MemberState::Alive) {
+        if (member.dataCentre != self.dataCentre && member.state == MemberState::Alive) {
+            others.push_back(&member);
+            double &speed = fastest[member.dataCentre];
+            speed = std::max(speed, member.linkMbps);
+        }
+    }
+    std::map<std::string, std::pair<double, const MemberRecord *>> primaries; // with their ranks, by data centre
+    for (const MemberRecord *member : others) {
+        if (!hasFastLink(*member, fastest[member->dataCentre], policy)) {
             continue;
         }
-        const double rank = transferDutyRank(member, duty);
-        const auto [best, inserted] = primaries.emplace(member.dataCentre, std::pair(rank, &member));
+        const double rank = dutyRank(*member, duty);
+        const auto [best, inserted] = primaries.emplace(member->dataCentre, std::pair(rank, member));
         if (!inserted && rank > best->second.first) {
-            best->second = {rank, &member};
+            best->second = {rank, member};
         }
     }
     std::vector<std::pair<std::uint64_t, std::string>> shuffled;
@@ -31,7 +62,7 @@
     }
     std::sort(shuffled.begin(), shuffled.end());
     std::vector<std::string> addresses;
-    for (std::size_t i = 0; i < std::min(limit, shuffled.size()); ++i) {
+    for (std::size_t i = 0; i < std::min(policy.remoteRelays, shuffled.size()); ++i) {
         addresses.push_back(shuffled[i].second);
     }
     return addresses;
@@ -41,12 +72,12 @@
 SourceOrder sourceOrder(const std::vector<MemberRecord> &members, const MemberRecord &self, const std::string &table, const RelayPolicy &policy)
 {
     const std::string duty = "relay/" + table;
-    std::vector<MemberRecord> ranked = rankForDuty(members, self.dataCentre, duty, transferDutyRank);
+    auto [ranked, fast] = rankRelays(members, self.dataCentre, duty, policy);
     SourceOrder order;
     if (ranked.size() < policy.minMembers) {
         return order;
     }
-    const std::size_t serving = std::clamp<std::size_t>(ranked.size() / policy.membersPerRelay, 1, policy.maxServing);
+    const std::size_t serving = std::clamp<std::size_t>(ranked.size() / policy.membersPerRelay, 1, std::min(policy.maxServing, fast));
     const auto isSelf = [&self](const MemberRecord &member) {
         return member.name == self.name;
     };
@@ -67,7 +98,7 @@
         const auto preferred = order.beforeStore.begin() + static_cast<std::ptrdiff_t>(position % serving);
         std::rotate(order.beforeStore.begin(), preferred, std::next(preferred));
     }
-    for (std::string &address : remotePrimaries(members, self, duty, policy.remoteRelays)) {
+    for (std::string &address : remotePrimaries(members, self, duty, policy)) {
         order.afterStore.push_back(std::move(address));
     }
     return order;
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -295,13 +295,15 @@
 // [SOURCES]
 //-----------------------------------------------------------------------------
 
-// How many members of a data centre pass a table on to the others. The first member by transferDutyRank() is the primary relay: it alone asks the
+// How many members of a data centre pass a table on to the others. The first member by dutyRank() among those with fast
+// links is the primary relay: it alone asks the
 // store while it works. The other serving relays follow the primary and share the remaining members among them. Standbys are only asked
 // when a serving relay fails. Each table has an order of its own, so that its relays are other nodes than those of the next table.
 struct RelayPolicy {
     std::size_t minMembers = 8; // in a smaller data centre every member asks the store
     std::size_t membersPerRelay = 24; // one serving relay for each of this many members; limits the calls that one node serves
     std::size_t maxServing = 6; // largest number of serving relays
+    double slowestServing = 4; // a node whose link is more than so many times slower than the fastest one's is a relay only when these fail
     std::size_t standbys = 2;
     std::size_t remoteRelays = 2; // primary relays of other data centres, asked when all else fails
 };
--- a/tests/unit/sources_test.cpp
+++ b/tests/unit/sources_test.cpp
@@ -316,6 +316,35 @@
     CHECK_FALSE(sourceOrder(members, members.front(), "op", RelayPolicy{}).hasRelays());
 }
 
+// Guards against followers of a relay whose link is slow while others have fast ones (CONFIG, issue 61): 75 members would have three serving relays, two have
+// fast links. Members of an earlier build state no link.
+TEST(TableSources, NodesWithSlowLinksServeOnlyWhereNoneIsFaster)
+{
+    for (const auto &[fast, stated, serving] : {std::tuple<int, bool, std::size_t>{2, true, 2}, {0, true, 3}, {75, true, 3}, {2, false, 3}}) {
+        std::vector<MemberRecord> members;
+        for (int i = 0; i < 75; ++i) {
+            MemberRecord member;
+            member.name = "n" + std::to_string(i);
+            member.peerAddress = member.name;
+            member.dataCentre = "dc1";
+            member.linkMbps = !stated ? 0 : i < fast ? 200 : 10;
+            members.push_back(member);
+        }
+        std::map<std::string, std::size_t> followers;
+        for (const MemberRecord &member : members) {
+            const SourceOrder order = sourceOrder(members, member, "op", RelayPolicy{});
+            if (!order.isRelay) {
+                ++followers[order.beforeStore.front()];
+            }
+        }
+        LONGS_EQUAL(static_cast<long>(serving), static_cast<long>(followers.size()));
+        for (const auto &[relay, count] : followers) {
+            CHECK(count <= 75 / serving);
+            CHECK(!stated || fast == 0 || std::stoi(relay.substr(1)) < fast);
+        }
+    }
+}
+
 // Without faults the calls grow with the data centres, not with the nodes.
 TEST(TableSources, StoreCallsDoNotGrowWithTheNodesOfADataCentre)
 {
