--- a/src/peerhttp/tunnel_calls.cpp
+++ b/src/peerhttp/tunnel_calls.cpp
@@ -194,8 +194,9 @@
         return;
     }
     const std::string server = request["server"].get<std::string>();
-    if (const auto entered = m_tunnels->gate.enter(server); !entered) {
-        refuse(entered.error() == TunnelError::Unavailable ? ErrorCode::PeerUnavailable : ErrorCode::ConnectFailed, false);
+    const auto place = m_tunnels->gate.enter(server);
+    if (!place) {
+        refuse(place.error() == TunnelError::Unavailable ? ErrorCode::PeerUnavailable : ErrorCode::ConnectFailed, false);
         return;
     }
     if (auto connection = m_tunnels->dialer.dialDirect(server, until, exchange); connection) {
@@ -206,7 +207,6 @@
     } else {
         refuse(ErrorCode::ConnectFailed, connection.error().connectionRefused);
     }
-    m_tunnels->gate.leave();
 }
 
 } // namespace vanillanotch
--- a/src/tunnels/tunnels.cpp
+++ b/src/tunnels/tunnels.cpp
@@ -83,6 +83,9 @@
     std::vector<Gateway> nodes = m_nodes();
     const Lock lock(m_mutex);
     const TimePoint now = m_clock.now();
+    if (now < m_allLeftOutUntil) {
+        return {};
+    }
     nodes.erase(std::remove_if(nodes.begin(), nodes.end(),
                                [&](const Gateway &node) {
                                    const auto leftOut = m_leftOutUntil.find(node.address);
@@ -113,6 +116,12 @@
     m_leftOutUntil[address] = now + LeftOutTime;
 }
 
+void GatewayChooser::leaveOutAll()
+{
+    const Lock lock(m_mutex);
+    m_allLeftOutUntil = m_clock.now() + LeftOutTime;
+}
+
 //-----------------------------------------------------------------------------
 // Dialers
 //-----------------------------------------------------------------------------
@@ -176,6 +185,9 @@
         }
     }
     m_failed.add();
+    if (verdict == TunnelError::Unavailable) {
+        m_gateways.leaveOutAll();
+    }
     return tl::unexpected(verdict);
 }
 
@@ -241,7 +253,7 @@
 {
 }
 
-tl::expected<void, TunnelError> TunnelGate::enter(const std::string &server)
+tl::expected<TunnelGate::Place, TunnelError> TunnelGate::enter(const std::string &server)
 {
     if (m_reachability.maybeCutOff()) {
         return tl::unexpected(TunnelError::Unavailable);
@@ -249,16 +261,12 @@
     if (!m_usable(server)) {
         return tl::unexpected(TunnelError::ServerUnreachable);
     }
-    if (m_count.fetch_add(1) >= m_maxTunnels) {
-        leave();
+    const std::size_t before = m_count.fetch_add(1);
+    Place place(m_count);
+    if (before >= m_maxTunnels) {
         return tl::unexpected(TunnelError::Unavailable);
     }
-    return {};
-}
-
-void TunnelGate::leave()
-{
-    m_count.fetch_sub(1);
+    return place;
 }
 
 std::size_t TunnelGate::count() const
--- a/src/tunnels/tunnels.h
+++ b/src/tunnels/tunnels.h
@@ -71,6 +71,7 @@
     GatewayChooser(const Clock &clock, std::string dataCentre, std::function<std::vector<Gateway>()> nodes);
     std::vector<std::string> choose(std::size_t limit); // addresses, in the order in which they are to be asked
     void leaveOut(const std::string &address);
+    void leaveOutAll(); // none of those that were asked could help; so that a node that reaches no other one doesn't wait for some at each connection
 
 private:
     const Clock &m_clock;
@@ -78,6 +79,7 @@
     const std::function<std::vector<Gateway>()> m_nodes;
     RankedMutex m_mutex{LockRank::Leaf};
     std::map<std::string, TimePoint> m_leftOutUntil; // by address
+    TimePoint m_allLeftOutUntil{};
     std::mt19937_64 m_generator;
 };
 
@@ -150,8 +152,25 @@
 public:
     // `usable`: whether there is a server at this address that may get requests from this node.
     TunnelGate(const Reachability &reachability, std::size_t maxTunnels, std::function<bool(const std::string &server)> usable);
-    tl::expected<void, TunnelError> enter(const std::string &server); // to be followed by leave() if it succeeds
-    void leave();
+    // The place of an admitted tunnel, until it is destroyed.
+    class Place
+    {
+    public:
+        explicit Place(std::atomic<std::size_t> &count)
+            : m_count(&count)
+        {
+        }
+
+    private:
+        struct Leave {
+            void operator()(std::atomic<std::size_t> *count) const
+            {
+                count->fetch_sub(1);
+            }
+        };
+        std::unique_ptr<std::atomic<std::size_t>, Leave> m_count; // not owned
+    };
+    tl::expected<Place, TunnelError> enter(const std::string &server);
     std::size_t count() const; // tunnels that are open or being opened
 
 private:
--- a/tests/integration/stranded_test.cpp
+++ b/tests/integration/stranded_test.cpp
@@ -124,6 +124,26 @@
     checkServed({0, 1}, Partition::Refused);
 }
 
+// Guards against requests that run twice, or nodes that stay without a way, when the node that makes the connections is killed.
+TEST(Stranded, AGatewayThatIsKilledIsReplaced)
+{
+    start(2, 1);
+    partition({0}, Partition::Refused);
+    (void)served("notice");
+    std::thread killer([this] {
+        std::this_thread::sleep_for(milliseconds(50));
+        cluster->restartNode(1);
+    });
+    (void)served("killed");
+    killer.join();
+    CHECK(cluster->awaitReady());
+    std::this_thread::sleep_for(NoticeTime);
+    const std::size_t all = 4 * Calls * cluster->nodeCount();
+    const std::size_t after = served("after");
+    CHECK_TEXT(after * 10 >= all * 9, (std::to_string(after) + " of " + std::to_string(all) + " served afterwards").c_str());
+    checkExecutions();
+}
+
 // Guards against requests that go round between nodes of which none reaches a server: they are refused, and the nodes serve again afterwards.
 TEST(Stranded, WhereNoNodeReachesAServerRequestsAreRefusedSoon)
 {
--- a/tests/unit/tunnels_test.cpp
+++ b/tests/unit/tunnels_test.cpp
@@ -151,6 +151,23 @@
     CHECK_FALSE(refused());
 }
 
+// Guards against a node that reaches no other one either, and waits for some of them at each connection.
+TEST(TunnelDecisions, WhereNoGatewayHelpsNoneIsAskedForAWhile)
+{
+    tunnels.errors = {{"near", TunnelError::Unavailable}, {"far", TunnelError::Unavailable}, {"further", TunnelError::Unavailable}};
+    nodes.push_back({"further", "dc3"});
+    nodes.push_back({"fourth", "dc4"});
+    tunnels.errors.emplace("fourth", TunnelError::Unavailable);
+    CHECK_FALSE(dial("10.0.0.1:1"));
+    CHECK_FALSE(dial("10.0.0.2:1"));
+    LONGS_EQUAL(3, static_cast<long>(tunnels.asked.size()));
+    CHECK_FALSE(dial("10.0.0.2:1"));
+    LONGS_EQUAL(3, static_cast<long>(tunnels.asked.size()));
+    clock.advance(milliseconds(1100));
+    tunnels.errors.clear();
+    CHECK(dial("10.0.0.2:1"));
+}
+
 // Guards against gateways that are asked again and again in vain, and against a data centre that is cut off as a whole and asks only its own nodes.
 TEST(TunnelDecisions, GatewaysOfBothKindsAreAskedInTurnAndLeftOutForAWhile)
 {
@@ -173,12 +190,15 @@
         return address == "10.0.0.1:1";
     });
     CHECK(gate.enter("127.0.0.1:22").error() == TunnelError::ServerUnreachable);
+    const auto first = gate.enter("10.0.0.1:1");
+    CHECK(first.has_value());
+    {
+        const auto second = gate.enter("10.0.0.1:1");
+        CHECK(second.has_value());
+        CHECK(gate.enter("10.0.0.1:1").error() == TunnelError::Unavailable);
+        LONGS_EQUAL(2, static_cast<long>(gate.count()));
+    }
     CHECK(gate.enter("10.0.0.1:1").has_value());
-    CHECK(gate.enter("10.0.0.1:1").has_value());
-    CHECK(gate.enter("10.0.0.1:1").error() == TunnelError::Unavailable);
-    gate.leave();
-    CHECK(gate.enter("10.0.0.1:1").has_value());
-    gate.leave();
     reachability.recordDirect("10.0.0.1:1", false);
     reachability.recordDirect("10.0.0.2:1", false);
     CHECK(gate.enter("10.0.0.1:1").error() == TunnelError::Unavailable);
