Names and comments of relays and tunnels; a log line is written without a lock held

No change of behaviour: RelayPolicy::slowLinkFactor, RelayReply without a member that nothing read, servers.reached_again logged after the lock. sources_test, transfers_test, tunnels_test, deployment_test, relay_test pass.

--- a/src/tunnels/tunnels.cpp
+++ b/src/tunnels/tunnels.cpp
@@ -23,15 +23,18 @@
 
 void Reachability::recordDirect(const std::string &server, bool connected)
 {
-    const Lock lock(m_mutex);
-    if (connected) {
-        if (m_cutOff) {
-            logEvent(LogLevel::Info, "servers.reached_again", {{"server", server}});
+    bool reachedAgain = false;
+    {
+        const Lock lock(m_mutex);
+        if (connected) {
+            reachedAgain = std::exchange(m_cutOff, false);
+            m_failed.clear();
+        } else {
+            m_failed[server] = m_clock.now();
         }
-        m_failed.clear();
-        m_cutOff = false;
-    } else {
-        m_failed[server] = m_clock.now();
+    }
+    if (reachedAgain) {
+        logEvent(LogLevel::Info, "servers.reached_again", {{"server", server}});
     }
 }
 
--- a/src/watch/relay.cpp
+++ b/src/watch/relay.cpp
@@ -213,7 +213,7 @@
             bool sourceFit = usable;
             if (rows && !plan->isStore()) {
                 const bool news = after && !after->includes(rows->position);
-                const ReplyVerdict verdict = state.chooser.judge(order, RelayReply{rows->hops, age, rows->transfer.ageAtSource, news});
+                const ReplyVerdict verdict = state.chooser.judge(order, RelayReply{rows->hops, rows->transfer.ageAtSource, news});
                 usable = verdict.useRows && rows->position.era() >= m_era;
                 sourceFit = usable && verdict.sourceFit;
             }
--- a/src/watch/sources.cpp
+++ b/src/watch/sources.cpp
@@ -12,10 +12,10 @@
 
 bool hasFastLink(const MemberRecord &member, double fastest, const RelayPolicy &policy)
 {
-    return member.linkMbps * policy.slowestServing >= fastest;
+    return member.linkMbps * policy.slowLinkFactor >= fastest;
 }
 
-// The members of a data centre in the order in which they are to be relays, and how many of them have fast links, as RelayPolicy::slowestServing says. These
+// The members of a data centre in the order in which they are to be relays, and how many of them have fast links, as RelayPolicy::slowLinkFactor says. These
 // come first: a relay sends each document once to each of its followers.
 std::pair<std::vector<MemberRecord>, std::size_t> rankRelays(const std::vector<MemberRecord> &members, const std::string &dataCentre, const std::string &duty,
                                                              const RelayPolicy &policy)
@@ -147,6 +147,7 @@
 
 ReplyVerdict SourceChooser::judge(const SourceOrder &order, const RelayReply &reply) const
 {
+    // The time that the copy travelled says nothing of its source, and news is news however old.
     const bool fit = reply.ageAtSource < m_settings.maxDataAge && (!order.isRelay || reply.hops <= 1);
     return ReplyVerdict{fit || reply.news, fit};
 }
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -303,7 +303,7 @@
     std::size_t minMembers = 8; // in a smaller data centre every member asks the store
     std::size_t membersPerRelay = 24; // one serving relay for each of this many members; limits the calls that one node serves
     std::size_t maxServing = 6; // largest number of serving relays
-    double slowestServing = 4; // a node whose link is more than so many times slower than the fastest one's is a relay only when these fail
+    double slowLinkFactor = 4; // a node whose link is more than so many times slower than the fastest one's is a relay only when these fail
     std::size_t standbys = 2;
     std::size_t remoteRelays = 2; // primary relays of other data centres, asked when all else fails
 };
@@ -338,8 +338,7 @@
 // What a node got from a relay.
 struct RelayReply {
     unsigned hops = 0; // StoredRows::hops
-    Duration age{}; // of the copy, when its last byte had come
-    Duration ageAtSource{}; // when the relay began to reply
+    Duration ageAtSource{}; // age of the copy when the relay began to reply
     bool news = false; // the copy is known to be further on than the one that this node has
 };
 
--- a/tests/support/slow_network.h
+++ b/tests/support/slow_network.h
@@ -204,7 +204,7 @@
         const TimePoint end = call.transfer ? call.limits.nextByteBy(call.begun, call.lastByte) : call.begun + call.limits.head;
         if (complete) {
             const Transfer &transfer = *call.transfer;
-            const RelayReply reply{transfer.hops, m_now - transfer.asOf, transfer.begun - transfer.asOf, transfer.version > node.version};
+            const RelayReply reply{transfer.hops, transfer.begun - transfer.asOf, transfer.version > node.version};
             const ReplyVerdict verdict = call.plan.isStore() ? ReplyVerdict{true, true} : node.chooser->judge(node.order, reply);
             if (verdict.useRows) {
                 node.version = std::max(node.version, transfer.version);
--- a/tests/unit/sources_test.cpp
+++ b/tests/unit/sources_test.cpp
@@ -230,7 +230,7 @@
         const bool confirmed = !lost && relay.asOf && (!node.asOf || *relay.asOf > *node.asOf + milliseconds(50));
         if (confirmed || (m_now >= call.ends && !lost && relay.asOf)) {
             const Duration age = m_now - *relay.asOf;
-            const ReplyVerdict verdict = node.chooser->judge(node.order, RelayReply{relay.hops + 1, age, age, false});
+            const ReplyVerdict verdict = node.chooser->judge(node.order, RelayReply{relay.hops + 1, age, false});
             conclude(node, verdict.useRows && verdict.sourceFit, *relay.asOf, relay.hops + 1, SourceFailure::Unfit);
         } else if (m_now >= call.ends) {
             conclude(node, false, m_now, 0, SourceFailure::Unreachable);
